--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PYTHON = PYTHONPATH=. $(VENV)/bin/python
+SOURCES = berylhinge properties benchmarks
+
+.PHONY: demo test check format fuzz bench measures slopes
+
+$(VENV)/.installed: requirements-dev.txt constraints.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements-dev.txt -c constraints.txt
+	$(VENV)/bin/pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m berylhinge.cli.dev
+
+test: $(VENV)/.installed
+	$(PYTHON) -m pytest
+
+check: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(PYTHON) -m mypy
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure speed and cost."""
--- /dev/null
+++ b/berylhinge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the command-line programs."""
--- /dev/null
+++ b/berylhinge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide without clocks, sockets or randomness of its own."""
--- /dev/null
+++ b/berylhinge/load/__init__.py
@@ -0,0 +1,1 @@
+"""Generate load and run experiments."""
--- /dev/null
+++ b/berylhinge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the upstreams in tests."""
--- /dev/null
+++ b/berylhinge/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Turn sockets into events and effects into bytes."""
--- /dev/null
+++ b/berylhinge/tasks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the sub-package."""
--- /dev/null
+++ b/berylhinge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the whole package."""
--- /dev/null
+++ b/berylhinge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages between processes."""
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Check hard bounds with generated inputs."""
