--- /dev/null
+++ b/berylhinge/tasks/http.py
@@ -0,0 +1,115 @@
+"""Serve and call HTTP/1.1 with JSON over gevent."""
+
+from __future__ import annotations
+
+import socket
+from http import HTTPStatus
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import msgspec
+from gevent import pywsgi
+from gevent.pool import Pool
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable, Iterable
+    from typing import TypeAlias
+
+    Environ: TypeAlias = dict[str, Any]
+    StartResponse: TypeAlias = Callable[..., Any]
+    WsgiApp: TypeAlias = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+JSON = "application/json"
+MAX_CONNECTIONS = 20_000
+
+
+class Address(NamedTuple):
+    """Name a TCP endpoint by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return host:port."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse host:port; raise ValueError for any other form."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"got {text!r}, expected IP:PORT")
+    return Address(host, int(port))
+
+
+class QuickHandler(pywsgi.WSGIHandler):
+    """Answer without Nagle's delay and without access lines."""
+
+    def handle(self) -> None:
+        """Set TCP_NODELAY before the first request."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
+    def log_request(self) -> None:
+        """Write nothing; metrics count requests."""
+
+    def log_error(self, msg: str, *args: object) -> None:
+        """Write nothing; refusals are counted by the application."""
+
+
+def start_server(
+    address: Address,
+    app: WsgiApp,
+    *,
+    handler_class: type[pywsgi.WSGIHandler] = QuickHandler,
+    ssl_context: ssl.SSLContext | None = None,
+    max_connections: int = MAX_CONNECTIONS,
+) -> pywsgi.WSGIServer:
+    """Listen and serve in the background; port 0 picks a free port."""
+    options = {"ssl_context": ssl_context} if ssl_context else {}
+    server = pywsgi.WSGIServer(
+        (address.host, address.port),
+        app,
+        handler_class=handler_class,
+        spawn=Pool(max_connections),
+        log=None,
+        error_log=None,
+        **options,
+    )
+    server.start()
+    return server
+
+
+def server_address(server: pywsgi.WSGIServer) -> Address:
+    """Return where the server listens."""
+    return Address(server.server_host, server.server_port)
+
+
+def respond(
+    start_response: StartResponse,
+    status: int,
+    body: bytes,
+    *,
+    content_type: str = JSON,
+    headers: Iterable[tuple[str, str]] = (),
+) -> list[bytes]:
+    """Start and return one whole response."""
+    line = f"{status} {HTTPStatus(status).phrase}"
+    fields = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+        *headers,
+    ]
+    start_response(line, fields)
+    return [body]
+
+
+def respond_json(
+    start_response: StartResponse,
+    status: int,
+    value: object,
+    *,
+    headers: Iterable[tuple[str, str]] = (),
+) -> list[bytes]:
+    """Start and return one JSON response."""
+    return respond(start_response, status, msgspec.json.encode(value), headers=headers)
