--- /dev/null
+++ b/berylhinge/core/requests.py
@@ -0,0 +1,171 @@
+"""Decode callers' bodies into typed requests."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..errors import Refusal, refuse
+from ..reasons import RefusalReason
+from ..types import Access, JsonValue, LogPoint, RequestId, RouteId, Seconds
+
+DEFAULT_TIMEOUT_SECONDS = 5.0
+MAX_TIMEOUT_SECONDS = 60.0
+MAX_AGE_SECONDS = 86_400.0
+MAX_STATEMENT_CHARACTERS = 200_000
+MAX_PARAMETERS = 10_000
+
+Timeout = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_SECONDS)]
+Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_SECONDS)]
+Sql = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_STATEMENT_CHARACTERS)]
+Parameter = str | int | float | bool | None
+Parameters = Annotated[list[Parameter], msgspec.Meta(max_length=MAX_PARAMETERS)]
+
+
+class StatementBody(TypedDict):
+    """Describe a statement outside a transaction."""
+
+    statement: Sql
+    access: Literal["read", "write"]
+    parameters: NotRequired[Parameters]
+    idempotent: NotRequired[bool]
+    max_age_seconds: NotRequired[Age]
+    timeout_seconds: NotRequired[Timeout]
+
+
+class BeginBody(TypedDict):
+    """Describe a transaction to begin."""
+
+    access: NotRequired[Literal["read", "write"]]
+    timeout_seconds: NotRequired[Timeout]
+
+
+class InnerBody(TypedDict):
+    """Describe a statement within a transaction."""
+
+    statement: Sql
+    parameters: NotRequired[Parameters]
+    timeout_seconds: NotRequired[Timeout]
+
+
+class EndBody(TypedDict):
+    """Describe a commit or rollback."""
+
+    timeout_seconds: NotRequired[Timeout]
+
+
+class StatementCall(NamedTuple):
+    """Ask for one statement; ``floor`` is the session's confirmed entry."""
+
+    request_id: RequestId
+    route: RouteId
+    statement: str
+    parameters: list[JsonValue]
+    access: Access
+    idempotent: bool
+    max_age_seconds: Seconds | None
+    timeout_seconds: Seconds
+    floor: LogPoint | None
+
+
+class TransactionCall(NamedTuple):
+    """Ask a transaction's owner to begin, run, commit or roll back."""
+
+    request_id: RequestId
+    route: RouteId
+    action: Literal["begin", "statement", "commit", "rollback"]
+    transaction: str
+    access: Access
+    statement: str
+    parameters: list[JsonValue]
+    timeout_seconds: Seconds
+    floor: LogPoint | None
+
+
+class Served(NamedTuple):
+    """Answer a call; ``point`` is the entry that the session has now seen."""
+
+    columns: list[str]
+    rows: list[list[JsonValue]]
+    row_count: int
+    point: LogPoint | None
+    upstream: str
+    role: str
+    transaction: str | None = None
+
+
+def decode_body(body: bytes, kind: type) -> Result[Any, Refusal]:
+    """Decode a JSON object and refuse unknown fields, naming them."""
+    try:
+        value = msgspec.json.decode(body or b"{}", type=dict[str, Any])
+        unknown = value.keys() - kind.__annotations__.keys()
+        if unknown:
+            expected = ", ".join(sorted(kind.__annotations__))
+            return Failure(
+                refuse(
+                    RefusalReason.MALFORMED_BODY,
+                    f"got unknown fields {sorted(unknown)}, expected only {expected}",
+                )
+            )
+        return Success(msgspec.convert(value, type=kind, strict=True))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Failure(refuse(RefusalReason.MALFORMED_BODY, str(error)))
+
+
+def parse_statement(
+    body: bytes, *, request_id: RequestId, route: RouteId, floor: LogPoint | None
+) -> Result[StatementCall, Refusal]:
+    """Parse the body of a statement outside a transaction."""
+
+    def build(fields: StatementBody) -> StatementCall:
+        access = Access(fields["access"])
+        return StatementCall(
+            request_id=request_id,
+            route=route,
+            statement=fields["statement"],
+            parameters=list(fields.get("parameters", ())),
+            access=access,
+            idempotent=fields.get("idempotent", access is Access.READ),
+            max_age_seconds=fields.get("max_age_seconds"),
+            timeout_seconds=fields.get("timeout_seconds", DEFAULT_TIMEOUT_SECONDS),
+            floor=floor,
+        )
+
+    return decode_body(body, StatementBody).map(build)
+
+
+_ACTION_BODIES = {
+    "begin": BeginBody,
+    "statement": InnerBody,
+    "commit": EndBody,
+    "rollback": EndBody,
+}
+
+
+def parse_transaction(
+    body: bytes,
+    *,
+    action: Literal["begin", "statement", "commit", "rollback"],
+    transaction: str,
+    request_id: RequestId,
+    route: RouteId,
+    floor: LogPoint | None,
+) -> Result[TransactionCall, Refusal]:
+    """Parse the body of a transaction's begin, statement, commit or rollback."""
+
+    def build(fields: dict[str, Any]) -> TransactionCall:
+        return TransactionCall(
+            request_id=request_id,
+            route=route,
+            action=action,
+            transaction=transaction,
+            access=Access(fields.get("access", "write")),
+            statement=fields.get("statement", ""),
+            parameters=list(fields.get("parameters", ())),
+            timeout_seconds=fields.get("timeout_seconds", DEFAULT_TIMEOUT_SECONDS),
+            floor=floor,
+        )
+
+    return decode_body(body, _ACTION_BODIES[action]).map(build)
--- /dev/null
+++ b/berylhinge/tasks/links.py
@@ -0,0 +1,213 @@
+"""Carry authenticated messages between instances over pynng."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+import pynng
+from gevent import get_hub
+from gevent.event import AsyncResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..types import InstanceId
+    from .http import Address
+
+SEND_BUFFER_MESSAGES = 4_096
+RECEIVE_BUFFER_MESSAGES = 4_096
+RECONNECT_MIN_MS = 20
+RECONNECT_MAX_MS = 1_000
+MAX_MESSAGE_BYTES = 8_000_000
+BATCH_MESSAGES = 64
+
+
+class Frame(NamedTuple):
+    """Wrap one message; ``call`` asks for an answer, ``reply`` answers a call."""
+
+    kind: str
+    call: int
+    reply: int
+    body: msgspec.Raw
+
+
+class PeerLost(Exception):
+    """Report that a peer did not answer in time or is not known."""
+
+    def __init__(self, instance: InstanceId, *, sent: bool) -> None:
+        """Keep the peer and whether the message may have left."""
+        super().__init__(f"no answer from {instance}")
+        self.instance = instance
+        self.sent = sent
+
+
+class Links:
+    """Own the inbox and one outbox for each peer."""
+
+    def __init__(
+        self,
+        listen: Address,
+        *,
+        seal: Callable[[bytes], bytes],
+        unseal: Callable[[bytes], tuple[InstanceId, bytes] | None],
+        on_count: Callable[[str, int], None],
+    ) -> None:
+        """Listen at once; messages flow after ``start``."""
+        self.inbox = pynng.Pull0(
+            listen=f"tcp://{listen.host}:{listen.port}",
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        self.seal = seal
+        self.unseal = unseal
+        self.on_count = on_count
+        self.outboxes: dict[InstanceId, tuple[str, pynng.Push0]] = {}
+        self.addresses: dict[InstanceId, str] = {}
+        self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
+        self.kinds: dict[str, type] = {}
+        self.calls: dict[int, AsyncResult] = {}
+        self.call_ids = count(1)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Frame)
+        self.reader: gevent.Greenlet | None = None
+
+    def register(self, kind: type, handler: Callable[..., Any] | None = None) -> None:
+        """Handle messages of a kind in the reader; the handler must not block."""
+        self.kinds[kind.__name__] = kind
+        if handler is not None:
+            self.handlers[kind.__name__] = (kind, handler, False)
+
+    def register_call(self, kind: type, handler: Callable[..., Any]) -> None:
+        """Answer calls of a kind, each in a greenlet of its own."""
+        self.kinds[kind.__name__] = kind
+        self.handlers[kind.__name__] = (kind, handler, True)
+
+    def start(self) -> None:
+        """Start reading."""
+        self.reader = gevent.spawn(self.read_messages)
+
+    def stop(self) -> None:
+        """Stop reading and close every socket."""
+        if self.reader is not None:
+            self.reader.kill()
+        for _, outbox in self.outboxes.values():
+            outbox.close()
+        self.inbox.close()
+
+    def set_addresses(self, addresses: dict[InstanceId, str]) -> None:
+        """Replace the known peers and drop outboxes that no longer fit."""
+        self.addresses = addresses
+        for instance, (address, outbox) in list(self.outboxes.items()):
+            if addresses.get(instance) != address:
+                del self.outboxes[instance]
+                outbox.close()
+
+    def outbox_for(self, instance: InstanceId) -> pynng.Push0 | None:
+        """Return the peer's outbox, dialling in the background at first use."""
+        known = self.outboxes.get(instance)
+        if known is not None:
+            return known[1]
+        address = self.addresses.get(instance)
+        if address is None:
+            return None
+        outbox = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        outbox.dial(f"tcp://{address}", block=False)
+        self.outboxes[instance] = (address, outbox)
+        return outbox
+
+    def send(
+        self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
+    ) -> bool:
+        """Send without waiting; return false when it certainly did not leave."""
+        outbox = self.outbox_for(instance)
+        if outbox is None:
+            self.on_count("unknown-peer", 0)
+            return False
+        body = msgspec.Raw(self.encoder.encode(message))
+        frame = Frame(type(message).__name__, call, reply, body)
+        data = self.seal(self.encoder.encode(frame))
+        try:
+            outbox.send(data, block=False)
+        except pynng.TryAgain:
+            self.on_count("outbox-full", 0)
+            return False
+        self.on_count("sent", len(data))
+        return True
+
+    def call(self, instance: InstanceId, message: Any, timeout_seconds: float) -> Any:
+        """Send and wait for the answer; raise PeerLost."""
+        number = next(self.call_ids)
+        waiting = self.calls[number] = AsyncResult()
+        try:
+            if not self.send(instance, message, call=number):
+                raise PeerLost(instance, sent=False)
+            return waiting.get(timeout=timeout_seconds)
+        except gevent.Timeout as error:
+            raise PeerLost(instance, sent=True) from error
+        finally:
+            del self.calls[number]
+
+    def read_messages(self) -> None:
+        """Read until killed, yielding to the hub after each batch."""
+        watcher = get_hub().loop.io(self.inbox.recv_fd, 1)
+        while True:
+            for _ in range(BATCH_MESSAGES):
+                try:
+                    data = self.inbox.recv(block=False)
+                except pynng.TryAgain:
+                    get_hub().wait(watcher)
+                    continue
+                self.receive(data)
+            gevent.sleep(0)
+
+    def receive(self, data: bytes) -> None:
+        """Check, decode and dispatch one message."""
+        opened = self.unseal(data)
+        if opened is None:
+            return
+        sender, inner = opened
+        try:
+            frame = self.decoder.decode(inner)
+            kind = self.kinds[frame.kind]
+            message = msgspec.msgpack.decode(frame.body, type=kind)
+        except (msgspec.MsgspecError, KeyError):
+            self.on_count("malformed", len(data))
+            return
+        self.on_count("received", len(data))
+        if frame.reply:
+            waiting = self.calls.get(frame.reply)
+            if waiting is not None:
+                waiting.set(message)
+            return
+        self.dispatch(sender, frame, message)
+
+    def dispatch(self, sender: InstanceId, frame: Frame, message: Any) -> None:
+        """Hand a message to its handler."""
+        registered = self.handlers.get(frame.kind)
+        if registered is None:
+            self.on_count("unhandled", 0)
+            return
+        _, handler, spawns = registered
+        if spawns:
+            gevent.spawn(self.answer, sender, frame.call, handler, message)
+        else:
+            handler(sender, message)
+
+    def answer(
+        self,
+        sender: InstanceId,
+        call: int,
+        handler: Callable[..., Any],
+        message: Any,
+    ) -> None:
+        """Run a call's handler and send what it returns."""
+        answer = handler(sender, message)
+        if answer is not None and call:
+            self.send(sender, answer, reply=call)
--- /dev/null
+++ b/berylhinge/tasks/metrics.py
@@ -0,0 +1,110 @@
+"""Count requests, refusals and retries, and render them for scraping."""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from ..reasons import RefusalReason, RetryReason
+from ..types import Outcome
+
+LATENCY_BUCKETS_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    float("inf"),
+)
+
+
+class CounterSpec(NamedTuple):
+    """Describe a counter with one or two labels."""
+
+    doc: str
+    labels: tuple[str, ...]
+
+
+COUNTERS = {
+    "answers_total": CounterSpec("Answered requests.", ("access",)),
+    "refusals_total": CounterSpec("Refused requests.", ("reason", "outcome")),
+    "retries_total": CounterSpec("Retried statements.", ("reason",)),
+    "reads_total": CounterSpec("Reads by the role that served them.", ("role",)),
+    "peer_messages_total": CounterSpec("Peer messages.", ("event",)),
+    "peer_bytes_total": CounterSpec("Peer bytes.", ("event",)),
+    "promotions_total": CounterSpec("Promotions.", ("result",)),
+    "store_calls_total": CounterSpec("Platform calls.", ("result",)),
+}
+GAUGES = {
+    "group_term": "Highest term seen, by group.",
+    "replica_lag_entries": "Entries behind the primary, by upstream.",
+    "rate_units": "Rate units held, by organisation.",
+    "configuration_version": "Configuration version in force.",
+    "hub_lag_seconds": "Longest recent stall of the hub.",
+    "queue_length": "Requests that wait for a connection, by group.",
+}
+
+
+class Metrics:
+    """Count in plain integers and copy them into collectors at each scrape."""
+
+    def __init__(self) -> None:
+        """Register every collector and start each reason at zero."""
+        self.registry = Registry()
+        self.counts: dict[str, collections.Counter[tuple[str, ...]]] = {
+            name: collections.Counter() for name in COUNTERS
+        }
+        self.counters = {
+            name: Counter(f"berylhinge_{name}", spec.doc, registry=self.registry)
+            for name, spec in COUNTERS.items()
+        }
+        self.gauges = {
+            name: Gauge(f"berylhinge_{name}", doc, registry=self.registry)
+            for name, doc in GAUGES.items()
+        }
+        self.latency = Histogram(
+            "berylhinge_request_seconds",
+            "Time from request to answer.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_SECONDS,
+        )
+        for reason in RefusalReason:
+            self.counts["refusals_total"][reason.value, Outcome.NOT_RUN.value] = 0
+        for retry in RetryReason:
+            self.counts["retries_total"][retry.value,] = 0
+
+    def count(self, name: str, *labels: str, by: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name][labels] += by
+
+    def count_refusal(self, reason: RefusalReason, outcome: Outcome) -> None:
+        """Count one refusal as the caller saw it."""
+        self.counts["refusals_total"][reason.value, outcome.value] += 1
+
+    def count_peer(self, event: str, size_bytes: int) -> None:
+        """Count one peer message and its bytes."""
+        self.counts["peer_messages_total"][event,] += 1
+        self.counts["peer_bytes_total"][event,] += size_bytes
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self.gauges[name].set(labels, value)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text exposition and its content type."""
+        for name, counts in self.counts.items():
+            labels = COUNTERS[name].labels
+            for values, value in counts.items():
+                self.counters[name].set(dict(zip(labels, values, strict=True)), value)
+        body, headers = render(self.registry, ["text/plain"])
+        return body, headers["Content-Type"]
--- /dev/null
+++ b/berylhinge/wire/peers.py
@@ -0,0 +1,34 @@
+"""Define the messages by which one instance works for another."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..core.requests import Served, StatementCall, TransactionCall
+from ..errors import Refusal
+from ..types import GroupId, KeyId, OrganisationId
+
+
+class ForwardStatement(NamedTuple):
+    """Ask a serving instance to run a statement already admitted and charged."""
+
+    group: GroupId
+    organisation: OrganisationId
+    key: KeyId
+    call: StatementCall
+
+
+class ForwardTransaction(NamedTuple):
+    """Ask a transaction's owner to act on it."""
+
+    group: GroupId
+    organisation: OrganisationId
+    key: KeyId
+    call: TransactionCall
+
+
+class ForwardAnswer(NamedTuple):
+    """Return what was served, or the refusal."""
+
+    served: Served | None
+    refusal: Refusal | None
