--- a/berylhinge/standins/entry_log.py
+++ b/berylhinge/standins/entry_log.py
@@ -58,6 +58,8 @@
         """Compare the entries."""
         if not isinstance(other, EntryLog):
             return NotImplemented
+        if self.length != other.length or self.last != other.last:
+            return False
         return tuple(self) == tuple(other)
 
     def __hash__(self) -> int:
--- a/berylhinge/standins/sql.py
+++ b/berylhinge/standins/sql.py
@@ -4,6 +4,7 @@
 
 import re
 import sqlite3
+from itertools import pairwise
 from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -74,7 +75,7 @@
     words = words_of(text)
     if not words:
         raise UnsupportedSqlError("the statement is empty; send one SQL statement")
-    if "limit" in words and ("order", "by") not in zip(words, words[1:], strict=False):
+    if "limit" in words and ("order", "by") not in pairwise(words):
         raise UnsupportedSqlError("a write with LIMIT needs ORDER BY")
 
 
