--- a/berylhinge/standins/database.py
+++ b/berylhinge/standins/database.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
 
@@ -123,6 +123,6 @@
     kill = stop
 
 
-def start_database(upstream: str, **options: object) -> Database:
+def start_database(upstream: str, **options: Any) -> Database:
     """Start a database; the options are those of DatabaseSettings."""
     return Database(DatabaseSettings(upstream, **options))
