--- a/berylhinge/standins/database.py
+++ b/berylhinge/standins/database.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING, TypedDict
 
 import gevent
 
@@ -36,6 +36,16 @@
     lag_seconds: float = 0.0
 
 
+class DatabaseAddresses(TypedDict):
+    """Name a database and its listeners."""
+
+    upstream: str
+    place: str
+    data: str
+    control: str
+    faults: str
+
+
 class Database:
     """Own the listeners, the member and the senders of one database."""
 
@@ -87,6 +97,16 @@
         """Return the fault listener's address."""
         return self.fault_listener.address
 
+    def addresses(self) -> DatabaseAddresses:
+        """Return the name and the listeners."""
+        return DatabaseAddresses(
+            upstream=self.upstream,
+            place=self.settings.place,
+            data=str(self.data),
+            control=str(self.control),
+            faults=str(self.fault_address),
+        )
+
     def start_senders(self, term: int, members: list[GroupMember]) -> None:
         """Send to the other members in place of an older term's senders."""
         gevent.killall(self.senders, block=False)
--- a/berylhinge/standins/platform.py
+++ b/berylhinge/standins/platform.py
@@ -50,6 +50,13 @@
     announcement_seconds: float = 5.0
 
 
+class PlatformAddresses(TypedDict):
+    """Name the platform's listeners."""
+
+    address: str
+    faults: str
+
+
 class Platform:
     """Own the listeners, the store and the list of instances."""
 
@@ -84,6 +91,12 @@
         """Return the fault listener's address."""
         return self.fault_listener.address
 
+    def addresses(self) -> PlatformAddresses:
+        """Return the listeners."""
+        return PlatformAddresses(
+            address=str(self.address), faults=str(self.fault_address)
+        )
+
     def endpoints(self) -> dict[str, Endpoint]:
         """Return the service's paths."""
         return {
