Declare, select, route, authenticate and read settings

Cause: the request path needs to know which group serves an organisation, whose key came with a request, and where an instance listens.

Change: documents are checked against their types and every bad field is collected; declarations are indexed once; routes resolve by label selectors; keys are stored as salted BLAKE2b hashes and compared in constant time; the settings' reference page is made from the types.

--- /dev/null
+++ b/berylhinge/core/declarations.py
@@ -0,0 +1,102 @@
+"""Define the operators' declaration document."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+import msgspec
+from returns.result import Result
+
+from ..errors import FieldError
+from ..types import JsonValue
+from .documents import read
+from .forms import Base64, Count, Endpoint, Identifier, NotNegative, Positive
+from .selectors import Selector
+
+LabelMap = dict[Identifier, Identifier]
+GROUP_MEMBERS_LIMIT = 9
+
+
+class Organisation(TypedDict):
+    """Declare an organisation's rate (requests/s), burst and weight."""
+
+    id: Identifier
+    rate_per_second: Positive
+    burst: Annotated[float, msgspec.Meta(ge=1)]
+    weight: NotRequired[Positive]
+    labels: NotRequired[LabelMap]
+
+
+class Key(TypedDict):
+    """Store the salted hash of an organisation's key."""
+
+    id: Identifier
+    organisation: Identifier
+    salt: Base64
+    hash: Base64
+    state: Literal["granted", "withdrawn"]
+
+
+class Group(TypedDict):
+    """Declare a replicated group of upstreams."""
+
+    id: Identifier
+    labels: NotRequired[LabelMap]
+
+
+class Upstream(TypedDict):
+    """Declare one database of a group."""
+
+    id: Identifier
+    group: Identifier
+    data: Endpoint
+    control: Endpoint
+    place: Identifier
+    labels: NotRequired[LabelMap]
+    connections: Count
+    slots: Count
+    state: NotRequired[Literal["live", "leaving"]]
+
+
+class Route(TypedDict):
+    """Declare which group serves which organisation's statements.
+
+    ``match_organisation`` lists label keys that must be equal on organisation
+    and group; ``organisations`` says who may use a route that isn't open.
+    """
+
+    id: Identifier
+    labels: NotRequired[LabelMap]
+    groups: Selector
+    match_organisation: NotRequired[list[Identifier]]
+    organisations: NotRequired[Selector]
+    open: NotRequired[bool]
+    max_age_seconds: NotRequired[NotNegative]
+
+
+class Declaration(TypedDict):
+    """Declare everything that the fleet serves."""
+
+    organisations: list[Organisation]
+    keys: NotRequired[list[Key]]
+    groups: list[Group]
+    upstreams: list[Upstream]
+    routes: list[Route]
+
+
+def read_declaration(
+    value: JsonValue,
+) -> Result[Declaration, tuple[FieldError, ...]]:
+    """Convert a JSON value to a declaration, or return every bad field."""
+    return read(value, Declaration)
+
+
+def empty_declaration() -> Declaration:
+    """Return a declaration of nothing."""
+    return {
+        "organisations": [],
+        "keys": [],
+        "groups": [],
+        "upstreams": [],
+        "routes": [],
+    }
--- /dev/null
+++ b/berylhinge/core/documents.py
@@ -0,0 +1,351 @@
+"""Check JSON documents against their types and collect every bad field."""
+
+from __future__ import annotations
+
+import difflib
+import functools
+import json
+import math
+import types
+from collections.abc import Callable
+from typing import (
+    Annotated,
+    Any,
+    get_args,
+    get_origin,
+    get_type_hints,
+    is_typeddict,
+    Literal,
+    NamedTuple,
+    NotRequired,
+    Union,
+)
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..errors import FieldError
+from ..types import JsonValue
+
+SHOWN_CHARACTERS = 60
+
+
+class Form(NamedTuple):
+    """Describe a text by a parser that raises ValueError for a wrong one."""
+
+    expected: str
+    parse: Callable[[str], Any]
+    remedy: str
+    concealed: bool = False
+
+
+class Field(NamedTuple):
+    """Describe one field of a document type."""
+
+    name: str
+    kind: Any
+    required: bool
+    default: Any
+
+
+class Rules(NamedTuple):
+    """Hold what an annotated type demands beyond its plain type."""
+
+    plain: Any
+    metas: tuple[msgspec.Meta, ...]
+    forms: tuple[Form, ...]
+
+
+class Fault(Exception):
+    """Reject a text that isn't one JSON document."""
+
+
+def parse_json(text: bytes | str) -> Result[JsonValue, tuple[FieldError, ...]]:
+    """Parse one JSON text; refuse repeated names and excessive nesting."""
+    try:
+        return Success(json.loads(text, object_pairs_hook=unique_names))
+    except (ValueError, Fault, RecursionError) as error:
+        got = f"{type(error).__name__}: {error}"[:200]
+        remedy = "correct the JSON text"
+        return Failure((FieldError("$", got, "one JSON document", remedy),))
+
+
+def unique_names(pairs: list[tuple[str, JsonValue]]) -> dict[str, JsonValue]:
+    """Build an object; raise Fault when a name stands twice."""
+    found = dict(pairs)
+    if len(found) != len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        raise Fault(f"repeated names {repeated}")
+    return found
+
+
+def shown(value: JsonValue) -> str:
+    """Return a short form of a value for messages."""
+    if isinstance(value, float) and not math.isfinite(value):
+        return str(value)
+    text = json.dumps(value, default=str)
+    return text if len(text) <= SHOWN_CHARACTERS else text[:SHOWN_CHARACTERS] + "..."
+
+
+def read(
+    value: JsonValue, kind: Any, *, path: str = "$"
+) -> Result[Any, tuple[FieldError, ...]]:
+    """Convert a JSON value to its type, or return every bad field."""
+    errors: list[FieldError] = []
+    converted = convert(value, kind, path, errors)
+    return Failure(tuple(errors)) if errors else Success(converted)
+
+
+def convert(value: JsonValue, kind: Any, path: str, errors: list[FieldError]) -> Any:
+    """Convert one value and append its bad fields to ``errors``."""
+    rules = rules_of(kind)
+    before = len(errors)
+    converted = convert_plain(value, rules, path, errors)
+    if len(errors) == before:
+        converted = apply_rules(converted, rules, path, errors)
+    return converted
+
+
+@functools.cache
+def rules_of(kind: Any) -> Rules:
+    """Split an annotated type into its plain type, bounds and forms."""
+    if get_origin(kind) is not Annotated:
+        return Rules(kind, (), ())
+    plain, *extras = get_args(kind)
+    metas = tuple(extra for extra in extras if isinstance(extra, msgspec.Meta))
+    forms = tuple(extra for extra in extras if isinstance(extra, Form))
+    return Rules(plain, metas, forms)
+
+
+def convert_plain(
+    value: JsonValue, rules: Rules, path: str, errors: list[FieldError]
+) -> Any:
+    """Convert a value whose annotations were split off."""
+    kind = rules.plain
+    origin = get_origin(kind)
+    if is_record(kind):
+        return convert_record(value, kind, path, errors)
+    if origin is list or origin is tuple:
+        return convert_list(value, kind, path, errors)
+    if origin is dict:
+        return convert_map(value, kind, path, errors)
+    if origin in (Union, types.UnionType):
+        return convert_optional(value, kind, path, errors)
+    if fits(value, kind):
+        return float(value) if kind is float else value
+    got = shown_kind(value) if concealed(rules) else shown(value)
+    remedy = "write a value of the expected type"
+    errors.append(FieldError(path, got, expected_of(rules), remedy))
+    return None
+
+
+def convert_optional(
+    value: JsonValue, kind: Any, path: str, errors: list[FieldError]
+) -> Any:
+    """Convert a value that may be null."""
+    if value is None:
+        return None
+    inner = [part for part in get_args(kind) if part is not types.NoneType]
+    return convert(value, inner[0], path, errors)
+
+
+def fits(value: JsonValue, kind: Any) -> bool:
+    """Tell whether a scalar is of the plain type; a boolean is no number."""
+    if get_origin(kind) is Literal:
+        return isinstance(value, str) and value in get_args(kind)
+    if kind is bool:
+        return isinstance(value, bool)
+    if isinstance(value, bool):
+        return False
+    if kind is float:
+        return isinstance(value, int | float) and finite(value)
+    return isinstance(value, kind)
+
+
+def finite(value: int | float) -> bool:
+    """Tell whether a number is finite as a float."""
+    try:
+        return math.isfinite(value)
+    except OverflowError:
+        return False
+
+
+def convert_record(
+    value: JsonValue, kind: Any, path: str, errors: list[FieldError]
+) -> Any:
+    """Convert an object to a TypedDict or a NamedTuple."""
+    if not isinstance(value, dict):
+        errors.append(
+            FieldError(path, shown(value), "an object", "write a JSON object")
+        )
+        return None
+    known = fields_of(kind)
+    unknown_fields(value, known, path, errors)
+    found = {}
+    for field in known:
+        inner = f"{path}.{field.name}"
+        if field.name in value:
+            found[field.name] = convert(value[field.name], field.kind, inner, errors)
+        elif field.required:
+            expected = expected_of(rules_of(field.kind))
+            errors.append(FieldError(inner, "nothing", expected, "add the field"))
+    if is_typeddict(kind):
+        return found
+    return None if errors else kind(**found)
+
+
+def unknown_fields(
+    value: dict[str, JsonValue],
+    known: tuple[Field, ...],
+    path: str,
+    errors: list[FieldError],
+) -> None:
+    """Append an error for each name that the type doesn't have."""
+    names = [field.name for field in known]
+    for name in value:
+        if name in names:
+            continue
+        close = difflib.get_close_matches(name, names, n=1)
+        remedy = f"did you mean {close[0]}?" if close else "remove the field"
+        expected = "one of " + ", ".join(names)
+        errors.append(
+            FieldError(f"{path}.{name}", "an unknown field", expected, remedy)
+        )
+
+
+def convert_list(
+    value: JsonValue, kind: Any, path: str, errors: list[FieldError]
+) -> Any:
+    """Convert each element of a list."""
+    if not isinstance(value, list | tuple):
+        errors.append(FieldError(path, shown(value), "a list", "write a JSON list"))
+        return None
+    inner = get_args(kind)[0]
+    found = [
+        convert(item, inner, f"{path}[{place}]", errors)
+        for place, item in enumerate(value)
+    ]
+    return tuple(found) if get_origin(kind) is tuple else found
+
+
+def convert_map(
+    value: JsonValue, kind: Any, path: str, errors: list[FieldError]
+) -> Any:
+    """Convert each name and value of an open object."""
+    if not isinstance(value, dict):
+        errors.append(
+            FieldError(path, shown(value), "an object", "write a JSON object")
+        )
+        return None
+    name_kind, inner = get_args(kind)
+    return {
+        convert(name, name_kind, f"{path} (name)", errors): convert(
+            item, inner, f"{path}.{name}", errors
+        )
+        for name, item in value.items()
+    }
+
+
+def apply_rules(value: Any, rules: Rules, path: str, errors: list[FieldError]) -> Any:
+    """Check bounds and parse forms of a converted value."""
+    hidden = concealed(rules)
+    for meta in rules.metas:
+        if not within(value, meta):
+            got = shown_kind(value) if hidden else shown(value)
+            remedy = "write a value within the bounds"
+            errors.append(FieldError(path, got, expected_of(rules), remedy))
+            return None
+    for form in rules.forms:
+        try:
+            value = form.parse(value)
+        except ValueError:
+            got = shown_kind(value) if hidden else shown(value)
+            errors.append(FieldError(path, got, form.expected, form.remedy))
+            return None
+    return value
+
+
+def within(value: Any, meta: msgspec.Meta) -> bool:
+    """Tell whether a value keeps the bounds of one Meta."""
+    if meta.ge is not None and not value >= meta.ge:
+        return False
+    if meta.gt is not None and not value > meta.gt:
+        return False
+    if meta.le is not None and not value <= meta.le:
+        return False
+    if meta.min_length is not None and len(value) < meta.min_length:
+        return False
+    return meta.max_length is None or len(value) <= meta.max_length
+
+
+def concealed(rules: Rules) -> bool:
+    """Tell whether messages must not show the value."""
+    return any(form.concealed for form in rules.forms)
+
+
+def shown_kind(value: JsonValue) -> str:
+    """Return the kind and length of a value that must not be shown."""
+    if isinstance(value, str):
+        return f"a text of {len(value)} characters"
+    return f"a {type(value).__name__}"
+
+
+def is_record(kind: Any) -> bool:
+    """Tell whether a type is a TypedDict or a NamedTuple."""
+    return is_typeddict(kind) or hasattr(kind, "_fields")
+
+
+@functools.cache
+def fields_of(kind: Any) -> tuple[Field, ...]:
+    """Return the fields of a TypedDict or NamedTuple, in order."""
+    hints = get_type_hints(kind, include_extras=True)
+    defaults = getattr(kind, "_field_defaults", {})
+    found = []
+    for name, hint in hints.items():
+        optional = get_origin(hint) is NotRequired
+        inner = get_args(hint)[0] if optional else hint
+        required = not optional and name not in defaults
+        found.append(Field(name, inner, required, defaults.get(name)))
+    return tuple(found)
+
+
+def expected_of(rules: Rules) -> str:
+    """Describe the values that a type accepts."""
+    if rules.forms:
+        return rules.forms[0].expected
+    bounds = [text for meta in rules.metas for text in bounds_of(meta)]
+    return ", ".join([plain_name(rules.plain), *bounds])
+
+
+def bounds_of(meta: msgspec.Meta) -> list[str]:
+    """Describe the bounds of one Meta."""
+    named = (
+        (">=", meta.ge),
+        (">", meta.gt),
+        ("<=", meta.le),
+        ("length >=", meta.min_length),
+        ("length <=", meta.max_length),
+    )
+    return [f"{sign} {bound}" for sign, bound in named if bound is not None]
+
+
+def plain_name(kind: Any) -> str:
+    """Name a plain type in the words of JSON."""
+    origin = get_origin(kind)
+    if origin is Literal:
+        return "one of " + ", ".join(str(choice) for choice in get_args(kind))
+    if origin in (Union, types.UnionType):
+        inner = [part for part in get_args(kind) if part is not types.NoneType]
+        return f"{expected_of(rules_of(inner[0]))} or null"
+    if origin in (list, tuple):
+        return f"a list of {expected_of(rules_of(get_args(kind)[0]))}"
+    if origin is dict or is_record(kind):
+        return "an object"
+    names = {
+        str: "a text",
+        int: "an integer",
+        float: "a number",
+        bool: "true or false",
+    }
+    return names[kind]
--- /dev/null
+++ b/berylhinge/core/forms.py
@@ -0,0 +1,79 @@
+"""Define the text forms and bounded numbers that documents share."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import ipaddress
+import re
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+from .documents import Form
+
+IDENTIFIER = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
+PORT_LIMIT = 65_535
+
+
+def parse_identifier(text: str) -> str:
+    """Return a text of 1 to 63 letters, digits and inner ``.``, ``_`` or ``-``."""
+    if not IDENTIFIER.fullmatch(text):
+        raise ValueError(text)
+    return text
+
+
+def parse_listener(text: str) -> str:
+    """Return a text of the form IP:PORT whose port may be 0."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and int(port) <= PORT_LIMIT):
+        raise ValueError(text)
+    if host.startswith("[") and host.endswith("]"):
+        ipaddress.IPv6Address(host[1:-1])
+    else:
+        ipaddress.IPv4Address(host)
+    return text
+
+
+def parse_endpoint(text: str) -> str:
+    """Return a text of the form IP:PORT whose port isn't 0."""
+    listener = parse_listener(text)
+    if int(listener.rpartition(":")[2]) == 0:
+        raise ValueError(text)
+    return listener
+
+
+def parse_base64(text: str) -> bytes:
+    """Decode standard base64; raise ValueError for any other text."""
+    try:
+        return base64.b64decode(text.encode("ascii"), validate=True)
+    except (UnicodeEncodeError, binascii.Error) as error:
+        raise ValueError("not base64") from error
+
+
+def keep_base64(text: str) -> str:
+    """Return a text that is standard base64."""
+    parse_base64(text)
+    return text
+
+
+Identifier: TypeAlias = Annotated[
+    str,
+    Form(
+        "1 to 63 letters, digits and inner . _ -",
+        parse_identifier,
+        "write a shorter or plainer name",
+    ),
+]
+Endpoint: TypeAlias = Annotated[
+    str, Form("IP:PORT", parse_endpoint, "write an IP number and a port from 1")
+]
+Listener: TypeAlias = Annotated[
+    str, Form("IP:PORT", parse_listener, "write an IP number and a port; 0 is any free")
+]
+Base64: TypeAlias = Annotated[
+    str, Form("base64", keep_base64, "let berylhingectl write it", concealed=True)
+]
+Positive: TypeAlias = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1)]
--- /dev/null
+++ b/berylhinge/core/index.py
@@ -0,0 +1,110 @@
+"""Index a declaration for the decisions of the request path."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from .forms import parse_base64
+from .selectors import compile_selector, CompiledSelector, matches
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..types import GroupId, KeyId, Labels, OrganisationId, RouteId, UpstreamId
+    from .declarations import Declaration, Group, Key, Organisation, Route, Upstream
+
+
+class IndexedKey(NamedTuple):
+    """Hold a key's salt and hash as bytes."""
+
+    organisation: OrganisationId
+    salt: bytes
+    hash: bytes
+    withdrawn: bool
+
+
+class IndexedRoute(NamedTuple):
+    """Hold a route's groups by the label values they share with organisations."""
+
+    route: RouteId
+    open: bool
+    organisations: CompiledSelector | None
+    match_organisation: tuple[str, ...]
+    groups: dict[tuple[str | None, ...], tuple[GroupId, ...]]
+    max_age_seconds: float | None
+
+
+class DeclarationIndex(NamedTuple):
+    """Hold one declaration by identifiers."""
+
+    organisations: dict[OrganisationId, Organisation]
+    keys: dict[KeyId, IndexedKey]
+    groups: dict[GroupId, Group]
+    upstreams: dict[UpstreamId, Upstream]
+    members: dict[GroupId, tuple[Upstream, ...]]
+    routes: dict[RouteId, IndexedRoute]
+
+
+def build_index(declaration: Declaration) -> DeclarationIndex:
+    """Index a declaration that passed its checks."""
+    groups = {group["id"]: group for group in declaration["groups"]}
+    upstreams = {upstream["id"]: upstream for upstream in declaration["upstreams"]}
+    return DeclarationIndex(
+        organisations={one["id"]: one for one in declaration["organisations"]},
+        keys={key["id"]: index_key(key) for key in declaration.get("keys", ())},
+        groups=groups,
+        upstreams=upstreams,
+        members=index_members(groups, upstreams.values()),
+        routes={
+            route["id"]: index_route(route, groups.values())
+            for route in declaration["routes"]
+        },
+    )
+
+
+def index_key(key: Key) -> IndexedKey:
+    """Decode a key's salt and hash."""
+    return IndexedKey(
+        organisation=key["organisation"],
+        salt=parse_base64(key["salt"]),
+        hash=parse_base64(key["hash"]),
+        withdrawn=key["state"] != "granted",
+    )
+
+
+def index_members(
+    groups: Iterable[GroupId], upstreams: Iterable[Upstream]
+) -> dict[GroupId, tuple[Upstream, ...]]:
+    """Return each group's upstreams, ordered by identifier."""
+    members: dict[GroupId, list[Upstream]] = {group: [] for group in groups}
+    for upstream in upstreams:
+        members.setdefault(upstream["group"], []).append(upstream)
+    return {
+        group: tuple(sorted(found, key=lambda upstream: upstream["id"]))
+        for group, found in members.items()
+    }
+
+
+def index_route(route: Route, groups: Iterable[Group]) -> IndexedRoute:
+    """Sort the groups a route selects by the label values it matches on."""
+    selector = compile_selector(route["groups"])
+    allowed = route.get("organisations")
+    match = tuple(route.get("match_organisation", ()))
+    buckets: dict[tuple[str | None, ...], list[GroupId]] = {}
+    for group in groups:
+        labels = group.get("labels", {})
+        if matches(selector, labels) and all(key in labels for key in match):
+            buckets.setdefault(label_values(labels, match), []).append(group["id"])
+    return IndexedRoute(
+        route=route["id"],
+        open=route.get("open", False),
+        organisations=None if allowed is None else compile_selector(allowed),
+        match_organisation=match,
+        groups={values: tuple(found) for values, found in buckets.items()},
+        max_age_seconds=route.get("max_age_seconds"),
+    )
+
+
+def label_values(labels: Labels, keys: tuple[str, ...]) -> tuple[str | None, ...]:
+    """Return the values of the given label keys, none where absent."""
+    return tuple(map(labels.get, keys))
--- /dev/null
+++ b/berylhinge/core/keys.py
@@ -0,0 +1,113 @@
+"""Make, hash and compare the keys that organisations present."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import hmac
+from typing import NamedTuple, TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ..errors import Refusal, refuse
+from ..reasons import RefusalReason
+from .concealed import Concealed
+from .index import IndexedKey
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..types import KeyId, OrganisationId
+    from .declarations import Key
+    from .index import DeclarationIndex
+
+KEY_PREFIX = "bh"
+KEY_ID_BYTES = 8
+SECRET_BYTES = 32
+SALT_BYTES = 16
+HASH_BYTES = 32
+HASH_PURPOSE = b"berylhinge-key"
+KEY_LIMIT_CHARACTERS = 200
+NO_KEY = IndexedKey("", bytes(SALT_BYTES), bytes(HASH_BYTES), withdrawn=True)
+
+
+class GrantedKey(NamedTuple):
+    """Pair the stored record of a new key with its text, shown once."""
+
+    record: Key
+    text: Concealed[str]
+
+
+class PresentedKey(NamedTuple):
+    """Split a presented key into its identifier and concealed secret."""
+
+    id: KeyId
+    secret: Concealed[bytes]
+
+
+def grant_key(
+    organisation: OrganisationId, random_bytes: Callable[[int], bytes]
+) -> GrantedKey:
+    """Make a key with a 256-bit secret from a cryptographic random source."""
+    key_id = random_bytes(KEY_ID_BYTES).hex()
+    secret = encode_secret(random_bytes(SECRET_BYTES))
+    salt = random_bytes(SALT_BYTES)
+    record: Key = {
+        "id": key_id,
+        "organisation": organisation,
+        "salt": base64.b64encode(salt).decode(),
+        "hash": base64.b64encode(hash_secret(secret.encode(), salt)).decode(),
+        "state": "granted",
+    }
+    return GrantedKey(record, Concealed(f"{KEY_PREFIX}_{key_id}_{secret}"))
+
+
+def encode_secret(secret: bytes) -> str:
+    """Encode a secret as unpadded URL-safe base64."""
+    return base64.urlsafe_b64encode(secret).rstrip(b"=").decode()
+
+
+def hash_secret(secret: bytes, salt: bytes) -> bytes:
+    """Hash a high-entropy secret with BLAKE2b under its salt (RFC 7693)."""
+    return hashlib.blake2b(
+        secret, digest_size=HASH_BYTES, salt=salt, person=HASH_PURPOSE
+    ).digest()
+
+
+def authenticate(
+    index: DeclarationIndex, authorization_header: str | None
+) -> Result[OrganisationId, Refusal]:
+    """Return the organisation whose key the header carries."""
+    if not authorization_header:
+        return Failure(refuse(RefusalReason.MISSING_KEY, "no Authorization header"))
+    presented = parse_authorization(authorization_header)
+    if presented is None:
+        detail = "the Authorization header is not Bearer KEY"
+        return Failure(refuse(RefusalReason.INVALID_KEY, detail))
+    # An unknown identifier costs the same comparison as a known one.
+    key = index.keys.get(presented.id, NO_KEY)
+    found = hash_secret(presented.secret.reveal(), key.salt)
+    if not hmac.compare_digest(found, key.hash):
+        return Failure(refuse(RefusalReason.INVALID_KEY, "no such key"))
+    if key.withdrawn:
+        return Failure(refuse(RefusalReason.WITHDRAWN_KEY, "the key was withdrawn"))
+    return Success(key.organisation)
+
+
+def parse_authorization(header: str) -> PresentedKey | None:
+    """Parse ``Bearer bh_ID_SECRET``; return none for any other form."""
+    scheme, _, text = header.partition(" ")
+    if scheme.lower() != "bearer" or len(text) > KEY_LIMIT_CHARACTERS:
+        return None
+    if not text.isascii():
+        return None
+    parts = text.strip().split("_", 2)
+    if len(parts) != 3 or parts[0] != KEY_PREFIX or not parts[1]:
+        return None
+    return PresentedKey(parts[1], Concealed(parts[2].encode()))
+
+
+def presented_key_id(authorization_header: str | None) -> KeyId | None:
+    """Return the identifier of the key a header carries, unproven."""
+    presented = parse_authorization(authorization_header or "")
+    return presented.id if presented else None
--- /dev/null
+++ b/berylhinge/core/routing.py
@@ -0,0 +1,66 @@
+"""Resolve a route and an organisation to one upstream group."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ..errors import Refusal, refuse
+from ..reasons import RefusalReason
+from .index import label_values
+from .selectors import matches
+
+if TYPE_CHECKING:
+    from ..types import GroupId, Labels, OrganisationId, RouteId
+    from .index import DeclarationIndex, IndexedRoute
+
+
+class RouteTarget(NamedTuple):
+    """Name the group that serves a request and the route's bound of staleness."""
+
+    route: RouteId
+    organisation: OrganisationId | None
+    group: GroupId
+    max_age_seconds: float | None
+
+
+def resolve(
+    index: DeclarationIndex, route_id: RouteId, organisation_id: OrganisationId | None
+) -> Result[RouteTarget, Refusal]:
+    """Find the one group of a route for an organisation; none on open routes."""
+    route = index.routes.get(route_id)
+    if route is None:
+        return Failure(refuse(RefusalReason.UNKNOWN_ROUTE, "no such route"))
+    if organisation_id is None and not route.open:
+        return Failure(refuse(RefusalReason.MISSING_KEY, "the route needs a key"))
+    labels = organisation_labels(index, organisation_id)
+    if not route.open and not allowed(route, labels):
+        detail = f"organisation {organisation_id} is not selected by the route"
+        return Failure(refuse(RefusalReason.ROUTE_FORBIDDEN, detail))
+    groups = candidates(route, labels)
+    if len(groups) != 1:
+        detail = f"the route selects {len(groups)} groups instead of one"
+        return Failure(refuse(RefusalReason.NO_UPSTREAM, detail))
+    target = RouteTarget(route_id, organisation_id, groups[0], route.max_age_seconds)
+    return Success(target)
+
+
+def organisation_labels(
+    index: DeclarationIndex, organisation_id: OrganisationId | None
+) -> Labels:
+    """Return an organisation's labels, none for an unknown one."""
+    if organisation_id is None:
+        return {}
+    organisation = index.organisations.get(organisation_id)
+    return organisation.get("labels", {}) if organisation else {}
+
+
+def allowed(route: IndexedRoute, labels: Labels) -> bool:
+    """Tell whether an organisation with these labels may use the route."""
+    return route.organisations is not None and matches(route.organisations, labels)
+
+
+def candidates(route: IndexedRoute, labels: Labels) -> tuple[GroupId, ...]:
+    """Return the groups whose matched labels equal the organisation's."""
+    return route.groups.get(label_values(labels, route.match_organisation), ())
--- /dev/null
+++ b/berylhinge/core/selectors.py
@@ -0,0 +1,94 @@
+"""Choose labelled things by JSON selectors, as Kubernetes label selectors do."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from ..errors import FieldError
+from ..types import Labels
+from .forms import Identifier
+
+Operator = Literal["In", "NotIn", "Exists", "DoesNotExist"]
+
+
+class MatchExpression(TypedDict):
+    """Demand that a label is in a set, outside it, present or absent."""
+
+    key: Identifier
+    operator: Operator
+    values: NotRequired[list[Identifier]]
+
+
+class Selector(TypedDict):
+    """Demand every label and every expression; an empty one matches all."""
+
+    match_labels: NotRequired[dict[Identifier, Identifier]]
+    match_expressions: NotRequired[
+        Annotated[list[MatchExpression], msgspec.Meta(max_length=64)]
+    ]
+
+
+class CompiledSelector(NamedTuple):
+    """Hold a selector's demands by kind for fast matching."""
+
+    inside: tuple[tuple[str, frozenset[str]], ...]
+    outside: tuple[tuple[str, frozenset[str]], ...]
+    present: tuple[str, ...]
+    absent: tuple[str, ...]
+
+
+def check_selector(selector: Selector, path: str) -> list[FieldError]:
+    """Return an error for each expression whose values don't fit its operator."""
+    errors = []
+    for place, expression in enumerate(selector.get("match_expressions", ())):
+        needs = expression["operator"] in ("In", "NotIn")
+        values = expression.get("values", [])
+        where = f"{path}.match_expressions[{place}].values"
+        if needs and not values:
+            remedy = "list the values or use Exists or DoesNotExist"
+            errors.append(FieldError(where, "none", "at least one value", remedy))
+        if values and not needs:
+            expected = f"none with {expression['operator']}"
+            remedy = "remove the values or use In or NotIn"
+            errors.append(FieldError(where, f"{len(values)} values", expected, remedy))
+    return errors
+
+
+def compile_selector(selector: Selector) -> CompiledSelector:
+    """Sort a checked selector's demands by kind."""
+    labels = selector.get("match_labels", {})
+    inside = [(key, frozenset((value,))) for key, value in labels.items()]
+    outside = []
+    present = []
+    absent = []
+    for expression in selector.get("match_expressions", ()):
+        key = expression["key"]
+        values = frozenset(expression.get("values", ()))
+        match expression["operator"]:
+            case "In":
+                inside.append((key, values))
+            case "NotIn":
+                outside.append((key, values))
+            case "Exists":
+                present.append(key)
+            case "DoesNotExist":
+                absent.append(key)
+    return CompiledSelector(
+        tuple(inside), tuple(outside), tuple(present), tuple(absent)
+    )
+
+
+def matches(selector: CompiledSelector, labels: Labels) -> bool:
+    """Tell whether labels meet every demand; NotIn also takes an absent label."""
+    for key, values in selector.inside:
+        if labels.get(key) not in values:
+            return False
+    for key, values in selector.outside:
+        if labels.get(key) in values:
+            return False
+    for key in selector.present:
+        if key not in labels:
+            return False
+    return all(key not in labels for key in selector.absent)
--- /dev/null
+++ b/berylhinge/core/tests/test_keys.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+import json
+from random import Random
+
+import pytest
+
+from ...reasons import RefusalReason
+from ..index import build_index
+from ..keys import authenticate, grant_key, presented_key_id
+from .samples import declared
+
+RNG = Random(7)
+GRANTED = grant_key("ark", RNG.randbytes)
+WITHDRAWN = grant_key("bod", RNG.randbytes)
+INDEX = build_index(
+    declared(keys=[GRANTED.record, {**WITHDRAWN.record, "state": "withdrawn"}])
+)
+TEXT = GRANTED.text.reveal()
+OTHER = WITHDRAWN.text.reveal()
+
+
+@pytest.mark.parametrize(
+    "header", [f"Bearer {TEXT}", f"bearer {TEXT}", f"Bearer  {TEXT} "]
+)
+def test_granted_key(header: str) -> None:
+    assert authenticate(INDEX, header).unwrap() == "ark"
+
+
+@pytest.mark.parametrize(
+    "header, reason",
+    [
+        (None, RefusalReason.MISSING_KEY),
+        ("", RefusalReason.MISSING_KEY),
+        (TEXT, RefusalReason.INVALID_KEY),
+        ("Bearer", RefusalReason.INVALID_KEY),
+        (f"Basic {TEXT}", RefusalReason.INVALID_KEY),
+        (f"Bearer {TEXT}x", RefusalReason.INVALID_KEY),
+        (f"Bearer {TEXT[:-1]}", RefusalReason.INVALID_KEY),
+        (f"Bearer bh_{GRANTED.record['id']}_", RefusalReason.INVALID_KEY),
+        ("Bearer bh_unknown_secret", RefusalReason.INVALID_KEY),
+        ("Bearer bh__", RefusalReason.INVALID_KEY),
+        ("Bearer bh_\xff_\udcff", RefusalReason.INVALID_KEY),
+        (f"Bearer {TEXT}{'x' * 10_000}", RefusalReason.INVALID_KEY),
+        (f"Bearer {OTHER}", RefusalReason.WITHDRAWN_KEY),
+        (f"Bearer {OTHER}x", RefusalReason.INVALID_KEY),
+        (
+            f"Bearer bh_{GRANTED.record['id']}_{OTHER.split('_', 2)[2]}",
+            RefusalReason.INVALID_KEY,
+        ),
+    ],
+)
+def test_refused_key(header: str | None, reason: RefusalReason) -> None:
+    assert authenticate(INDEX, header).failure().reason is reason
+
+
+def test_only_the_hash_is_stored_and_nothing_shows_the_secret() -> None:
+    secret = TEXT.split("_", 2)[2]
+    shown = f"{GRANTED} {GRANTED.text} {json.dumps(GRANTED.record)}"
+    assert secret not in shown
+    assert TEXT not in shown
+
+
+def test_secrets_and_salts_come_from_the_random_source() -> None:
+    asked: list[int] = []
+
+    def random_bytes(count: int) -> bytes:
+        asked.append(count)
+        return bytes(range(count))
+
+    assert grant_key("ark", random_bytes).record["id"] == "0001020304050607"
+    assert sorted(asked) == [8, 16, 32]
+
+
+def test_the_identifier_is_read_without_proof() -> None:
+    assert presented_key_id(f"Bearer {TEXT}") == GRANTED.record["id"]
+    assert presented_key_id(None) is None
--- /dev/null
+++ b/berylhinge/core/tests/test_routing.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import pytest
+
+from ...reasons import RefusalReason
+from ...types import Outcome
+from ..index import build_index
+from ..routing import resolve, RouteTarget
+from .samples import declared, organisation
+
+ONLY_NORTH = {"match_labels": {"home": "north"}}
+ROUTES = [
+    {
+        "id": "rota",
+        "groups": {"match_labels": {"service": "rota"}},
+        "match_organisation": ["home"],
+        "organisations": {},
+    },
+    {"id": "north", "groups": ONLY_NORTH, "organisations": ONLY_NORTH},
+    {"id": "public", "groups": ONLY_NORTH, "open": True, "max_age_seconds": 5},
+    {"id": "wide", "groups": {}, "organisations": {}},
+    {"id": "nothing", "groups": {"match_labels": {"no": "no"}}, "organisations": {}},
+]
+INDEX = build_index(
+    declared(
+        routes=ROUTES,
+        organisations=[
+            organisation("ark", home="north"),
+            organisation("bod", home="south"),
+            organisation("cat"),
+        ],
+    )
+)
+
+
+@pytest.mark.parametrize(
+    "route, organisation_id, group",
+    [
+        ("rota", "ark", "g1"),
+        ("rota", "bod", "g2"),
+        ("north", "ark", "g1"),
+        ("public", None, "g1"),
+        ("public", "bod", "g1"),
+    ],
+)
+def test_resolve(route: str, organisation_id: str | None, group: str) -> None:
+    age = 5.0 if route == "public" else None
+    expected = RouteTarget(route, organisation_id, group, age)
+    assert resolve(INDEX, route, organisation_id).unwrap() == expected
+
+
+@pytest.mark.parametrize(
+    "route, organisation_id, reason",
+    [
+        ("absent", "ark", RefusalReason.UNKNOWN_ROUTE),
+        ("rota", None, RefusalReason.MISSING_KEY),
+        ("north", "bod", RefusalReason.ROUTE_FORBIDDEN),
+        ("rota", "cat", RefusalReason.NO_UPSTREAM),
+        ("wide", "ark", RefusalReason.NO_UPSTREAM),
+        ("nothing", "ark", RefusalReason.NO_UPSTREAM),
+    ],
+)
+def test_refusals(
+    route: str, organisation_id: str | None, reason: RefusalReason
+) -> None:
+    refusal = resolve(INDEX, route, organisation_id).failure()
+    assert refusal.reason is reason
+    assert refusal.outcome is Outcome.NOT_RUN
--- /dev/null
+++ b/berylhinge/core/validation.py
@@ -0,0 +1,201 @@
+"""Check a declaration's references, selectors and unique resolution of routes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple, TYPE_CHECKING
+
+from ..errors import FieldError
+from .declarations import Declaration, GROUP_MEMBERS_LIMIT
+from .forms import parse_base64
+from .index import build_index
+from .keys import HASH_BYTES, SALT_BYTES
+from .routing import allowed, candidates
+from .selectors import check_selector, compile_selector, matches
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from .declarations import Key, Organisation, Route
+    from .index import DeclarationIndex
+
+
+class Findings(NamedTuple):
+    """Hold what forbids a declaration, and what only ``check`` forbids."""
+
+    errors: tuple[FieldError, ...]
+    warnings: tuple[FieldError, ...]
+
+
+def validate(declaration: Declaration) -> Findings:
+    """Return every fault of a declaration whose fields have the right types."""
+    errors = [
+        *check_unique(declaration),
+        *check_references(declaration),
+        *check_selectors(declaration),
+    ]
+    if errors:
+        return Findings(tuple(errors), ())
+    index = build_index(declaration)
+    warnings: list[FieldError] = []
+    for place, route in enumerate(declaration["routes"]):
+        check_route(f"$.routes[{place}]", route, index, errors, warnings)
+    return Findings(tuple(errors), tuple(warnings))
+
+
+def check_unique(declaration: Declaration) -> list[FieldError]:
+    """Return an error for each identifier or address that stands twice."""
+    upstreams = declaration["upstreams"]
+    named = {
+        "organisations": [one["id"] for one in declaration["organisations"]],
+        "keys": [key["id"] for key in declaration.get("keys", ())],
+        "groups": [group["id"] for group in declaration["groups"]],
+        "upstreams": [upstream["id"] for upstream in upstreams],
+        "routes": [route["id"] for route in declaration["routes"]],
+    }
+    errors = []
+    for section, identifiers in named.items():
+        errors += check_repeated(section, "id", identifiers)
+    errors += check_repeated("upstreams", "data", [one["data"] for one in upstreams])
+    controls = [one["control"] for one in upstreams]
+    return [*errors, *check_repeated("upstreams", "control", controls)]
+
+
+def check_repeated(section: str, field: str, values: Sequence[str]) -> list[FieldError]:
+    """Return an error for each value after its first place."""
+    counts = Counter(values)
+    seen: set[str] = set()
+    errors = []
+    for place, value in enumerate(values):
+        if counts[value] > 1 and value in seen:
+            path = f"$.{section}[{place}].{field}"
+            errors.append(
+                FieldError(path, f"{value!r} again", "a unique value", "rename one")
+            )
+        seen.add(value)
+    return errors
+
+
+def check_references(declaration: Declaration) -> list[FieldError]:
+    """Return an error for each name of something that isn't declared."""
+    organisations = {one["id"] for one in declaration["organisations"]}
+    groups = {group["id"] for group in declaration["groups"]}
+    errors = []
+    for place, key in enumerate(declaration.get("keys", ())):
+        path = f"$.keys[{place}]"
+        errors += check_name(f"{path}.organisation", key["organisation"], organisations)
+        errors += check_key(path, key)
+    members: Counter[str] = Counter()
+    for place, upstream in enumerate(declaration["upstreams"]):
+        errors += check_name(f"$.upstreams[{place}].group", upstream["group"], groups)
+        members[upstream["group"]] += 1
+    for place, group in enumerate(declaration["groups"]):
+        count = members[group["id"]]
+        if not 1 <= count <= GROUP_MEMBERS_LIMIT:
+            path = f"$.groups[{place}]"
+            expected = f"1 to {GROUP_MEMBERS_LIMIT} upstreams"
+            remedy = "declare upstreams of the group or remove it"
+            errors.append(FieldError(path, f"{count} upstreams", expected, remedy))
+    return errors
+
+
+def check_name(path: str, name: str, known: set[str]) -> list[FieldError]:
+    """Return an error when a name isn't declared."""
+    if name in known:
+        return []
+    remedy = "declare it or correct the name"
+    return [FieldError(path, repr(name), "a declared identifier", remedy)]
+
+
+def check_key(path: str, key: Key) -> list[FieldError]:
+    """Return an error for a salt or hash of the wrong length."""
+    errors = []
+    sizes = (("salt", key["salt"], SALT_BYTES), ("hash", key["hash"], HASH_BYTES))
+    for field, text, size in sizes:
+        got = len(parse_base64(text))
+        if got != size:
+            remedy = "let berylhingectl key grant write it"
+            found = FieldError(f"{path}.{field}", f"{got} bytes", f"{size}", remedy)
+            errors.append(found)
+    return errors
+
+
+def check_selectors(declaration: Declaration) -> list[FieldError]:
+    """Return an error for each selector or access rule that contradicts itself."""
+    errors = []
+    for place, route in enumerate(declaration["routes"]):
+        path = f"$.routes[{place}]"
+        errors += check_selector(route["groups"], f"{path}.groups")
+        selector = route.get("organisations")
+        if selector is not None:
+            errors += check_selector(selector, f"{path}.organisations")
+        errors += check_access(path, route)
+    return errors
+
+
+def check_access(path: str, route: Route) -> list[FieldError]:
+    """Return an error unless a route is either open or for some organisations."""
+    is_open = route.get("open", False)
+    if is_open == ("organisations" in route):
+        got = "both" if is_open else "neither"
+        expected = "either open: true or an organisations selector"
+        remedy = "say who may use the route"
+        return [FieldError(path, got, expected, remedy)]
+    if is_open and route.get("match_organisation"):
+        where = f"{path}.match_organisation"
+        remedy = "remove it, as callers of an open route have no organisation"
+        return [FieldError(where, "label keys", "none on an open route", remedy)]
+    return []
+
+
+def check_route(
+    path: str,
+    route: Route,
+    index: DeclarationIndex,
+    errors: list[FieldError],
+    warnings: list[FieldError],
+) -> None:
+    """Append what keeps a route from resolving to one group for each caller."""
+    indexed = index.routes[route["id"]]
+    selector = compile_selector(route["groups"])
+    if not any(
+        matches(selector, one.get("labels", {})) for one in index.groups.values()
+    ):
+        remedy = "correct the selector or the groups' labels"
+        warnings.append(
+            FieldError(f"{path}.groups", "no group", "at least one", remedy)
+        )
+        return
+    callers = [(None, {})] if indexed.open else callers_of(index.organisations.values())
+    selected = [
+        (name, labels)
+        for name, labels in callers
+        if indexed.open or allowed(indexed, labels)
+    ]
+    if not selected:
+        where = f"{path}.organisations"
+        remedy = "correct the selector or the organisations' labels"
+        warnings.append(FieldError(where, "no organisation", "at least one", remedy))
+    for name, labels in selected:
+        found = candidates(indexed, labels)
+        if len(found) != 1:
+            fault = resolution_error(path, name, found)
+            (errors if found else warnings).append(fault)
+
+
+def callers_of(
+    organisations: Iterable[Organisation],
+) -> list[tuple[str | None, dict[str, str]]]:
+    """Return each organisation's identifier and labels."""
+    return [(one["id"], one.get("labels", {})) for one in organisations]
+
+
+def resolution_error(
+    path: str, organisation: str | None, groups: tuple[str, ...]
+) -> FieldError:
+    """Describe a route that doesn't resolve to one group."""
+    who = f"organisation {organisation}" if organisation else "callers"
+    got = ", ".join(groups) if groups else "no group"
+    expected = f"exactly one group for {who}"
+    remedy = "narrow the selector, or set match_organisation and the labels it names"
+    return FieldError(path, got, expected, remedy)
--- /dev/null
+++ b/berylhinge/docs.py
@@ -0,0 +1,65 @@
+"""Print reference tables of documents, made from their types."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import msgspec
+
+from .core.concealed import Concealed
+from .core.documents import expected_of, fields_of, is_record, rules_of
+from .settings import Settings
+
+if TYPE_CHECKING:
+    from .core.documents import Field
+
+SETTINGS_HEAD = """# Settings of an instance
+
+`berylhinge-proxy --settings FILE` reads one JSON object. Every field is checked at
+start; an unknown, missing or wrong field ends the program with exit code 2 and one
+line that names the field, what was got, what was expected and the remedy.
+
+This page is made from the types by `python -m berylhinge.docs`; a test fails when
+it isn't current.
+
+"""
+
+
+def settings_page() -> str:
+    """Return the settings' reference page as Markdown."""
+    rows = "\n".join(settings_rows(Settings, ""))
+    head = "| field | value | default | meaning |\n|---|---|---|---|\n"
+    return f"{SETTINGS_HEAD}{head}{rows}\n"
+
+
+def settings_rows(kind: Any, prefix: str) -> list[str]:
+    """Return one table row for each field, inner records flattened."""
+    rows = []
+    for field in fields_of(kind):
+        rules = rules_of(field.kind)
+        name = f"{prefix}{field.name}"
+        if is_record(rules.plain):
+            rows += settings_rows(rules.plain, f"{name}.")
+            continue
+        cells = (f"`{name}`", expected_of(rules), default_of(field), meaning_of(field))
+        rows.append("| " + " | ".join(cells) + " |")
+    return rows
+
+
+def default_of(field: Field) -> str:
+    """Return a field's default as JSON, or that it is required."""
+    if field.required:
+        return "required"
+    if isinstance(field.default, Concealed):
+        return "concealed"
+    return f"`{msgspec.json.encode(field.default).decode()}`"
+
+
+def meaning_of(field: Field) -> str:
+    """Return the description that a field's type carries."""
+    metas = [meta for meta in rules_of(field.kind).metas if meta.description]
+    return metas[-1].description or "" if metas else ""
+
+
+if __name__ == "__main__":
+    print(settings_page(), end="")
--- /dev/null
+++ b/berylhinge/settings.py
@@ -0,0 +1,207 @@
+"""Read one instance's JSON settings and check every field."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, NamedTuple, TypeAlias
+
+import msgspec
+from returns.result import Failure, Result
+
+from .core.concealed import Concealed
+from .core.documents import Form, parse_json, read
+from .core.forms import Count, Endpoint, Identifier, Listener, parse_base64, Positive
+from .errors import DocumentError, FieldError
+from .types import JsonValue
+
+PEER_SECRET_BYTES = 32
+
+
+def parse_secret(text: str) -> Concealed[bytes]:
+    """Decode a peer secret; raise ValueError for a wrong or short one."""
+    secret = parse_base64(text)
+    if len(secret) < PEER_SECRET_BYTES:
+        raise ValueError("too short")
+    return Concealed(secret)
+
+
+def parse_path(text: str) -> str:
+    """Return a text that can name a file."""
+    if not text or "\0" in text:
+        raise ValueError(text)
+    return text
+
+
+PeerSecret: TypeAlias = Annotated[
+    str,
+    Form(
+        f"base64 of at least {PEER_SECRET_BYTES} bytes",
+        parse_secret,
+        "write the output of: openssl rand -base64 32",
+        concealed=True,
+    ),
+]
+FilePath: TypeAlias = Annotated[
+    str, Form("a file path", parse_path, "name an existing file")
+]
+
+
+class Tls(NamedTuple):
+    """Hold the certificate files; a listener without them speaks plain HTTP."""
+
+    callers_certificate: Annotated[
+        FilePath | None,
+        msgspec.Meta(description="PEM certificate chain of the callers' listener"),
+    ] = None
+    callers_key: Annotated[
+        FilePath | None,
+        msgspec.Meta(description="PEM private key of the callers' listener"),
+    ] = None
+    upstream_ca: Annotated[
+        FilePath | None,
+        msgspec.Meta(description="PEM authorities that sign upstreams' certificates"),
+    ] = None
+
+
+class Limits(NamedTuple):
+    """Bound what one caller can cost the instance."""
+
+    body_bytes: Annotated[
+        Count, msgspec.Meta(description="largest request body, bytes")
+    ] = 1_000_000
+    body_seconds: Annotated[
+        Positive, msgspec.Meta(description="longest wait for a whole request body, s")
+    ] = 10.0
+    queue: Annotated[
+        Count, msgspec.Meta(description="most statements waiting for one group")
+    ] = 1_000
+    statement_seconds: Annotated[
+        Positive,
+        msgspec.Meta(description="timeout of a statement that names none, s"),
+    ] = 5.0
+    statement_limit_seconds: Annotated[
+        Positive, msgspec.Meta(description="longest timeout a caller may ask, s")
+    ] = 60.0
+    transaction_seconds: Annotated[
+        Positive,
+        msgspec.Meta(description="longest life of a transaction, s"),
+    ] = 60.0
+    idle_seconds: Annotated[
+        Positive, msgspec.Meta(description="idle time before a caller is closed, s")
+    ] = 300.0
+    connect_seconds: Annotated[
+        Positive, msgspec.Meta(description="timeout of opening a connection, s")
+    ] = 1.0
+    store_seconds: Annotated[
+        Positive, msgspec.Meta(description="timeout of one call to the platform, s")
+    ] = 1.0
+    drain_seconds: Annotated[
+        Positive, msgspec.Meta(description="longest wait at a planned stop, s")
+    ] = 30.0
+    connections: Annotated[
+        Count, msgspec.Meta(description="most callers connected at once")
+    ] = 20_000
+
+
+class Settings(NamedTuple):
+    """Hold one instance's settings."""
+
+    instance: Annotated[
+        Identifier, msgspec.Meta(description="the instance's unique identifier")
+    ]
+    place: Annotated[
+        Identifier, msgspec.Meta(description="the failure domain it runs in")
+    ]
+    callers: Annotated[
+        Listener, msgspec.Meta(description="where callers' requests are accepted")
+    ]
+    operators: Annotated[
+        Listener, msgspec.Meta(description="where health, metrics and status are read")
+    ]
+    peers: Annotated[
+        Listener, msgspec.Meta(description="where other instances connect")
+    ]
+    platform: Annotated[
+        tuple[Endpoint, ...],
+        msgspec.Meta(
+            min_length=1, description="the platform's addresses, tried in turn"
+        ),
+    ]
+    peer_secrets: Annotated[
+        tuple[PeerSecret, ...],
+        msgspec.Meta(
+            min_length=1,
+            max_length=2,
+            description="shared secrets of the instances: the first signs, all verify",
+        ),
+    ]
+    region: Annotated[
+        Identifier, msgspec.Meta(description="the region that holds the place")
+    ] = "default"
+    advertised_callers: Annotated[
+        Endpoint | None,
+        msgspec.Meta(description="address others use for callers; none: as listened"),
+    ] = None
+    advertised_operators: Annotated[
+        Endpoint | None,
+        msgspec.Meta(description="address others use for status; none: as listened"),
+    ] = None
+    advertised_peers: Annotated[
+        Endpoint | None,
+        msgspec.Meta(description="address other instances use; none: as listened"),
+    ] = None
+    serving_instances: Annotated[
+        Count, msgspec.Meta(description="instances that serve each group")
+    ] = 3
+    tls: Annotated[Tls, msgspec.Meta(description="certificate files")] = Tls()
+    limits: Annotated[
+        Limits, msgspec.Meta(description="bounds on what a caller can cost")
+    ] = Limits()
+
+
+def read_settings(value: JsonValue) -> Result[Settings, tuple[FieldError, ...]]:
+    """Convert a JSON value to settings, or return every bad field."""
+    result = read(value, Settings)
+    if isinstance(result, Failure):
+        return result
+    errors = check_settings(result.unwrap())
+    return Failure(errors) if errors else result
+
+
+def check_settings(settings: Settings) -> tuple[FieldError, ...]:
+    """Return an error for each field that contradicts another."""
+    errors = []
+    tls = settings.tls
+    if (tls.callers_certificate is None) != (tls.callers_key is None):
+        path = "$.tls"
+        expected = "callers_certificate and callers_key together"
+        remedy = "name both files or neither"
+        errors.append(FieldError(path, "one of the two", expected, remedy))
+    limits = settings.limits
+    if limits.statement_seconds > limits.statement_limit_seconds:
+        path = "$.limits.statement_seconds"
+        got = str(limits.statement_seconds)
+        expected = f"at most {limits.statement_limit_seconds}"
+        remedy = "lower it or raise statement_limit_seconds"
+        errors.append(FieldError(path, got, expected, remedy))
+    return tuple(errors)
+
+
+def parse_settings(text: bytes | str) -> Settings:
+    """Parse settings from JSON text; raise DocumentError naming every bad field."""
+    result = parse_json(text).bind(read_settings)
+    if isinstance(result, Failure):
+        raise DocumentError(result.failure())
+    return result.unwrap()
+
+
+def load_settings(path: str) -> Settings:
+    """Read settings from a file; raise DocumentError naming what is wrong."""
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        got = error.strerror or type(error).__name__
+        remedy = "name an existing JSON file"
+        field = FieldError(path, got, "a readable file", remedy)
+        raise DocumentError((field,)) from error
+    return parse_settings(text)
