Run statements on a group: attempts, retries, acknowledgement and reads

Cause: the shell must turn sockets into the group core's events. Change: member links, a group task with shared rounds and the promoter's effects, reads and writes with retries decided by the core.

--- /dev/null
+++ b/berylhinge/tasks/attempts.py
@@ -0,0 +1,128 @@
+"""Exchange one request with an upstream and say what its failure proves."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import msgspec
+
+from ..errors import Refusal, refuse
+from ..reasons import RefusalReason, RetryReason
+from ..types import Outcome
+from ..wire.upstream import UpstreamAnswer, UpstreamError
+from .connection import ConnectionFailed
+from .pool import PoolBusy
+
+if TYPE_CHECKING:
+    from .connection import Connection
+    from .member import MemberLink
+
+ANSWER_DECODER = msgspec.json.Decoder(UpstreamAnswer)
+ERROR_DECODER = msgspec.json.Decoder(UpstreamError)
+
+
+class Failed(NamedTuple):
+    """Report a failed attempt; without ``retry`` another attempt is useless."""
+
+    retry: RetryReason | None
+    refusal: Refusal
+
+
+class ErrorMeaning(NamedTuple):
+    """Map an upstream's error code to what the caller may be told."""
+
+    retry: RetryReason | None
+    reason: RefusalReason
+
+
+ERROR_MEANINGS = {
+    "superseded": ErrorMeaning(
+        RetryReason.PRIMARY_SUPERSEDED, RefusalReason.PRIMARY_SUPERSEDED
+    ),
+    "not-primary": ErrorMeaning(RetryReason.NOT_PRIMARY, RefusalReason.NO_PRIMARY),
+    "too-many-connections": ErrorMeaning(
+        RetryReason.CONNECT_REFUSED, RefusalReason.QUEUE_FULL
+    ),
+    "busy": ErrorMeaning(RetryReason.UPSTREAM_BUSY, RefusalReason.QUEUE_FULL),
+    "quiesced": ErrorMeaning(RetryReason.UPSTREAM_LEAVING, RefusalReason.NO_PRIMARY),
+    "leaving": ErrorMeaning(RetryReason.UPSTREAM_LEAVING, RefusalReason.NO_UPSTREAM),
+    "sql-error": ErrorMeaning(None, RefusalReason.STATEMENT_FAILED),
+    "unsupported": ErrorMeaning(None, RefusalReason.STATEMENT_UNSUPPORTED),
+    "no-transaction": ErrorMeaning(None, RefusalReason.TRANSACTION_LOST),
+    "malformed": ErrorMeaning(None, RefusalReason.INTERNAL_FAULT),
+}
+
+
+class Exchanged(NamedTuple):
+    """Hold an upstream's answer and when its request was sent."""
+
+    answer: UpstreamAnswer
+    asked_at: float
+
+
+def lease(link: MemberLink, deadline: float) -> Connection | Failed:
+    """Lend a connection of an upstream; nothing has run when that fails."""
+    try:
+        return link.data.lease(max(0.0, deadline - time.monotonic()))
+    except PoolBusy:
+        detail = f"no connection to {link.name} became free in time"
+        return Failed(None, refuse(RefusalReason.DEADLINE_TOO_SHORT, detail))
+    except ConnectionFailed as error:
+        link.note_failure(error)
+        detail = f"{link.name} accepted no connection: {error}"
+        return Failed(
+            RetryReason.CONNECT_REFUSED, refuse(RefusalReason.NO_UPSTREAM, detail)
+        )
+
+
+def exchange(
+    link: MemberLink,
+    connection: Connection,
+    path: str,
+    message: Any,
+    deadline: float,
+) -> Exchanged | Failed:
+    """Send one request and decode its answer; close on any doubt."""
+    asked_at = time.monotonic()
+    if asked_at >= deadline:
+        detail = "the deadline passed before the statement was sent"
+        return Failed(None, refuse(RefusalReason.DEADLINE_TOO_SHORT, detail))
+    body = msgspec.json.encode(message)
+    try:
+        reply = connection.exchange(path, body, deadline - asked_at)
+    except ConnectionFailed as error:
+        return lost(link, error)
+    try:
+        if reply.status == 200:
+            answer = ANSWER_DECODER.decode(reply.body)
+            if answer["request_id"] == message["request_id"]:
+                return Exchanged(answer, asked_at)
+        else:
+            failure = ERROR_DECODER.decode(reply.body)
+            if failure["request_id"] == message["request_id"]:
+                return from_error(link, failure)
+    except msgspec.MsgspecError:
+        pass
+    connection.close()
+    detail = f"{link.name} answered another request"
+    refusal = refuse(RefusalReason.ANSWER_LOST, detail, outcome=Outcome.UNKNOWN)
+    return Failed(RetryReason.CONNECTION_LOST, refusal)
+
+
+def lost(link: MemberLink, error: ConnectionFailed) -> Failed:
+    """Tell a lost answer from a request that never left."""
+    detail = f"{link.name}: {error}"
+    if not error.sent:
+        refusal = refuse(RefusalReason.NO_UPSTREAM, detail)
+    else:
+        refusal = refuse(RefusalReason.ANSWER_LOST, detail, outcome=Outcome.UNKNOWN)
+    return Failed(RetryReason.CONNECTION_LOST, refusal)
+
+
+def from_error(link: MemberLink, failure: UpstreamError) -> Failed:
+    """Translate an upstream's own refusal."""
+    meaning = ERROR_MEANINGS[failure["error"]]
+    outcome = Outcome.UNKNOWN if failure["ran"] else Outcome.NOT_RUN
+    detail = f"{link.name}: {failure['message']}"
+    return Failed(meaning.retry, refuse(meaning.reason, detail, outcome=outcome))
--- /dev/null
+++ b/berylhinge/tasks/callers.py
@@ -0,0 +1,258 @@
+"""Serve the callers' HTTP interface."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import Any, TYPE_CHECKING
+
+import gevent
+import msgspec
+from returns.pipeline import is_successful
+
+from ..core.requests import parse_statement, parse_transaction
+from ..core.sessions import decode_token, encode_token, SessionToken
+from ..errors import Refusal, refuse, RefusedError
+from ..reasons import REFUSAL_KINDS, RefusalReason
+from ..types import Outcome
+from .http import respond
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from returns.result import Result
+
+    from ..core.requests import Served
+    from ..types import LogPoint
+    from .dispatch import Dispatcher
+    from .http import Environ, StartResponse
+    from .metrics import Metrics
+
+SESSION_HEADER = "Berylhinge-Session"
+REQUEST_HEADER = "Berylhinge-Request-Id"
+PROBLEM = "application/problem+json"
+PROBLEM_BASE = "https://berylhinge.example/refusals/"
+MAX_REQUEST_ID_CHARACTERS = 100
+
+
+def request_id_of(environ: Environ) -> str:
+    """Return the caller's request id where it is usable, or a new one."""
+    given = environ.get("HTTP_BERYLHINGE_REQUEST_ID", "")
+    if 0 < len(given) <= MAX_REQUEST_ID_CHARACTERS and given.isprintable():
+        return given
+    return uuid.uuid4().hex
+
+
+UNREAD_BODY = {
+    RefusalReason.BODY_TOO_LARGE,
+    RefusalReason.BODY_TOO_SLOW,
+    RefusalReason.MALFORMED_BODY,
+    RefusalReason.UNKNOWN_PATH,
+}
+
+
+def split_path(environ: Environ) -> list[str]:
+    """Split /v1/routes/ROUTE/...; raise RefusedError for other paths."""
+    segments = environ.get("PATH_INFO", "").strip("/").split("/")
+    if len(segments) < 4 or segments[:2] != ["v1", "routes"]:
+        detail = "expected /v1/routes/ROUTE/statements or .../transactions"
+        raise RefusedError(refuse(RefusalReason.UNKNOWN_PATH, detail))
+    return segments
+
+
+def transaction_path(rest: list[str]) -> tuple[Any, str]:
+    """Return the action and transaction id; raise RefusedError."""
+    match rest:
+        case ["transactions"]:
+            return "begin", ""
+        case ["transactions", transaction, "statements"]:
+            return "statement", transaction
+        case ["transactions", transaction, ("commit" | "rollback") as action]:
+            return action, transaction
+    detail = "expected /transactions, or /transactions/ID/(statements|commit|rollback)"
+    raise RefusedError(refuse(RefusalReason.UNKNOWN_PATH, detail))
+
+
+def unwrap(result: Result[Any, Refusal]) -> Any:
+    """Return the success; raise the refusal."""
+    if is_successful(result):
+        return result.unwrap()
+    raise RefusedError(result.failure())
+
+
+def session_headers(
+    group: str, served: Served, floor: LogPoint | None
+) -> list[tuple[str, str]]:
+    """Return the session's new token, which never moves back."""
+    points = [point for point in (floor, served.point) if point is not None]
+    if not points:
+        return []
+    newest = max(points)
+    token = encode_token(SessionToken(group, newest.term, newest.position))
+    return [(SESSION_HEADER, token)]
+
+
+class CallersApp:
+    """Turn HTTP requests into calls and answers into HTTP."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        *,
+        body_limit_bytes: int,
+        body_timeout_seconds: float,
+    ) -> None:
+        """Keep the collaborators and limits."""
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.body_limit_bytes = body_limit_bytes
+        self.body_timeout_seconds = body_timeout_seconds
+        self.leaving = False
+        self.active = 0
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request; no exception passes this point."""
+        started = time.monotonic()
+        request_id = request_id_of(environ)
+        self.active += 1
+        try:
+            served, headers = self.handle(environ, request_id)
+            return self.send_served(start_response, request_id, served, headers)
+        except RefusedError as error:
+            return self.send_refusal(start_response, request_id, error.refusal)
+        except Exception as error:
+            self.dispatcher.log.fault(request_id, error)
+            refusal = refuse(
+                RefusalReason.INTERNAL_FAULT,
+                type(error).__name__,
+                outcome=Outcome.UNKNOWN,
+            )
+            return self.send_refusal(start_response, request_id, refusal)
+        finally:
+            self.active -= 1
+            self.metrics.latency.observe({}, time.monotonic() - started)
+
+    def handle(
+        self, environ: Environ, request_id: str
+    ) -> tuple[Served, list[tuple[str, str]]]:
+        """Parse, authenticate, route and run; raise RefusedError."""
+        body = self.read_body(environ)
+        segments = split_path(environ)
+        caller = self.dispatcher.identify(
+            segments[2], environ.get("HTTP_AUTHORIZATION")
+        )
+        floor = self.read_session(environ, caller.group)
+        if segments[3:] == ["statements"]:
+            call = unwrap(
+                parse_statement(
+                    body, request_id=request_id, route=segments[2], floor=floor
+                )
+            )
+            served = self.dispatcher.run_statement(caller, call)
+        else:
+            action, transaction = transaction_path(segments[3:])
+            inner = unwrap(
+                parse_transaction(
+                    body,
+                    action=action,
+                    transaction=transaction,
+                    request_id=request_id,
+                    route=segments[2],
+                    floor=floor,
+                )
+            )
+            served = self.dispatcher.run_transaction(caller, inner)
+        return served, session_headers(caller.group, served, floor)
+
+    def read_body(self, environ: Environ) -> bytes:
+        """Read the whole body within its bounds; raise RefusedError."""
+        if environ["REQUEST_METHOD"] != "POST":
+            raise RefusedError(refuse(RefusalReason.UNKNOWN_PATH, "expected POST"))
+        length = environ.get("CONTENT_LENGTH") or ""
+        if not length.isdigit():
+            detail = "expected a Content-Length header"
+            raise RefusedError(refuse(RefusalReason.MALFORMED_BODY, detail))
+        if int(length) > self.body_limit_bytes:
+            detail = f"got {length} bytes, expected at most {self.body_limit_bytes}"
+            raise RefusedError(refuse(RefusalReason.BODY_TOO_LARGE, detail))
+        return self.read_bytes(environ, int(length))
+
+    def read_bytes(self, environ: Environ, length: int) -> bytes:
+        """Read exactly ``length`` bytes in time; raise RefusedError."""
+        timeout = gevent.Timeout(self.body_timeout_seconds)
+        timeout.start()
+        try:
+            body = environ["wsgi.input"].read(length)
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            detail = f"expected the body within {self.body_timeout_seconds} s"
+            raise RefusedError(refuse(RefusalReason.BODY_TOO_SLOW, detail)) from None
+        except OSError:
+            body = b""
+        finally:
+            timeout.close()
+        if len(body) != length:
+            detail = f"got {len(body)} bytes, expected {length}"
+            raise RefusedError(refuse(RefusalReason.MALFORMED_BODY, detail))
+        return body
+
+    def read_session(self, environ: Environ, group: str) -> Any:
+        """Return the session's entry, or none without a token."""
+        token = environ.get("HTTP_BERYLHINGE_SESSION")
+        if not token:
+            return None
+        return unwrap(decode_token(token, group=group)).point
+
+    def send_served(
+        self,
+        start_response: StartResponse,
+        request_id: str,
+        served: Served,
+        headers: list[tuple[str, str]],
+    ) -> Iterable[bytes]:
+        """Send a whole answer."""
+        answer = {
+            "request_id": request_id,
+            "columns": served.columns,
+            "rows": served.rows,
+            "row_count": served.row_count,
+            "served_by": served.role,
+        }
+        if served.transaction is not None:
+            answer["transaction"] = served.transaction
+        fields = [(REQUEST_HEADER, request_id), *headers, *self.closing()]
+        body = msgspec.json.encode(answer)
+        return respond(start_response, 200, body, headers=fields)
+
+    def send_refusal(
+        self, start_response: StartResponse, request_id: str, refusal: Refusal
+    ) -> Iterable[bytes]:
+        """Send and count one refusal."""
+        self.metrics.count_refusal(refusal.reason, refusal.outcome)
+        kind = REFUSAL_KINDS[refusal.reason]
+        problem = {
+            "type": PROBLEM_BASE + refusal.reason.value,
+            "title": kind.title,
+            "status": kind.status,
+            "detail": refusal.detail,
+            "reason": refusal.reason.value,
+            "outcome": refusal.outcome.value,
+            "remedy": kind.remedy,
+            "request_id": request_id,
+        }
+        fields = [(REQUEST_HEADER, request_id), *self.closing(refusal)]
+        if refusal.retry_after_seconds is not None:
+            fields.append(("Retry-After", str(round(refusal.retry_after_seconds))))
+        body = msgspec.json.encode(problem)
+        return respond(
+            start_response, kind.status, body, headers=fields, content_type=PROBLEM
+        )
+
+    def closing(self, refusal: Refusal | None = None) -> list[tuple[str, str]]:
+        """Ask the caller to close after this answer where that is needed."""
+        unread = refusal is not None and refusal.reason in UNREAD_BODY
+        return [("Connection", "close")] if self.leaving or unread else []
--- /dev/null
+++ b/berylhinge/tasks/group.py
@@ -0,0 +1,312 @@
+"""Own one instance's view of one group, its rounds and its promoter."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+
+from ..core import promotion
+from ..core.floors import advance_rounds, floor_for, NO_ROUNDS, want_floor
+from ..core.group_view import (
+    lag_of,
+    max_term,
+    new_view,
+    newest_confirmed,
+    observe,
+    observe_answer,
+    primary_of,
+)
+from ..core.read_choice import UpstreamLoad
+from ..wire.upstream import (
+    EntryAnswer,
+    EntryRequest,
+    FenceAnswer,
+    FenceRequest,
+    GroupMember,
+    PromoteAnswer,
+    PromoteRequest,
+    QuiesceRequest,
+    UpstreamStatus,
+)
+from .member import MemberLink
+from .signal import Broadcast
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+    from ..core.declarations import Upstream
+    from ..types import GroupId, LogPoint, UpstreamId
+    from ..wire.upstream import UpstreamAnswer
+    from .logs import Log
+    from .metrics import Metrics
+
+TICK_SECONDS = 0.02
+STATUS_FRESH_SECONDS = 0.3
+
+
+class GroupOptions(NamedTuple):
+    """Hold what a group's task needs to know of its instance."""
+
+    instance: str
+    promoter: str
+    place: str
+    rank: int
+    allowances: dict[UpstreamId, int]
+    ssl_context: ssl.SSLContext | None = None
+
+
+class GroupTask:
+    """Watch the members, share confirmation rounds and promote when needed."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        upstreams: tuple[Upstream, ...],
+        options: GroupOptions,
+        *,
+        detect: Callable[[GroupTask, float], Any],
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        """Prepare without connecting."""
+        self.group = group
+        self.options = options
+        self.detect = detect
+        self.metrics = metrics
+        self.log = log
+        self.upstreams = upstreams
+        names = tuple(upstream["id"] for upstream in upstreams)
+        self.view = new_view(group, names)
+        self.rounds = NO_ROUNDS
+        self.promotion = promotion.Promotion(
+            group, options.promoter, names, options.rank
+        )
+        self.rng = random.Random(options.promoter + group)
+        self.changed = Broadcast()
+        self.links = {
+            upstream["id"]: MemberLink(
+                upstream,
+                instance=options.instance,
+                allowance=options.allowances.get(upstream["id"], 1),
+                ssl_context=options.ssl_context,
+            )
+            for upstream in upstreams
+        }
+        self.ticker: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Watch every member and start the promoter's clock."""
+        for link in self.links.values():
+            link.start(self.on_status, self.is_interested)
+        self.ticker = gevent.spawn(self.run_ticks)
+
+    def stop(self) -> None:
+        """End every greenlet and close every socket."""
+        if self.ticker is not None:
+            self.ticker.kill()
+        for link in self.links.values():
+            link.stop()
+
+    def is_interested(self) -> bool:
+        """Tell whether anyone waits for the view to change."""
+        return self.changed.waiters > 0 or self.promotion.stage != "idle"
+
+    def loads(self) -> dict[UpstreamId, UpstreamLoad]:
+        """Return this instance's use of every member."""
+        return {
+            name: UpstreamLoad(
+                link.upstream["place"],
+                link.data.leased + len(link.data.waiting),
+                link.data.allowance,
+                link.reachable,
+            )
+            for name, link in self.links.items()
+        }
+
+    def wait_change(self, timeout_seconds: float) -> bool:
+        """Wait until the view changes; return false on timeout."""
+        for link in self.links.values():
+            link.hurry.set()
+        return self.changed.wait(timeout_seconds)
+
+    def on_status(
+        self, link: MemberLink, status: UpstreamStatus | None, asked_at: float
+    ) -> None:
+        """Take in what a watch or a question reported."""
+        now = time.monotonic()
+        if status is None:
+            return
+        if observe(self.view, link.name, status, asked_at, now):
+            self.changed.notify()
+        self.advance_rounds(now)
+        self.promote(promotion.StatusSeen(link.name, status), now)
+
+    def on_answer(
+        self, upstream: UpstreamId, answer: UpstreamAnswer, asked_at: float
+    ) -> None:
+        """Take in the log state that a statement's answer carries."""
+        now = time.monotonic()
+        if observe_answer(self.view, upstream, answer, asked_at, now):
+            self.changed.notify()
+
+    def floor(
+        self, arrived_at: float, max_age_seconds: float, deadline: float
+    ) -> LogPoint | None:
+        """Return a proven floor, joining a shared round; none at the deadline."""
+        while True:
+            point = floor_for(self.rounds, self.view, arrived_at, max_age_seconds)
+            now = time.monotonic()
+            if point is not None or now >= deadline:
+                return point
+            self.take_round(want_floor(self.rounds, arrived_at, now))
+            self.changed.wait(min(deadline - now, TICK_SECONDS))
+
+    def advance_rounds(self, now: float) -> None:
+        """End the running round if it is answered; begin a wanted one."""
+        before = self.rounds.history
+        self.take_round(advance_rounds(self.rounds, self.view, now))
+        if self.rounds.history is not before:
+            self.changed.notify()
+
+    def take_round(self, step: Any) -> None:
+        """Keep the new rounds and ask all members where that is due."""
+        self.rounds = step.rounds
+        if step.ask:
+            for link in self.links.values():
+                gevent.spawn(self.ask_status, link)
+
+    def ask_status(self, link: MemberLink) -> None:
+        """Ask one member for its status now."""
+        asked_at = time.monotonic()
+        status = link.ask("/v1/status", {}, UpstreamStatus)
+        self.on_status(link, status, asked_at)
+
+    def entry_term(self, upstream: UpstreamId, position: int) -> EntryAnswer | None:
+        """Ask which term the entry at a position has."""
+        request = EntryRequest(position=position)
+        link = self.links[upstream]
+        asked_at = time.monotonic()
+        answer = link.ask("/v1/entry", request, EntryAnswer)
+        if answer is not None:
+            self.on_status(link, answer["status"], asked_at)
+        return answer
+
+    def run_ticks(self) -> None:
+        """Let time pass for detection, rounds and the promoter."""
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            self.advance_rounds(now)
+            event = self.detect(self, now)
+            if event is not None:
+                self.promote(event, now)
+            self.promote(promotion.Tick(self.answering(now)), now)
+
+    def answering(self, now: float) -> int:
+        """Count the members that answered lately."""
+        return sum(
+            now - link.answered_at < STATUS_FRESH_SECONDS
+            for link in self.links.values()
+        )
+
+    def promote(self, event: Any, now: float) -> None:
+        """Step the promoter and carry out its effects."""
+        before = self.promotion.stage
+        self.promotion, effects = promotion.step(self.promotion, event, now, self.rng)
+        if self.promotion.stage != before:
+            self.log.info(
+                f"Promotion is {self.promotion.stage}.",
+                group=self.group,
+                term=self.promotion.term,
+                cause=self.promotion.cause,
+            )
+            self.metrics.count("promotions_total", self.promotion.stage)
+        for effect in effects:
+            self.carry_out(effect)
+
+    def carry_out(self, effect: promotion.Effect) -> None:
+        """Send one effect of the promoter in the background."""
+        match effect:
+            case promotion.AskStatus(upstreams):
+                for name in upstreams:
+                    gevent.spawn(self.ask_status, self.links[name])
+            case promotion.FenceMembers(upstreams, term):
+                for name in upstreams:
+                    gevent.spawn(self.fence, self.links[name], term)
+            case promotion.PromoteMember(upstream, term):
+                gevent.spawn(self.make_primary, self.links[upstream], term)
+            case promotion.QuiesceMember(upstream, term, seconds):
+                request = QuiesceRequest(term=term, seconds=seconds)
+                link = self.links[upstream]
+                gevent.spawn(link.ask, "/v1/quiesce", request, dict[str, Any])
+            case promotion.Announce(upstream, term):
+                self.log.info(
+                    "A primary was promoted.",
+                    group=self.group,
+                    upstream=upstream,
+                    term=term,
+                )
+
+    def fence(self, link: MemberLink, term: int) -> None:
+        """Ask one member for its vote."""
+        request = FenceRequest(term=term, promoter=self.options.promoter)
+        asked_at = time.monotonic()
+        answer = link.ask("/v1/fence", request, FenceAnswer)
+        if answer is None:
+            return
+        self.on_status(link, answer["status"], asked_at)
+        event = promotion.FenceAnswered(
+            link.name, term, answer["granted"], answer["status"]
+        )
+        self.promote(event, time.monotonic())
+
+    def make_primary(self, link: MemberLink, term: int) -> None:
+        """Promote one member in a term that a majority granted."""
+        members = [
+            GroupMember(upstream=upstream["id"], control=upstream["control"])
+            for upstream in self.upstreams
+        ]
+        request = PromoteRequest(
+            term=term, promoter=self.options.promoter, members=members
+        )
+        asked_at = time.monotonic()
+        answer = link.ask("/v1/promote", request, PromoteAnswer)
+        if answer is None:
+            return
+        event = promotion.PromoteAnswered(
+            link.name, term, answer["promoted"], answer["status"]
+        )
+        self.promote(event, time.monotonic())
+        self.on_status(link, answer["status"], asked_at)
+
+    def report(self) -> dict[str, Any]:
+        """Return the group's status for operators."""
+        primary = primary_of(self.view)
+        return {
+            "term": max_term(self.view),
+            "primary": primary.upstream if primary else None,
+            "confirmed": list(newest_confirmed(self.view)),
+            "promotion": self.promotion.stage,
+            "members": {
+                name: self.report_member(name, link)
+                for name, link in self.links.items()
+            },
+        }
+
+    def report_member(self, name: UpstreamId, link: MemberLink) -> dict[str, Any]:
+        """Return one member's status for operators."""
+        status = link.status
+        return {
+            "role": status["role"] if status else None,
+            "term": status["term"] if status else None,
+            "last": list(status["last"]) if status else None,
+            "lag_entries": lag_of(self.view, name),
+            "leaving": bool(status and status["leaving"]),
+            "reachable": link.reachable,
+            "connections": link.data.leased + len(link.data.idle),
+            "allowance": link.data.allowance,
+        }
--- /dev/null
+++ b/berylhinge/tasks/member.py
@@ -0,0 +1,165 @@
+"""Own one instance's sockets to one member of a group."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, TYPE_CHECKING
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..wire.upstream import UpstreamStatus, WatchRequest
+from .connection import Connection, ConnectionFailed
+from .http import parse_address
+from .pool import Pool, PoolBusy
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+    from ..core.declarations import Upstream
+
+CONTROL_CONNECTIONS = 4
+CONTROL_TIMEOUT_SECONDS = 0.3
+WATCH_TIMEOUT_SECONDS = 0.2
+WATCH_GRACE_SECONDS = 0.3
+WATCH_PAUSE_SECONDS = 0.02
+RECONNECT_PAUSE_SECONDS = 0.05
+INSTANCE_HEADER = "Berylhinge-Instance"
+NOTHING_SEEN = WatchRequest(
+    term=-1, log_term=-1, last=(0, 0), role="", timeout_seconds=0.0
+)
+
+
+class MemberLink:
+    """Hold the data pool, the control pool and the watch of one upstream."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        *,
+        instance: str,
+        allowance: int,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Prepare without connecting."""
+        headers = {INSTANCE_HEADER: instance}
+        control = parse_address(upstream["control"])
+        self.upstream = upstream
+        self.data = Pool(
+            parse_address(upstream["data"]),
+            allowance=allowance,
+            headers=headers,
+            ssl_context=ssl_context,
+        )
+        self.control = Pool(control, allowance=CONTROL_CONNECTIONS, headers=headers)
+        self.watch = Connection(control, headers=headers)
+        self.status: UpstreamStatus | None = None
+        self.failing_since: float | None = None
+        self.refused = False
+        self.answered_at = float("-inf")
+        self.hurry = Event()
+        self.watcher: gevent.Greenlet | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the upstream's identifier."""
+        return self.upstream["id"]
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the last control exchange succeeded."""
+        return self.failing_since is None
+
+    def ask(
+        self,
+        path: str,
+        message: object,
+        kind: Any,
+        timeout_seconds: float = CONTROL_TIMEOUT_SECONDS,
+    ) -> Any:
+        """Ask the control listener; return none when no whole answer came."""
+        try:
+            connection = self.control.lease(timeout_seconds)
+        except PoolBusy:
+            return None
+        except ConnectionFailed as error:
+            self.note_failure(error)
+            return None
+        try:
+            reply = connection.call(path, message, timeout_seconds)
+            if reply.status != 200:
+                return None
+            answer = msgspec.json.decode(reply.body, type=kind)
+        except ConnectionFailed as error:
+            self.note_failure(error)
+            return None
+        except msgspec.MsgspecError:
+            connection.close()
+            return None
+        finally:
+            self.control.give_back(connection)
+        self.note_success()
+        return answer
+
+    def note_failure(self, error: ConnectionFailed) -> None:
+        """Remember since when the member fails."""
+        if self.failing_since is None:
+            self.failing_since = time.monotonic()
+        self.refused = error.refused
+
+    def note_success(self) -> None:
+        """Remember that the member answers."""
+        self.failing_since = None
+        self.refused = False
+        self.answered_at = time.monotonic()
+
+    def start(self, on_status: Callable[..., None], interested: Any) -> None:
+        """Watch in the background."""
+        self.watcher = gevent.spawn(self.run_watch, on_status, interested)
+
+    def stop(self) -> None:
+        """End the watch and close idle connections."""
+        if self.watcher is not None:
+            self.watcher.kill()
+        self.watch.close()
+        self.control.close()
+        self.data.close()
+
+    def run_watch(self, on_status: Callable[..., None], interested: Any) -> None:
+        """Report each change of the member's log state until killed."""
+        decoder = msgspec.json.Decoder(UpstreamStatus)
+        while True:
+            asked_at = time.monotonic()
+            try:
+                reply = self.watch.call(
+                    "/v1/watch",
+                    self.watch_request(),
+                    WATCH_TIMEOUT_SECONDS + WATCH_GRACE_SECONDS,
+                )
+                status = decoder.decode(reply.body)
+            except (ConnectionFailed, msgspec.MsgspecError) as error:
+                if isinstance(error, ConnectionFailed):
+                    self.note_failure(error)
+                self.watch.close()
+                on_status(self, None, asked_at)
+                gevent.sleep(RECONNECT_PAUSE_SECONDS)
+                continue
+            self.status = status
+            self.note_success()
+            on_status(self, status, asked_at)
+            if not interested():
+                self.hurry.clear()
+                self.hurry.wait(WATCH_PAUSE_SECONDS)
+
+    def watch_request(self) -> WatchRequest:
+        """Ask for the first state that differs from the last one seen."""
+        seen = self.status or NOTHING_SEEN
+        return WatchRequest(
+            term=seen["term"],
+            log_term=seen["log_term"],
+            last=seen["last"],
+            role=seen["role"],
+            timeout_seconds=WATCH_TIMEOUT_SECONDS,
+        )
--- /dev/null
+++ b/berylhinge/tasks/operators.py
@@ -0,0 +1,79 @@
+"""Serve health, metrics and status to operators."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import msgspec
+
+from .http import respond, respond_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from .http import Environ, StartResponse
+    from .metrics import Metrics
+
+
+class OperatorsApp:
+    """Answer the operators' listener."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        *,
+        is_ready: Callable[[], bool],
+        status: Callable[[], dict[str, Any]],
+        refresh: Callable[[], None],
+        actions: dict[str, Callable[[Any], Any]],
+    ) -> None:
+        """Keep the callbacks; ``actions`` maps POST paths to functions."""
+        self.metrics = metrics
+        self.is_ready = is_ready
+        self.status = status
+        self.refresh = refresh
+        self.actions = actions
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ.get("PATH_INFO", "")
+        if environ["REQUEST_METHOD"] == "POST":
+            return self.act(path, environ, start_response)
+        match path:
+            case "/healthz":
+                return respond_json(start_response, 200, {"healthy": True})
+            case "/readyz":
+                ready = self.is_ready()
+                status = 200 if ready else 503
+                return respond_json(start_response, status, {"ready": ready})
+            case "/metrics":
+                self.refresh()
+                body, kind = self.metrics.render()
+                return respond(start_response, 200, body, content_type=kind)
+            case "/v1/status":
+                return respond_json(start_response, 200, self.status())
+        return unknown(start_response, path)
+
+    def act(
+        self, path: str, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Run one operator's action on its JSON body."""
+        action = self.actions.get(path)
+        if action is None:
+            return unknown(start_response, path)
+        body = environ["wsgi.input"].read()
+        try:
+            value = msgspec.json.decode(body or b"{}")
+            answer = action(value)
+        except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as error:
+            problem = {"error": str(error), "remedy": "Send the documented body."}
+            return respond_json(start_response, 400, problem)
+        return respond_json(start_response, 200, answer)
+
+
+def unknown(start_response: StartResponse, path: str) -> Iterable[bytes]:
+    """Answer a path that does not exist."""
+    problem = {"error": f"unknown path {path}", "remedy": "Use /v1/status."}
+    return respond_json(start_response, 404, problem)
