--- /dev/null
+++ b/berylhinge/core/charts.py
@@ -0,0 +1,64 @@
+"""Load state charts and advance a state by them."""
+
+from __future__ import annotations
+
+from functools import cache
+from importlib.resources import files
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from sismic.io import import_from_yaml
+from sismic.model import CompoundState
+
+
+class ChartRefusal(NamedTuple):
+    """Name the event that a state does not handle, and those that it does."""
+
+    chart: str
+    state: str
+    event: str
+    expected: tuple[str, ...]
+
+    def __str__(self) -> str:
+        """Return the one-line message."""
+        handled = ", ".join(self.expected)
+        return f"{self.chart}: got {self.event} in {self.state}, expected {handled}"
+
+
+class Chart(NamedTuple):
+    """Hold a flat state chart as a table."""
+
+    name: str
+    initial: str
+    states: tuple[str, ...]
+    events: tuple[str, ...]
+    targets: dict[tuple[str, str], str]
+
+
+def parse_chart(text: str) -> Chart:
+    """Read a chart that has one level of states and no code."""
+    model = import_from_yaml(text)
+    root = model.state_for(model.root)
+    assert isinstance(root, CompoundState)
+    states = tuple(name for name in model.states if name != model.root)
+    targets = {
+        (edge.source, str(edge.event)): str(edge.target) for edge in model.transitions
+    }
+    events = tuple(sorted({event for _, event in targets}))
+    return Chart(model.name, str(root.initial), states, events, targets)
+
+
+@cache
+def load_chart(name: str) -> Chart:
+    """Read a chart of the package by the name of its file."""
+    source = files(__package__).joinpath("..", "charts", f"{name}.yaml")
+    return parse_chart(source.read_text(encoding="utf-8"))
+
+
+def advance(chart: Chart, state: str, event: str) -> Result[str, ChartRefusal]:
+    """Return the state after an event, or the refusal that names what is handled."""
+    target = chart.targets.get((state, event))
+    if target is None:
+        handled = tuple(known for at, known in chart.targets if at == state)
+        return Failure(ChartRefusal(chart.name, state, event, handled))
+    return Success(target)
--- /dev/null
+++ b/berylhinge/core/retries.py
@@ -0,0 +1,76 @@
+"""Decide whether and when a statement is tried again."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from ..types import Outcome
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..types import Seconds
+
+BASE_DELAY_SECONDS = 0.005
+DELAY_LIMIT_SECONDS = 0.25
+DELAY_GROWTH = 3.0
+TOKENS_PER_REQUEST = 0.2
+TOKEN_LIMIT = 50.0
+
+
+class RetryBudget(NamedTuple):
+    """Hold the retries that recent requests have earned."""
+
+    tokens: float
+
+
+class RetryAfter(NamedTuple):
+    """Try again after a delay, with the budget that is left."""
+
+    delay_seconds: Seconds
+    budget: RetryBudget
+
+
+class GiveUp(NamedTuple):
+    """Do not try again."""
+
+    cause: str
+
+
+MAY_HAVE_RUN = GiveUp("the statement may have run and is not idempotent")
+DEADLINE_NEAR = GiveUp("the deadline leaves no time for another attempt")
+BUDGET_SPENT = GiveUp("the retry budget is spent")
+FULL_BUDGET = RetryBudget(TOKEN_LIMIT)
+
+
+def earn(budget: RetryBudget) -> RetryBudget:
+    """Credit the budget for one first attempt."""
+    return RetryBudget(min(TOKEN_LIMIT, budget.tokens + TOKENS_PER_REQUEST))
+
+
+def next_delay(previous_seconds: Seconds, rng: Random) -> Seconds:
+    """Return a decorrelated delay (Brooker, Exponential Backoff And Jitter, 2015)."""
+    high = max(BASE_DELAY_SECONDS, previous_seconds * DELAY_GROWTH)
+    return min(DELAY_LIMIT_SECONDS, rng.uniform(BASE_DELAY_SECONDS, high))
+
+
+def decide_retry(
+    budget: RetryBudget,
+    *,
+    outcome: Outcome,
+    idempotent: bool,
+    deadline: Seconds,
+    expected_seconds: Seconds,
+    previous_delay_seconds: Seconds,
+    now: Seconds,
+    rng: Random,
+) -> RetryAfter | GiveUp:
+    """Allow a retry that is harmless, within the deadline and within the budget."""
+    if outcome is not Outcome.NOT_RUN and not idempotent:
+        return MAY_HAVE_RUN
+    delay = next_delay(previous_delay_seconds, rng)
+    if now + delay + expected_seconds > deadline:
+        return DEADLINE_NEAR
+    if budget.tokens < 1.0:
+        return BUDGET_SPENT
+    return RetryAfter(delay, RetryBudget(budget.tokens - 1.0))
--- /dev/null
+++ b/berylhinge/core/sessions.py
@@ -0,0 +1,96 @@
+"""Encode and decode session tokens."""
+
+from __future__ import annotations
+
+import binascii
+from base64 import b64decode, urlsafe_b64encode
+from typing import Annotated, NamedTuple
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from ..errors import Refusal, refuse
+from ..reasons import RefusalReason
+from ..types import GroupId, LogPoint, Position, Term
+
+CHECKSUM_BYTES = 4
+TOKEN_LIMIT_CHARS = 256
+GROUP_LIMIT_CHARS = 128
+NUMBER_LIMIT = 2**62
+_PADDING_CHARS = 4
+
+_Number = Annotated[int, msgspec.Meta(ge=0, lt=NUMBER_LIMIT)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=GROUP_LIMIT_CHARS)]
+
+
+class SessionToken(NamedTuple):
+    """Name the newest confirmed entry that a session has seen in its group."""
+
+    group: GroupId
+    term: Term
+    position: Position
+
+    @property
+    def point(self) -> LogPoint:
+        """Return the entry."""
+        return LogPoint(self.term, self.position)
+
+
+class _Packed(NamedTuple):
+    group: _Name
+    term: _Number
+    position: _Number
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Packed)
+
+
+def encode_session(token: SessionToken) -> str:
+    """Return the opaque text of a token."""
+    body = _ENCODER.encode(token)
+    packed = urlsafe_b64encode(body + _checksum(body))
+    return packed.rstrip(b"=").decode("ascii")
+
+
+def decode_session(text: str, *, group: GroupId) -> Result[SessionToken, Refusal]:
+    """Return the token, or MALFORMED_SESSION or FOREIGN_SESSION."""
+    if not 0 < len(text) <= TOKEN_LIMIT_CHARS:
+        return _malformed(f"got {len(text)} characters")
+    padding = "=" * (-len(text) % _PADDING_CHARS)
+    try:
+        raw = b64decode(text + padding, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        return _malformed("got characters outside base64url")
+    body, checksum = raw[:-CHECKSUM_BYTES], raw[-CHECKSUM_BYTES:]
+    if _checksum(body) != checksum:
+        return _malformed("got a wrong checksum")
+    try:
+        packed = _DECODER.decode(body)
+    except (msgspec.DecodeError, ValueError):
+        return _malformed("got wrong fields")
+    if packed.group != group:
+        return Failure(_foreign(packed.group, group))
+    return Success(SessionToken(*packed))
+
+
+def merge(token: SessionToken, point: LogPoint) -> SessionToken:
+    """Return the token moved forward to a confirmed entry, never backwards."""
+    if point <= token.point:
+        return token
+    return SessionToken(token.group, point.term, point.position)
+
+
+def _checksum(body: bytes) -> bytes:
+    return xxhash.xxh32_digest(body)
+
+
+def _malformed(got: str) -> Result[SessionToken, Refusal]:
+    detail = f"{got}, expected a token of this service; send it as it was returned"
+    return Failure(refuse(RefusalReason.MALFORMED_SESSION, detail))
+
+
+def _foreign(got: GroupId, expected: GroupId) -> Refusal:
+    detail = f"got a token of group {got}, expected {expected}; keep one token a route"
+    return refuse(RefusalReason.FOREIGN_SESSION, detail)
