Divide rates over instances by units held in escrow

Cause: no organisation may get more than its rate and burst over all instances, and one inside its rate should not be refused.

--- /dev/null
+++ b/berylhinge/core/capacity.py
@@ -0,0 +1,132 @@
+"""Combine roster, permit, units and minting into one state for an instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+
+from . import minting, permits, rates, transfers
+from .minting import Collect, Holdings, MintState, Settle
+from .permits import (
+    Adopted,
+    FetchRoster,
+    PermitState,
+    ReadRoster,
+    RosterRead,
+    Send,
+    Tick,
+    VouchAnswer,
+    VouchRequest,
+    Withdrawn,
+)
+from .rates import Ask, Deny, Give, RatesState, Taken
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+    from ..types import OrganisationId, Seconds
+    from .buckets import Terms
+    from .rates import Admission
+    from .roster import Member, Roster
+
+Message: TypeAlias = (
+    VouchRequest | VouchAnswer | Ask | Give | Taken | Deny | Collect | Holdings
+)
+Event: TypeAlias = Message | RosterRead | Adopted | Tick | Withdrawn
+Effect: TypeAlias = Send | ReadRoster | FetchRoster | Settle
+PERMIT_EVENTS = (VouchRequest, VouchAnswer, Withdrawn)
+RATES_EVENTS = (Ask, Give, Taken, Deny)
+MINT_EVENTS = (Collect, Holdings)
+
+
+class CapacityState(NamedTuple):
+    """Hold everything by which one instance shares capacity with the others."""
+
+    permit: PermitState
+    rates: RatesState
+    mint: MintState
+    permit_until: Seconds
+
+
+def new_capacity(me: Member) -> CapacityState:
+    """Return an instance that holds nothing and may spend nothing."""
+    return CapacityState(
+        permits.new_permit(me), rates.new_rates(me), MintState(), float("-inf")
+    )
+
+
+def admit(
+    state: CapacityState,
+    organisation: OrganisationId,
+    cost: float,
+    now: Seconds,
+    *,
+    waited: Seconds = 0.0,
+) -> Admission:
+    """Charge one caller request; then send what ``drain`` returns."""
+    return rates.admit(
+        state.rates,
+        organisation,
+        cost,
+        now,
+        permit_until=state.permit_until,
+        waited=waited,
+    )
+
+
+def drain(state: CapacityState) -> list[Send]:
+    """Return and forget the messages that ``admit`` wants sent."""
+    if not state.rates.outbox:
+        return []
+    effects = list(state.rates.outbox)
+    state.rates.outbox.clear()
+    return effects
+
+
+def configure(
+    state: CapacityState, terms: Mapping[OrganisationId, Terms], now: Seconds
+) -> None:
+    """Put the organisations' terms of a newer configuration in force."""
+    rates.configure(state.rates, terms, now)
+
+
+def step(
+    state: CapacityState, event: Event, now: Seconds, rng: Random
+) -> tuple[CapacityState, list[Effect]]:
+    """Take one event or message, and return the new state and what to do."""
+    effects: list[Effect] = []
+    permit, units, mint = state.permit, state.rates, state.mint
+    if isinstance(event, (*PERMIT_EVENTS, RosterRead, Adopted, Tick)):
+        permit, some = permits.step(permit, event, now, rng)
+        effects += some
+    if permit.roster != units.roster:
+        # Units and keeper move to the new epoch in the same step as the permit.
+        units, mint = _adopt(units, mint, permit.roster, now, rng)
+    if isinstance(event, (*RATES_EVENTS, Tick)):
+        units, moved = transfers.step(units, event, now, rng)
+        effects += moved
+    if isinstance(event, (*MINT_EVENTS, Tick)):
+        mint, asked = minting.step(mint, event, units, now, rng)
+        effects += asked
+    until = permits.expires_at(permit)
+    return CapacityState(permit, units, mint, until), effects
+
+
+def leave(state: CapacityState) -> CapacityState:
+    """Begin to hand all units back; ``is_empty`` tells when that is done."""
+    return state._replace(rates=state.rates._replace(leaving=True))
+
+
+def is_empty(state: CapacityState) -> bool:
+    """Tell whether every unit was handed back and taken."""
+    held = any(bucket.units for bucket in state.rates.buckets.values())
+    return not held and not state.rates.pending
+
+
+def _adopt(
+    units: RatesState, mint: MintState, roster: Roster, now: Seconds, rng: Random
+) -> tuple[RatesState, MintState]:
+    """Take the snapshot, and let the keeper begin its count."""
+    units = transfers.adopt(units, roster)
+    mint, _ = minting.step(mint, Adopted(roster), units, now, rng)
+    return units, mint
--- /dev/null
+++ b/berylhinge/core/permits.py
@@ -0,0 +1,273 @@
+"""Hold a time-bounded permission to spend, renewed by vouchers or the store.
+
+The permission lasts ``PERMIT_SECONDS`` from when the confirming request was sent.
+A voucher that adopted an epoch never vouches for anyone outside it, and an answer
+counts only under the asker's own epoch; hence a majority of vouchers that adopted
+a newer epoch proves that no renewal can begin any more (leases: Gray and Cheriton,
+1989).
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+
+from .roster import majority, Member, Roster, vouchers
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..types import Seconds
+
+PERMIT_SECONDS = 3.0
+STORE_BOUND_SECONDS = 900.0
+CLOCK_MARGIN = 0.01
+RENEW_SECONDS = 1.0
+RETRY_SECONDS = 0.25
+STORE_CONTACT_SECONDS = 120.0
+
+
+class VouchRequest(NamedTuple):
+    """Ask a voucher to confirm the asker's membership."""
+
+    asker: Member
+    voucher: Member
+    epoch: int
+    sequence: int
+
+
+class VouchAnswer(NamedTuple):
+    """Confirm or deny; ``epoch`` is the voucher's own."""
+
+    voucher: Member
+    asker: Member
+    epoch: int
+    sequence: int
+    vouched: bool
+
+
+class RosterRead(NamedTuple):
+    """Deliver the store's roster, read by a request sent at ``sent_at``."""
+
+    roster: Roster
+    sent_at: Seconds
+
+
+class Adopted(NamedTuple):
+    """Deliver a roster heard of from a peer."""
+
+    roster: Roster
+
+
+class Tick(NamedTuple):
+    """Let time pass; send one every 50 to 250 ms."""
+
+
+class Withdrawn(NamedTuple):
+    """Give the permission up for good, as on a planned stop."""
+
+
+class Send(NamedTuple):
+    """Send a message to a member's instance."""
+
+    to: Member
+    message: NamedTuple
+
+
+class ReadRoster(NamedTuple):
+    """Read the roster from the store, and remember when the read was sent."""
+
+
+class FetchRoster(NamedTuple):
+    """Fetch a newer roster from a peer that has it."""
+
+    peer: Member
+    epoch: int
+
+
+class PermitState(NamedTuple):
+    """Hold one instance's own permit."""
+
+    me: Member
+    roster: Roster
+    confirmed: dict[Member, float]
+    sent: dict[int, float]
+    sequence: int = 0
+    renew_at: Seconds = 0.0
+    store_at: Seconds | None = None
+    carried_at: Seconds = float("-inf")
+    read_at: Seconds | None = None
+    withdrawn: bool = False
+
+
+PermitEvent: TypeAlias = (
+    VouchRequest | VouchAnswer | RosterRead | Adopted | Tick | Withdrawn
+)
+PermitEffect: TypeAlias = Send | ReadRoster | FetchRoster
+PermitStep: TypeAlias = "tuple[PermitState, list[PermitEffect]]"
+
+HOLDER_FACTOR = 1.0 - CLOCK_MARGIN
+WAITER_FACTOR = 1.0 + CLOCK_MARGIN
+
+
+def new_permit(me: Member, roster: Roster | None = None) -> PermitState:
+    """Return a permit that was never confirmed."""
+    return PermitState(me, roster or Roster(), {}, {})
+
+
+def expires_at(state: PermitState) -> Seconds:
+    """Return when the permit runs out on the holder's clock; minus infinity if never."""
+    if state.withdrawn or state.store_at is None:
+        return float("-inf")
+    if state.me not in state.roster.members:
+        return float("-inf")
+    bound = state.store_at + STORE_BOUND_SECONDS * HOLDER_FACTOR
+    confirmed = max(state.store_at, vouched_at(state))
+    return min(bound, confirmed + PERMIT_SECONDS * HOLDER_FACTOR)
+
+
+def is_held(state: PermitState, now: Seconds) -> bool:
+    """Tell whether the instance may spend at this very moment."""
+    return now < expires_at(state)
+
+
+def vouched_at(state: PermitState) -> Seconds:
+    """Return the send time that a majority of vouchers has confirmed."""
+    chosen = vouchers(state.roster.members, state.me)
+    need = majority(len(chosen))
+    times = sorted(
+        (state.confirmed[voucher] for voucher in chosen if voucher in state.confirmed),
+        reverse=True,
+    )
+    if need == 0 or len(times) < need:
+        return state.carried_at
+    return max(times[need - 1], state.carried_at)
+
+
+def step(
+    state: PermitState, event: PermitEvent, now: Seconds, rng: Random
+) -> PermitStep:
+    """Take one event, and return the new state and what to send."""
+    return handle(event, state, now, rng)
+
+
+@singledispatch
+def handle(
+    event: PermitEvent, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Refuse an event of an unknown type."""
+    raise TypeError(f"got {type(event).__name__}, expected a permit event")
+
+
+@handle.register(VouchRequest)
+def on_request(
+    event: VouchRequest, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Vouch for a member of the very epoch that this instance has adopted."""
+    if event.voucher != state.me:
+        return state, []
+    epoch = state.roster.epoch
+    vouched = event.epoch == epoch and event.asker in state.roster.members
+    vouched = vouched and state.me in state.roster.members
+    answer = VouchAnswer(state.me, event.asker, epoch, event.sequence, vouched)
+    effects: list[PermitEffect] = [Send(event.asker, answer)]
+    if event.epoch > epoch:
+        effects.append(FetchRoster(event.asker, event.epoch))
+    return state, effects
+
+
+@handle.register(VouchAnswer)
+def on_answer(
+    event: VouchAnswer, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Count the answer from the moment its request was sent."""
+    if event.asker != state.me:
+        return state, []
+    if event.epoch > state.roster.epoch:
+        return state, [FetchRoster(event.voucher, event.epoch)]
+    sent_at = state.sent.get(event.sequence)
+    if event.vouched and event.epoch == state.roster.epoch and sent_at is not None:
+        known = state.confirmed.get(event.voucher, sent_at)
+        state.confirmed[event.voucher] = max(known, sent_at)
+    return state, []
+
+
+@handle.register(RosterRead)
+def on_read(
+    event: RosterRead, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Take the store's word, from the moment the read was sent."""
+    state = adopt(state, event.roster)
+    if state.me in event.roster.members and event.roster.epoch == state.roster.epoch:
+        known = event.sent_at if state.store_at is None else state.store_at
+        state = state._replace(store_at=max(known, event.sent_at))
+    return state, []
+
+
+@handle.register(Adopted)
+def on_adopted(
+    event: Adopted, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Take a newer roster from a peer."""
+    return adopt(state, event.roster), []
+
+
+@handle.register(Withdrawn)
+def on_withdrawn(
+    event: Withdrawn, state: PermitState, now: Seconds, rng: Random
+) -> PermitStep:
+    """Spend nothing more, whatever is confirmed later."""
+    return state._replace(withdrawn=True), []
+
+
+@handle.register(Tick)
+def on_tick(event: Tick, state: PermitState, now: Seconds, rng: Random) -> PermitStep:
+    """Renew in time, and turn to the store when the vouchers do not answer."""
+    if state.withdrawn:
+        return state, []
+    effects: list[PermitEffect] = []
+    late = expires_at(state) - now < PERMIT_SECONDS / 2
+    if state.me in state.roster.members and now >= state.renew_at:
+        state = _ask(state, now, rng, late, effects)
+    pause = RENEW_SECONDS if late else STORE_CONTACT_SECONDS * rng.uniform(0.8, 1.2)
+    if state.read_at is None or now >= state.read_at:
+        effects.append(ReadRoster())
+        state = state._replace(read_at=now + pause)
+    elif late and state.read_at > now + RENEW_SECONDS:
+        state = state._replace(read_at=now + rng.uniform(0.0, RENEW_SECONDS))
+    return state, effects
+
+
+def adopt(state: PermitState, roster: Roster) -> PermitState:
+    """Move to a newer epoch; what was confirmed runs on, no answer is still due."""
+    if roster.epoch < state.roster.epoch:
+        return state
+    if roster.epoch == state.roster.epoch:
+        return state._replace(roster=max(state.roster, roster))
+    carried_at = vouched_at(state)
+    state.confirmed.clear()
+    state.sent.clear()
+    return state._replace(roster=roster, renew_at=0.0, carried_at=carried_at)
+
+
+def _ask(
+    state: PermitState,
+    now: Seconds,
+    rng: Random,
+    late: bool,
+    effects: list[PermitEffect],
+) -> PermitState:
+    """Ask a majority of the vouchers, or all of them when the permit is running out."""
+    chosen = vouchers(state.roster.members, state.me)
+    count = len(chosen) if late else majority(len(chosen))
+    asked = rng.sample(chosen, count)
+    sequence = state.sequence + 1
+    for voucher in asked:
+        request = VouchRequest(state.me, voucher, state.roster.epoch, sequence)
+        effects.append(Send(voucher, request))
+    horizon = now - PERMIT_SECONDS
+    for old in [key for key, sent_at in state.sent.items() if sent_at < horizon]:
+        del state.sent[old]
+    state.sent[sequence] = now
+    pause = RETRY_SECONDS if late else RENEW_SECONDS
+    return state._replace(sequence=sequence, renew_at=now + pause)
--- /dev/null
+++ b/berylhinge/core/rates.py
@@ -0,0 +1,312 @@
+"""Admit requests within an organisation's rate and burst from units in escrow.
+
+Escrow: O'Neil, "The escrow transactional method", 1986. Units move between
+instances on demand (demarcation: Barbará and Garcia-Molina, 1994); the giver
+deducts before it sends, so the units held never sum to more than the whole.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+
+from ..reasons import RefusalReason
+from .buckets import (
+    Bucket,
+    low_water,
+    needed,
+    refill,
+    retune,
+    review,
+    target,
+    Terms,
+)
+from .permits import Send
+from .roster import Member, ranked, Roster
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ..types import OrganisationId, Seconds
+
+WAIT_LIMIT_SECONDS = 0.25
+WAIT_STEP_SECONDS = 0.004
+ASK_TIMEOUT_SECONDS = 0.1
+ASK_PAUSE_SECONDS = 0.01
+REVIEW_SECONDS = 0.25
+SUSPECT_SECONDS = 2.0
+
+
+class Admitted(NamedTuple):
+    """Let the request run; its cost is spent, whatever becomes of it."""
+
+
+class Wait(NamedTuple):
+    """Call again after so long: units are on their way."""
+
+    seconds: Seconds
+
+
+class Refused(NamedTuple):
+    """Turn the request away, not run."""
+
+    reason: RefusalReason
+    retry_after_seconds: Seconds
+
+
+Admission: TypeAlias = Admitted | Wait | Refused
+ADMITTED = Admitted()
+
+
+class Ask(NamedTuple):
+    """Ask for units and tokens; ``held`` and ``demand`` are the asker's own."""
+
+    epoch: int
+    organisation: OrganisationId
+    asker: Member
+    units: int
+    tokens: float
+    held: int
+    demand: float
+    hop: int
+
+
+class Give(NamedTuple):
+    """Pass units on; the same message again has the same sequence.
+
+    Everything of the giver under ``floor`` has been taken or is lost.
+    """
+
+    epoch: int
+    organisation: OrganisationId
+    giver: Member
+    receiver: Member
+    sequence: int
+    floor: int
+    units: int
+    tokens: float
+    held: int
+    demand: float
+
+
+class Taken(NamedTuple):
+    """Confirm that a transfer was taken, now or before."""
+
+    epoch: int
+    giver: Member
+    receiver: Member
+    sequence: int
+
+
+class Deny(NamedTuple):
+    """Tell the asker that there is nothing to spare."""
+
+    epoch: int
+    organisation: OrganisationId
+    denier: Member
+    asker: Member
+
+
+class Holding(NamedTuple):
+    """Count the units of one organisation."""
+
+    organisation: OrganisationId
+    units: int
+
+
+class Report(NamedTuple):
+    """Remember what another instance last said that it holds."""
+
+    units: int
+    demand: float
+
+
+class Pending(NamedTuple):
+    """Keep a transfer until it is confirmed."""
+
+    message: Give
+    resend_at: Seconds
+    pause: Seconds
+
+
+class Seen(NamedTuple):
+    """Remember a giver's transfers that were taken, from its floor upwards."""
+
+    floor: int
+    above: frozenset[int]
+
+
+class RatesState(NamedTuple):
+    """Hold one instance's units; the dictionaries are changed in place."""
+
+    me: Member
+    roster: Roster
+    terms: dict[OrganisationId, Terms]
+    buckets: dict[OrganisationId, Bucket]
+    reports: dict[OrganisationId, dict[Member, Report]]
+    pending: dict[int, Pending]
+    seen: dict[Member, Seen]
+    suspects: dict[Member, Seconds]
+    outbox: list[Send]
+    snapshot: tuple[Holding, ...] = ()
+    sequence: int = 0
+    reviewed_at: Seconds = float("-inf")
+    leaving: bool = False
+
+
+def new_rates(me: Member) -> RatesState:
+    """Return a state that holds nothing."""
+    return RatesState(me, Roster(), {}, {}, {}, {}, {}, {}, [])
+
+
+def admit(
+    state: RatesState,
+    organisation: OrganisationId,
+    cost: float,
+    now: Seconds,
+    *,
+    permit_until: Seconds,
+    waited: Seconds = 0.0,
+) -> Admission:
+    """Spend the cost, wait for units under way, or refuse.
+
+    Charge each caller's request once: a retry or a forwarded request is not charged
+    again. Send what ``state.outbox`` holds after each call.
+    """
+    terms = state.terms.get(organisation)
+    if terms is None or now >= permit_until:
+        return Refused(RefusalReason.RATE_UNPROVEN, 1.0)
+    bucket = state.buckets.get(organisation)
+    if bucket is None:
+        bucket = state.buckets[organisation] = Bucket(now)
+    if waited <= 0.0:
+        bucket.counted += cost
+        bucket.cost = max(cost, 0.9 * bucket.cost)
+        bucket.seen_at = now
+    refill(bucket, terms, now)
+    if bucket.tokens >= cost:
+        bucket.tokens -= cost
+        if bucket.tokens < low_water(bucket) and now >= bucket.ask_after:
+            ask(state, organisation, bucket, terms, now)
+        return ADMITTED
+    return _short(state, organisation, bucket, terms, cost, now, waited)
+
+
+def _short(
+    state: RatesState,
+    organisation: OrganisationId,
+    bucket: Bucket,
+    terms: Terms,
+    cost: float,
+    now: Seconds,
+    waited: Seconds,
+) -> Admission:
+    """Wait while an answer is due, and refuse once peers have nothing to spare."""
+    if now >= bucket.ask_after:
+        ask(state, organisation, bucket, terms, now)
+    hopeless = cost > terms.burst or now < bucket.denied_until
+    if hopeless or waited >= WAIT_LIMIT_SECONDS:
+        pause = max(bucket.denied_until - now, 0.1)
+        return Refused(RefusalReason.RATE_EXCEEDED, pause)
+    return Wait(min(WAIT_STEP_SECONDS, WAIT_LIMIT_SECONDS - waited))
+
+
+def ask(
+    state: RatesState,
+    organisation: OrganisationId,
+    bucket: Bucket,
+    terms: Terms,
+    now: Seconds,
+) -> None:
+    """Ask the organisation's hub, or as the hub another holder, for what is short."""
+    if isinstance(bucket.asked, Member):
+        state.suspects[bucket.asked] = now + SUSPECT_SECONDS
+    to = _giver(state, organisation, now)
+    bucket.asked = to
+    bucket.ask_after = now + ASK_TIMEOUT_SECONDS
+    if to is None:
+        bucket.denied_until = bucket.ask_after
+        return
+    units = max(0, needed(bucket, terms, now) - bucket.units)
+    tokens = max(0.0, target(bucket) - bucket.tokens)
+    hop = 0 if hub(state, organisation, now) == to else 1
+    message = Ask(
+        state.roster.epoch,
+        organisation,
+        state.me,
+        units,
+        tokens,
+        bucket.units,
+        bucket.demand,
+        hop,
+    )
+    state.outbox.append(Send(to, message))
+
+
+def hub(state: RatesState, organisation: OrganisationId, now: Seconds) -> Member | None:
+    """Return the first member for the organisation that answers."""
+    for member in ranked(state.roster.members, f"rate/{organisation}", 8):
+        if state.suspects.get(member, 0.0) <= now:
+            return member
+    return None
+
+
+def _giver(
+    state: RatesState, organisation: OrganisationId, now: Seconds
+) -> Member | None:
+    """Return whom to ask: the hub; for the hub, the holder of most units."""
+    first = hub(state, organisation, now)
+    if first != state.me:
+        return first
+    found = holders(state, organisation, now, exclude=state.me)
+    return found[0] if found else None
+
+
+def holders(
+    state: RatesState,
+    organisation: OrganisationId,
+    now: Seconds,
+    *,
+    exclude: Member,
+) -> list[Member]:
+    """Return the known holders, most units first; all members when none is known."""
+    members = set(state.roster.members)
+    known = state.reports.get(organisation, {})
+    found = [
+        (report.units, member)
+        for member, report in known.items()
+        if member in members and member not in (state.me, exclude) and report.units
+    ]
+    if not found:
+        others = ranked(state.roster.members, f"rate/{organisation}", 8)
+        found = [(0, other) for other in others if other not in (state.me, exclude)]
+    return [
+        member
+        for _, member in sorted(found, reverse=True)
+        if state.suspects.get(member, 0.0) <= now
+    ]
+
+
+def configure(
+    state: RatesState, terms: Mapping[OrganisationId, Terms], now: Seconds
+) -> None:
+    """Take the organisations' terms of a newer configuration, in force at once."""
+    for organisation, bucket in state.buckets.items():
+        old = state.terms.get(organisation)
+        new = terms.get(organisation)
+        if old != new:
+            retune(bucket, old, new, now)
+    state.terms.clear()
+    state.terms.update(terms)
+
+
+def review_all(state: RatesState, now: Seconds) -> None:
+    """Fold in the demand, and ask early where units fall short of it."""
+    for organisation, bucket in state.buckets.items():
+        terms = state.terms.get(organisation)
+        review(bucket, now)
+        if terms is None or now < bucket.ask_after:
+            continue
+        refill(bucket, terms, now)
+        short = needed(bucket, terms, now) - bucket.units
+        if short * 8 > bucket.units:
+            ask(state, organisation, bucket, terms, now)
--- /dev/null
+++ b/berylhinge/core/rendezvous.py
@@ -0,0 +1,62 @@
+"""Rank nodes for a key by highest random weight (Thaler and Ravishankar, 1998)."""
+
+from __future__ import annotations
+
+from heapq import nlargest
+from math import log
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+HASH_SPACE = float(1 << 64)
+
+
+def score(node: str, key: str, *, seed: int = 0, weight: float = 1.0) -> float:
+    """Return the node's score for the key; a greater one ranks first."""
+    digest = xxh3_64_intdigest(f"{key}\x00{node}".encode(), seed=seed)
+    return -weight / log((digest + 0.5) / HASH_SPACE)
+
+
+def rank(
+    nodes: Iterable[str],
+    key: str,
+    *,
+    seed: int = 0,
+    weights: Mapping[str, float] | None = None,
+) -> list[str]:
+    """Return all nodes, best first; ties go by name."""
+    scored = _scored(nodes, key, seed, weights)
+    return [node for _, node in sorted(scored, reverse=True)]
+
+
+def top(
+    nodes: Iterable[str],
+    key: str,
+    count: int,
+    *,
+    seed: int = 0,
+    weights: Mapping[str, float] | None = None,
+) -> list[str]:
+    """Return the first ``count`` nodes of the ranking."""
+    return [node for _, node in nlargest(count, _scored(nodes, key, seed, weights))]
+
+
+def _scored(
+    nodes: Iterable[str], key: str, seed: int, weights: Mapping[str, float] | None
+) -> Iterable[tuple[float, str]]:
+    """Pair each node with its score; a weight of zero takes a node out."""
+    if weights is None:
+        prefix = f"{key}\x00"
+        # Without weights the raw digest gives the same order at less cost.
+        return [
+            (xxh3_64_intdigest((prefix + node).encode(), seed=seed) / HASH_SPACE, node)
+            for node in nodes
+        ]
+    return [
+        (score(node, key, seed=seed, weight=weights.get(node, 1.0)), node)
+        for node in nodes
+        if weights.get(node, 1.0) > 0.0
+    ]
--- /dev/null
+++ b/berylhinge/core/transfers.py
@@ -0,0 +1,285 @@
+"""Move units between instances: deduct, send, repeat until taken, take once."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, TypeAlias
+
+from .buckets import (
+    Bucket,
+    low_water,
+    needed,
+    put,
+    refill,
+    SLACK,
+    take,
+    Terms,
+    UNITS,
+)
+from .permits import Adopted, FetchRoster, Send, Tick
+from .rates import (
+    Ask,
+    ASK_PAUSE_SECONDS,
+    Deny,
+    Give,
+    holders,
+    Holding,
+    hub,
+    Pending,
+    RatesState,
+    Report,
+    review_all,
+    REVIEW_SECONDS,
+    Seen,
+    Taken,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..types import OrganisationId, Seconds
+    from .roster import Member, Roster
+
+RESEND_SECONDS = 0.2
+RESEND_LIMIT_SECONDS = 2.0
+BACKOFF_SECONDS = 0.1
+BACKOFF_LIMIT_SECONDS = 1.0
+FORWARDS = 2
+NOTHING_SEEN = Seen(0, frozenset())
+
+RatesEvent: TypeAlias = Ask | Give | Taken | Deny | Adopted | Tick
+RatesEffect: TypeAlias = Send | FetchRoster
+RatesStep: TypeAlias = "tuple[RatesState, list[RatesEffect]]"
+
+
+def step(state: RatesState, event: RatesEvent, now: Seconds, rng: Random) -> RatesStep:
+    """Take one event, and return the new state and what to send."""
+    state, effects = handle(event, state, now, rng)
+    effects.extend(state.outbox)
+    state.outbox.clear()
+    return state, effects
+
+
+@singledispatch
+def handle(
+    event: RatesEvent, state: RatesState, now: Seconds, rng: Random
+) -> RatesStep:
+    """Refuse an event of an unknown type."""
+    raise TypeError(f"got {type(event).__name__}, expected a rates event")
+
+
+@handle.register(Ask)
+def on_ask(event: Ask, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
+    """Give what can be spared; a hub passes the rest of the wish on to holders."""
+    if event.epoch != state.roster.epoch:
+        return state, _behind(state, event.epoch, event.asker)
+    note(state, event.organisation, event.asker, event.held, event.demand)
+    bucket = state.buckets.get(event.organisation)
+    terms = state.terms.get(event.organisation)
+    units = spare(bucket, terms, event, now) if bucket and terms else 0
+    tokens = 0.0
+    if bucket and terms and units:
+        tokens = bucket.tokens * units / bucket.units
+        state = give(state, event.organisation, event.asker, units, now)
+    short = units < event.units or tokens < event.tokens
+    if short and event.hop == 0:
+        rest = event._replace(units=event.units - units, hop=1)
+        found = holders(state, event.organisation, now, exclude=event.asker)
+        for holder in _two(found, rng):
+            state.outbox.append(Send(holder, rest))
+        short = not found
+    if short and not units:
+        deny = Deny(state.roster.epoch, event.organisation, state.me, event.asker)
+        state.outbox.append(Send(event.asker, deny))
+    return state, []
+
+
+@handle.register(Give)
+def on_give(event: Give, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
+    """Take the units once, under the very epoch that they were given in."""
+    if event.epoch != state.roster.epoch or event.receiver != state.me:
+        return state, _behind(state, event.epoch, event.giver)
+    taken = Taken(event.epoch, event.giver, state.me, event.sequence)
+    state.outbox.append(Send(event.giver, taken))
+    seen = state.seen.get(event.giver, NOTHING_SEEN)
+    floor = max(seen.floor, event.floor)
+    if event.sequence < seen.floor or event.sequence in seen.above:
+        return state, []
+    above = {number for number in seen.above if number >= floor} | {event.sequence}
+    state.seen[event.giver] = Seen(floor, frozenset(above))
+    terms = state.terms.get(event.organisation)
+    bucket = state.buckets.get(event.organisation)
+    if bucket is None:
+        bucket = state.buckets[event.organisation] = Bucket(now)
+    if terms is not None:
+        refill(bucket, terms, now)
+    put(bucket, event.units, event.tokens, terms)
+    bucket.asked = None
+    bucket.backoff = 0.0
+    bucket.denied_until = 0.0
+    bucket.ask_after = min(bucket.ask_after, now + ASK_PAUSE_SECONDS)
+    note(state, event.organisation, event.giver, event.held, event.demand)
+    return state, []
+
+
+@handle.register(Taken)
+def on_taken(event: Taken, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
+    """Forget a transfer that arrived."""
+    if event.giver == state.me and event.epoch == state.roster.epoch:
+        state.pending.pop(event.sequence, None)
+    return state, []
+
+
+@handle.register(Deny)
+def on_deny(event: Deny, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
+    """Back off before the next wish."""
+    bucket = state.buckets.get(event.organisation)
+    if bucket is None or bucket.asked is None or event.asker != state.me:
+        return state, []
+    bucket.asked = None
+    bucket.backoff = min(
+        BACKOFF_LIMIT_SECONDS, max(BACKOFF_SECONDS, 2 * bucket.backoff)
+    )
+    bucket.denied_until = now + bucket.backoff * rng.uniform(0.8, 1.2)
+    bucket.ask_after = bucket.denied_until
+    return state, []
+
+
+@handle.register(Adopted)
+def on_adopted(
+    event: Adopted, state: RatesState, now: Seconds, rng: Random
+) -> RatesStep:
+    """Count what is held at the change of epoch; transfers of the old one are over."""
+    return adopt(state, event.roster), []
+
+
+@handle.register(Tick)
+def on_tick(event: Tick, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
+    """Repeat what was not confirmed, fold in demand, hand back what is not needed."""
+    for sequence, pending in list(state.pending.items()):
+        if now >= pending.resend_at:
+            pause = min(RESEND_LIMIT_SECONDS, 2 * pending.pause)
+            state.pending[sequence] = Pending(pending.message, now + pause, pause)
+            state.outbox.append(Send(pending.message.receiver, pending.message))
+    if now - state.reviewed_at < REVIEW_SECONDS:
+        return state, []
+    state = state._replace(reviewed_at=now)
+    review_all(state, now)
+    return hand_back(state, now), []
+
+
+def adopt(state: RatesState, roster: Roster) -> RatesState:
+    """Move to a newer epoch, with a snapshot of the units for its keeper."""
+    if roster.epoch <= state.roster.epoch:
+        return state._replace(roster=max(roster, state.roster))
+    if state.me not in roster.members:
+        state.buckets.clear()
+    snapshot = tuple(
+        Holding(organisation, bucket.units)
+        for organisation, bucket in state.buckets.items()
+        if bucket.units
+    )
+    state.pending.clear()
+    state.seen.clear()
+    return state._replace(roster=roster, snapshot=snapshot)
+
+
+def give(
+    state: RatesState,
+    organisation: OrganisationId,
+    receiver: Member,
+    units: int,
+    now: Seconds,
+) -> RatesState:
+    """Deduct the units and their tokens first, then send them until taken."""
+    bucket = state.buckets[organisation]
+    terms = state.terms.get(organisation)
+    if terms is not None:
+        refill(bucket, terms, now)
+    units = min(units, bucket.units)
+    tokens = take(bucket, units)
+    sequence = state.sequence + 1
+    message = Give(
+        state.roster.epoch,
+        organisation,
+        state.me,
+        receiver,
+        sequence,
+        min(state.pending, default=sequence),
+        units,
+        tokens,
+        bucket.units,
+        bucket.demand,
+    )
+    state.pending[sequence] = Pending(message, now + RESEND_SECONDS, RESEND_SECONDS)
+    state.outbox.append(Send(receiver, message))
+    known = state.reports.get(organisation, {}).get(receiver)
+    if known is not None:
+        note(state, organisation, receiver, known.units + units, known.demand)
+    return state._replace(sequence=sequence)
+
+
+def spare(bucket: Bucket, terms: Terms, wish: Ask, now: Seconds) -> int:
+    """Return the units to part with: what demand leaves, or a share of the tokens."""
+    refill(bucket, terms, now)
+    if bucket.units == 0:
+        return 0
+    both = bucket.demand + wish.demand
+    fair = (bucket.units + wish.held) * bucket.demand / both if both else 0.0
+    own = min(float(needed(bucket, terms, now)), fair * 1.05)
+    units = max(0, min(wish.units, int(bucket.units - own)))
+    reserve = low_water(bucket) if bucket.demand > 0.0 else 0.0
+    tokens = min(wish.tokens, (bucket.tokens - reserve) / 2)
+    if tokens > 0.0:
+        by_tokens = int(tokens * bucket.units / bucket.tokens)
+        units = max(units, min(by_tokens, bucket.units))
+    return units
+
+
+def hand_back(state: RatesState, now: Seconds) -> RatesState:
+    """Return to the hub what the demand no longer calls for; all when leaving."""
+    busy = {pending.message.organisation for pending in state.pending.values()}
+    for organisation, bucket in state.buckets.items():
+        first = hub(state, organisation, now)
+        if first == state.me and state.leaving:
+            others = holders(state, organisation, now, exclude=state.me)
+            first = others[0] if others else None
+        if first is None or first == state.me or organisation in busy:
+            continue
+        terms = state.terms.get(organisation)
+        surplus = bucket.units if state.leaving else 0
+        if not state.leaving and terms is not None:
+            surplus = _surplus(bucket, terms, now)
+        if surplus > 0:
+            state = give(state, organisation, first, surplus, now)
+    return state
+
+
+def _surplus(bucket: Bucket, terms: Terms, now: Seconds) -> int:
+    """Return the units above demand with slack, when worth a message."""
+    need = needed(bucket, terms, now)
+    surplus = bucket.units - need
+    return surplus if surplus > need * (SLACK - 1.0) + UNITS // 4096 else 0
+
+
+def note(
+    state: RatesState,
+    organisation: OrganisationId,
+    member: Member,
+    units: int,
+    demand: float,
+) -> None:
+    """Remember what a member said that it holds."""
+    state.reports.setdefault(organisation, {})[member] = Report(units, demand)
+
+
+def _two(found: list[Member], rng: Random) -> list[Member]:
+    """Return the holder of most units, and one other by chance."""
+    if len(found) <= FORWARDS:
+        return found
+    return [found[0], rng.choice(found[1:])]
+
+
+def _behind(state: RatesState, epoch: int, peer: Member) -> list[RatesEffect]:
+    """Fetch the roster when the peer has a newer one."""
+    return [FetchRoster(peer, epoch)] if epoch > state.roster.epoch else []
