Call the platform over several addresses

Cause: configuration, rosters and the list of instances live in the platform.

Change: a client keeps its connections, turns to the next address and tells a call that never left from one whose answer was lost; only the former is repeated for swaps and new leases. An overloaded service isn't asked again at its other addresses.

--- /dev/null
+++ b/berylhinge/tasks/platform.py
@@ -0,0 +1,233 @@
+"""Call the platform's key-value service and instance list."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..wire.platform import (
+    GetRequest,
+    InstanceList,
+    LeaseAnswer,
+    LeaseRequest,
+    StoredValue,
+    SwapAnswer,
+    SwapRequest,
+    WatchKeyRequest,
+)
+from .connection import Connection, ConnectionFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from .connection import Reply
+    from .http import Address
+
+GET_PATH = "/v1/get"
+SWAP_PATH = "/v1/swap"
+WATCH_PATH = "/v1/watch"
+LEASE_GRANT_PATH = "/v1/leases/grant"
+LEASE_RENEW_PATH = "/v1/leases/renew"
+LEASE_REVOKE_PATH = "/v1/leases/revoke"
+INSTANCES_PATH = "/v1/instances"
+
+CALL_SECONDS = 1.0
+WATCH_MARGIN_SECONDS = 1.0
+IDLE_CONNECTIONS = 4
+OVERLOADED_STATUSES = (429, 503)
+
+
+class StoreErrorKind(StrEnum):
+    """Tell what is known about a failed call."""
+
+    NOT_APPLIED = "not-applied"
+    UNKNOWN = "unknown"
+    OVERLOADED = "overloaded"
+    MALFORMED = "malformed"
+
+
+class StoreError(NamedTuple):
+    """Report a failed call; only ``UNKNOWN`` may have changed the store."""
+
+    kind: StoreErrorKind
+    detail: str
+    remedy: str
+
+
+FINAL_KINDS = (StoreErrorKind.OVERLOADED, StoreErrorKind.MALFORMED)
+REMEDIES = {
+    StoreErrorKind.NOT_APPLIED: "try again; the store was not reached",
+    StoreErrorKind.UNKNOWN: "read the value back before trying again",
+    StoreErrorKind.OVERLOADED: "try again after a pause",
+    StoreErrorKind.MALFORMED: "check that the address is the platform's",
+}
+
+
+def ignore(result: str) -> None:
+    """Count nothing."""
+
+
+class PlatformClient:
+    """Hold connections to several addresses of one platform."""
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        *,
+        timeout_seconds: float = CALL_SECONDS,
+        on_call: Callable[[str], None] = ignore,
+    ) -> None:
+        """Prepare without connecting."""
+        self.addresses = list(addresses)
+        self.timeout_seconds = timeout_seconds
+        self.on_call = on_call
+        self.idle: dict[Address, list[Connection]] = {}
+
+    def get(self, key: str) -> Result[StoredValue, StoreError]:
+        """Read one key."""
+        return self.read(GET_PATH, GetRequest(key=key), StoredValue)
+
+    def swap(
+        self,
+        key: str,
+        value: str | None,
+        *,
+        expected_revision: int,
+        lease: str | None = None,
+    ) -> Result[SwapAnswer, StoreError]:
+        """Replace a value if its revision still is the expected one."""
+        request = SwapRequest(key=key, value=value, expected_revision=expected_revision)
+        if lease is not None:
+            request["lease"] = lease
+        return self.write(SWAP_PATH, request, SwapAnswer)
+
+    def watch(
+        self, key: str, *, after_revision: int, timeout_seconds: float
+    ) -> Result[StoredValue, StoreError]:
+        """Wait until a key's revision exceeds the given one or the time is over."""
+        request = WatchKeyRequest(
+            key=key, after_revision=after_revision, timeout_seconds=timeout_seconds
+        )
+        wait = timeout_seconds + WATCH_MARGIN_SECONDS
+        return self.read(WATCH_PATH, request, StoredValue, timeout_seconds=wait)
+
+    def grant_lease(self, ttl_seconds: float) -> Result[LeaseAnswer, StoreError]:
+        """Ask for a new lease; one whose answer is lost lapses by itself."""
+        request = LeaseRequest(ttl_seconds=ttl_seconds)
+        return self.write(LEASE_GRANT_PATH, request, LeaseAnswer)
+
+    def renew_lease(self, lease: str) -> Result[LeaseAnswer, StoreError]:
+        """Extend a lease by its term."""
+        request = LeaseRequest(lease=lease)
+        return self.read(LEASE_RENEW_PATH, request, LeaseAnswer)
+
+    def revoke_lease(self, lease: str) -> Result[LeaseAnswer, StoreError]:
+        """End a lease."""
+        request = LeaseRequest(lease=lease)
+        return self.read(LEASE_REVOKE_PATH, request, LeaseAnswer)
+
+    def instances(self) -> Result[InstanceList, StoreError]:
+        """Read the list of live and leaving instances."""
+        return self.read(INSTANCES_PATH, {}, InstanceList)
+
+    def read(
+        self,
+        path: str,
+        request: Any,
+        kind: Any,
+        *,
+        timeout_seconds: float | None = None,
+    ) -> Result[Any, StoreError]:
+        """Make a call that may be repeated, at each address in turn."""
+        return self.attempt(path, request, kind, timeout_seconds, repeatable=True)
+
+    def write(self, path: str, request: Any, kind: Any) -> Result[Any, StoreError]:
+        """Make a call that is repeated only while no byte of it has left."""
+        return self.attempt(path, request, kind, None, repeatable=False)
+
+    def attempt(
+        self,
+        path: str,
+        request: Any,
+        kind: Any,
+        timeout_seconds: float | None,
+        *,
+        repeatable: bool,
+    ) -> Result[Any, StoreError]:
+        """Try each address once and turn to a working one for the next call."""
+        body = msgspec.json.encode(request)
+        wait = self.timeout_seconds if timeout_seconds is None else timeout_seconds
+        result: Result[Any, StoreError] = store_failure(
+            StoreErrorKind.NOT_APPLIED, "no address of the platform is known"
+        )
+        for _ in range(len(self.addresses)):
+            result = self.call(self.addresses[0], path, body, kind, wait)
+            self.on_call(outcome_of(result))
+            if isinstance(result, Success):
+                return result
+            kind_known = result.failure().kind
+            # The addresses lead to one service, which would answer the same.
+            if kind_known in FINAL_KINDS:
+                return result
+            self.addresses.append(self.addresses.pop(0))
+            if kind_known is StoreErrorKind.UNKNOWN and not repeatable:
+                return result
+        return result
+
+    def call(
+        self, address: Address, path: str, body: bytes, kind: Any, wait: float
+    ) -> Result[Any, StoreError]:
+        """Make one call at one address."""
+        idle = self.idle.setdefault(address, [])
+        connection = idle.pop() if idle else Connection(address, headers={})
+        try:
+            if not connection.is_open:
+                connection.open(min(wait, self.timeout_seconds))
+            reply = connection.exchange(path, body, wait)
+        except ConnectionFailed as error:
+            kinds = StoreErrorKind
+            kind_known = kinds.UNKNOWN if error.sent else kinds.NOT_APPLIED
+            return store_failure(kind_known, f"{address}: {error}")
+        finally:
+            if connection.is_open and len(idle) < IDLE_CONNECTIONS:
+                idle.append(connection)
+            else:
+                connection.close()
+        return decode_reply(address, reply, kind)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for idle in self.idle.values():
+            while idle:
+                idle.pop().close()
+
+
+def decode_reply(address: Address, reply: Reply, kind: Any) -> Result[Any, StoreError]:
+    """Decode an answer or tell why it is none."""
+    if reply.status in OVERLOADED_STATUSES:
+        detail = f"{address}: status {reply.status}"
+        return store_failure(StoreErrorKind.OVERLOADED, detail)
+    if reply.status >= 500:
+        detail = f"{address}: status {reply.status}"
+        return store_failure(StoreErrorKind.UNKNOWN, detail)
+    if reply.status != 200:
+        detail = f"{address}: status {reply.status}: {reply.body[:200]!r}"
+        return store_failure(StoreErrorKind.MALFORMED, detail)
+    try:
+        return Success(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.MsgspecError as error:
+        # A write that was answered unreadably may have been applied.
+        return store_failure(StoreErrorKind.UNKNOWN, f"{address}: {error}")
+
+
+def store_failure(kind: StoreErrorKind, detail: str) -> Failure[StoreError]:
+    """Build a failed result with its remedy."""
+    return Failure(StoreError(kind, detail, REMEDIES[kind]))
+
+
+def outcome_of(result: Result[Any, StoreError]) -> str:
+    """Name a call's result for its counter."""
+    return "ok" if isinstance(result, Success) else str(result.failure().kind)
