Keep transactions and dispatch calls to the instance that serves them

Cause: statements must reach the instance that holds the group's connections, and a transaction the instance that holds its connection. Change: transactions pinned to one connection, dispatch with authentication, admission and forwarding over peer links.

--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -11,7 +11,7 @@
 from returns.pipeline import is_successful
 
 from ..core.requests import parse_statement, parse_transaction
-from ..core.sessions import decode_token, encode_token, SessionToken
+from ..core.sessions import decode_session, encode_session, SessionToken
 from ..errors import Refusal, refuse, RefusedError
 from ..reasons import REFUSAL_KINDS, RefusalReason
 from ..types import Outcome
@@ -88,7 +88,7 @@
     if not points:
         return []
     newest = max(points)
-    token = encode_token(SessionToken(group, newest.term, newest.position))
+    token = encode_session(SessionToken(group, newest.term, newest.position))
     return [(SESSION_HEADER, token)]
 
 
@@ -205,7 +205,7 @@
         token = environ.get("HTTP_BERYLHINGE_SESSION")
         if not token:
             return None
-        return unwrap(decode_token(token, group=group)).point
+        return unwrap(decode_session(token, group=group)).point
 
     def send_served(
         self,
--- /dev/null
+++ b/berylhinge/tasks/dispatch.py
@@ -0,0 +1,277 @@
+"""Decide who may run a call and on which instance, and get it run there."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, NamedTuple, Protocol, TYPE_CHECKING
+
+from returns.result import Failure
+
+from ..core.keys import authenticate, presented_key_id
+from ..core.routing import resolve
+from ..errors import refuse, RefusedError
+from ..reasons import RefusalReason, RetryReason
+from ..types import Outcome
+from ..wire.peers import ForwardAnswer, ForwardStatement, ForwardTransaction
+from .links import Links, PeerLost
+from .transactions import owner_of, Transactions
+
+if TYPE_CHECKING:
+    from ..core.index import DeclarationIndex
+    from ..core.requests import Served, StatementCall, TransactionCall
+    from ..errors import Refusal
+    from ..types import GroupId, InstanceId, KeyId, OrganisationId, RouteId
+    from .execution import Executor
+    from .logs import Log
+    from .metrics import Metrics
+
+FORWARD_GRACE_SECONDS = 0.25
+DEFAULT_MAX_AGE_SECONDS = 5.0
+NO_ORGANISATION = ""
+NO_KEY = ""
+
+
+class Caller(NamedTuple):
+    """Hold what is proven about a request's sender, and its target."""
+
+    organisation: OrganisationId
+    key: KeyId
+    route: RouteId
+    group: GroupId
+    max_age_seconds: float
+
+
+class Fleet(Protocol):
+    """Say what the dispatcher asks of the fleet's task."""
+
+    def admit(self, organisation: OrganisationId, deadline: float) -> None:
+        """Charge one request; raise RefusedError."""
+
+    def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
+        """Return the live instances that serve a group, best first."""
+
+    def keys_proven(self) -> bool:
+        """Tell whether the keys in force are proven to be current."""
+
+
+class Dispatcher:
+    """Authenticate, admit, and run locally or on a peer."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        *,
+        fleet: Fleet,
+        links: Links,
+        transactions: Transactions,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        """Keep the collaborators; nothing is served before a configuration."""
+        self.instance = instance
+        self.fleet = fleet
+        self.links = links
+        self.transactions = transactions
+        self.metrics = metrics
+        self.log = log
+        self.index: DeclarationIndex | None = None
+        self.executors: dict[GroupId, Executor] = {}
+        links.register(ForwardAnswer)
+        links.register_call(ForwardStatement, self.on_statement)
+        links.register_call(ForwardTransaction, self.on_transaction)
+
+    def identify(self, route: RouteId, authorization: str | None) -> Caller:
+        """Prove the organisation and find its group; raise RefusedError."""
+        index = self.index
+        if index is None:
+            detail = "the instance waits for a configuration"
+            raise RefusedError(refuse(RefusalReason.INSTANCE_NOT_READY, detail))
+        organisation = None
+        key = NO_KEY
+        if not is_open(index, route) or authorization:
+            organisation = self.prove_key(index, authorization)
+            key = presented_key_id(authorization) or NO_KEY
+        target = resolve(index, route, organisation)
+        if isinstance(target, Failure):
+            raise RefusedError(target.failure())
+        found = target.unwrap()
+        age = found.max_age_seconds
+        return Caller(
+            organisation or NO_ORGANISATION,
+            key,
+            route,
+            found.group,
+            DEFAULT_MAX_AGE_SECONDS if age is None else age,
+        )
+
+    def prove_key(
+        self, index: DeclarationIndex, authorization: str | None
+    ) -> OrganisationId:
+        """Return the key's organisation; raise RefusedError."""
+        result = authenticate(index, authorization)
+        if isinstance(result, Failure):
+            raise RefusedError(result.failure())
+        if not self.fleet.keys_proven():
+            detail = "neither the store nor enough peers confirm the keys"
+            raise RefusedError(refuse(RefusalReason.KEYS_UNPROVEN, detail))
+        return result.unwrap()
+
+    def run_statement(self, caller: Caller, call: StatementCall) -> Served:
+        """Admit and run one statement; raise RefusedError."""
+        arrived_at = time.monotonic()
+        self.charge(caller, arrived_at + call.timeout_seconds)
+        message = ForwardStatement(caller.group, caller.organisation, caller.key, call)
+        if caller.group in self.executors:
+            return self.run_here(message, arrived_at)
+        return self.forward(message, arrived_at, self.fleet.serving(caller.group))
+
+    def run_transaction(self, caller: Caller, call: TransactionCall) -> Served:
+        """Admit and run one step of a transaction; raise RefusedError."""
+        arrived_at = time.monotonic()
+        if call.action in ("begin", "statement"):
+            self.charge(caller, arrived_at + call.timeout_seconds)
+        message = ForwardTransaction(
+            caller.group, caller.organisation, caller.key, call
+        )
+        if call.action != "begin":
+            owner = owner_of(call.transaction)
+            if owner != self.instance:
+                return self.forward(message, arrived_at, (owner,))
+            return self.act_here(message, arrived_at)
+        if caller.group in self.executors:
+            return self.act_here(message, arrived_at)
+        return self.forward(message, arrived_at, self.fleet.serving(caller.group))
+
+    def charge(self, caller: Caller, deadline: float) -> None:
+        """Charge the organisation once; raise RefusedError."""
+        if caller.organisation:
+            self.fleet.admit(caller.organisation, deadline)
+
+    def run_here(self, message: ForwardStatement, arrived_at: float) -> Served:
+        """Run a statement on a group that this instance serves."""
+        executor = self.executors[message.group]
+        self.check_key(message.key)
+        age = DEFAULT_MAX_AGE_SECONDS
+        if self.index is not None and message.call.route in self.index.routes:
+            declared = self.index.routes[message.call.route].max_age_seconds
+            age = DEFAULT_MAX_AGE_SECONDS if declared is None else declared
+        served = executor.run(message.call, arrived_at, age)
+        self.metrics.count("answers_total", message.call.access.value)
+        return served
+
+    def act_here(self, message: ForwardTransaction, arrived_at: float) -> Served:
+        """Act on a transaction of this instance."""
+        self.check_key(message.key)
+        call = message.call
+        if call.action == "begin":
+            return self.transactions.begin(
+                self.executors[message.group],
+                call,
+                arrived_at,
+                organisation=message.organisation,
+                key=message.key,
+            )
+        served = self.transactions.act(
+            call, arrived_at, organisation=message.organisation
+        )
+        self.metrics.count("answers_total", call.action)
+        return served
+
+    def check_key(self, key: KeyId) -> None:
+        """Refuse a key that was withdrawn since it was presented."""
+        if key == NO_KEY or self.index is None:
+            return
+        known = self.index.keys.get(key)
+        if known is None or known.withdrawn:
+            detail = "the key was withdrawn"
+            raise RefusedError(refuse(RefusalReason.WITHDRAWN_KEY, detail))
+
+    def forward(
+        self,
+        message: ForwardStatement | ForwardTransaction,
+        arrived_at: float,
+        peers: tuple[InstanceId, ...],
+    ) -> Served:
+        """Have a peer run a call, trying the next one only where harmless."""
+        deadline = arrived_at + message.call.timeout_seconds
+        idempotent = getattr(message.call, "idempotent", False)
+        refusal = refuse(
+            RefusalReason.INSTANCE_NOT_READY, "no live instance serves the group"
+        )
+        for peer in peers:
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                break
+            call = message.call._replace(timeout_seconds=remaining)
+            answer = self.ask_peer(peer, message._replace(call=call), remaining)
+            if answer.served is not None:
+                return answer.served
+            refusal = answer.refusal or refusal
+            if not may_try_next(refusal, idempotent):
+                break
+            self.metrics.count_retry(RetryReason.PEER_REFUSED)
+        raise RefusedError(refusal)
+
+    def ask_peer(self, peer: InstanceId, message: Any, timeout: float) -> ForwardAnswer:
+        """Ask one peer; a lost answer is unknown once the call has left."""
+        try:
+            return self.links.call(peer, message, timeout + FORWARD_GRACE_SECONDS)
+        except PeerLost as error:
+            outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
+            refusal = refuse(RefusalReason.PEER_LOST, str(error), outcome=outcome)
+            return ForwardAnswer(None, refusal)
+
+    def on_statement(
+        self, sender: InstanceId, message: ForwardStatement
+    ) -> ForwardAnswer:
+        """Run a peer's statement."""
+        if message.group not in self.executors:
+            return not_serving()
+        return answer_of(lambda: self.run_here(message, time.monotonic()))
+
+    def on_transaction(
+        self, sender: InstanceId, message: ForwardTransaction
+    ) -> ForwardAnswer:
+        """Act on a transaction for a peer."""
+        if message.call.action == "begin" and message.group not in self.executors:
+            return not_serving()
+        return answer_of(lambda: self.act_here(message, time.monotonic()))
+
+
+def is_open(index: DeclarationIndex, route: RouteId) -> bool:
+    """Tell whether a route exists and needs no key."""
+    known = index.routes.get(route)
+    return known is not None and known.open
+
+
+def may_try_next(refusal: Refusal, idempotent: bool) -> bool:
+    """Tell whether another peer may run a call that one did not answer."""
+    if refusal.reason in NEXT_PEER_REASONS:
+        return refusal.outcome is Outcome.NOT_RUN or idempotent
+    return False
+
+
+NEXT_PEER_REASONS = {
+    RefusalReason.PEER_LOST,
+    RefusalReason.INSTANCE_LEAVING,
+    RefusalReason.INSTANCE_NOT_READY,
+}
+
+
+def not_serving() -> ForwardAnswer:
+    """Tell a peer that this instance does not serve the group."""
+    detail = "the instance does not serve the group"
+    return ForwardAnswer(None, refuse(RefusalReason.INSTANCE_NOT_READY, detail))
+
+
+def answer_of(run: Any) -> ForwardAnswer:
+    """Run a call and return its answer or refusal."""
+    try:
+        return ForwardAnswer(run(), None)
+    except RefusedError as error:
+        return ForwardAnswer(None, error.refusal)
+    except Exception as error:
+        refusal = refuse(
+            RefusalReason.INTERNAL_FAULT, type(error).__name__, outcome=Outcome.UNKNOWN
+        )
+        return ForwardAnswer(None, refusal)
--- a/berylhinge/tasks/execution.py
+++ b/berylhinge/tasks/execution.py
@@ -131,13 +131,18 @@
             parameters=call.parameters,
             term=target.term,
         )
+        number = self.group.begin_write()
         try:
             result = exchange(link, connection, "/v1/statement", request, deadline)
-        finally:
             link.data.give_back(connection)
-        if isinstance(result, Failed):
-            return result
-        return self.acknowledge(target, result, deadline)
+            if isinstance(result, Failed):
+                return result
+            return self.acknowledge(target, result, deadline)
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            self.group.end_write(number)
 
     def acknowledge(
         self, target: Primary, result: Exchanged, deadline: float
@@ -286,7 +291,10 @@
         if isinstance(result, Failed):
             excluded.add(chosen)
             return result
-        return self.judge(chosen, result, floor, deadline)
+        judged = self.judge(chosen, result, floor, deadline)
+        if isinstance(judged, Served):
+            self.metrics.count("reads_total", judged.role)
+        return judged
 
     def judge(
         self,
@@ -302,7 +310,6 @@
             verdict = judge_read(self.group.view, floor, answer)
             if isinstance(verdict, ReturnAnswer):
                 role = self.role_of(upstream)
-                self.metrics.count("reads_total", role)
                 return served(answer, verdict.point, upstream, role)
             remaining = deadline - time.monotonic()
             if isinstance(verdict, RetryRead) or remaining <= 0:
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -4,11 +4,12 @@
 
 import random
 import time
+from itertools import count
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
 
-from ..core import promotion
+from ..core import detection, promotion
 from ..core.floors import advance_rounds, floor_for, NO_ROUNDS, want_floor
 from ..core.group_view import (
     lag_of,
@@ -19,6 +20,17 @@
     observe_answer,
     primary_of,
 )
+from ..core.promotion_messages import (
+    Announce,
+    AskStatus,
+    FenceAnswered,
+    FenceMembers,
+    PromoteAnswered,
+    PromoteMember,
+    QuiesceMember,
+    StatusSeen,
+    Tick,
+)
 from ..core.read_choice import UpstreamLoad
 from ..wire.upstream import (
     EntryAnswer,
@@ -39,13 +51,12 @@
     from collections.abc import Callable
 
     from ..core.declarations import Upstream
-    from ..types import GroupId, LogPoint, UpstreamId
+    from ..types import GroupId, InstanceId, LogPoint, UpstreamId
     from ..wire.upstream import UpstreamAnswer
     from .logs import Log
     from .metrics import Metrics
 
 TICK_SECONDS = 0.02
-STATUS_FRESH_SECONDS = 0.3
 
 
 class GroupOptions(NamedTuple):
@@ -68,14 +79,14 @@
         upstreams: tuple[Upstream, ...],
         options: GroupOptions,
         *,
-        detect: Callable[[GroupTask, float], Any],
+        live_peers: Callable[[], frozenset[InstanceId] | None],
         metrics: Metrics,
         log: Log,
     ) -> None:
         """Prepare without connecting."""
         self.group = group
         self.options = options
-        self.detect = detect
+        self.live_peers = live_peers
         self.metrics = metrics
         self.log = log
         self.upstreams = upstreams
@@ -85,6 +96,10 @@
         self.promotion = promotion.Promotion(
             group, options.promoter, names, options.rank
         )
+        self.detection = detection.new_detection()
+        self.asked_at = float("-inf")
+        self.writes: dict[int, float] = {}
+        self.write_ids = count(1)
         self.rng = random.Random(options.promoter + group)
         self.changed = Broadcast()
         self.links = {
@@ -139,11 +154,15 @@
         """Take in what a watch or a question reported."""
         now = time.monotonic()
         if status is None:
+            detection.note_failed(self.detection, link.name, now, refused=link.refused)
             return
+        detection.note_answered(
+            self.detection, link.name, 0.0, leaving=status["leaving"]
+        )
         if observe(self.view, link.name, status, asked_at, now):
             self.changed.notify()
         self.advance_rounds(now)
-        self.promote(promotion.StatusSeen(link.name, status), now)
+        self.promote(StatusSeen(link.name, status), now)
 
     def on_answer(
         self, upstream: UpstreamId, answer: UpstreamAnswer, asked_at: float
@@ -182,6 +201,7 @@
     def ask_status(self, link: MemberLink) -> None:
         """Ask one member for its status now."""
         asked_at = time.monotonic()
+        detection.note_asked(self.detection, link.name, asked_at)
         status = link.ask("/v1/status", {}, UpstreamStatus)
         self.on_status(link, status, asked_at)
 
@@ -201,17 +221,33 @@
             gevent.sleep(TICK_SECONDS)
             now = time.monotonic()
             self.advance_rounds(now)
-            event = self.detect(self, now)
-            if event is not None:
-                self.promote(event, now)
-            self.promote(promotion.Tick(self.answering(now)), now)
-
-    def answering(self, now: float) -> int:
-        """Count the members that answered lately."""
-        return sum(
-            now - link.answered_at < STATUS_FRESH_SECONDS
-            for link in self.links.values()
-        )
+            self.poll_if_due(now)
+            self.detection, verdict = detection.judge(
+                self.detection, self.view, self.live_peers(), now
+            )
+            if not isinstance(verdict, detection.Undecided):
+                self.promote(verdict, now)
+            self.promote(Tick(detection.answering(self.view, now)), now)
+
+    def poll_if_due(self, now: float) -> None:
+        """Ask every member for its status, more often while in doubt."""
+        pending_since = next(iter(self.writes.values()), None)
+        pause = detection.poll_seconds(self.detection, self.view, now, pending_since)
+        if now - self.asked_at < pause:
+            return
+        self.asked_at = now
+        for link in self.links.values():
+            gevent.spawn(self.ask_status, link)
+
+    def begin_write(self) -> int:
+        """Note that a write waits for its answer or acknowledgement."""
+        number = next(self.write_ids)
+        self.writes[number] = time.monotonic()
+        return number
+
+    def end_write(self, number: int) -> None:
+        """Note that a write has ended."""
+        del self.writes[number]
 
     def promote(self, event: Any, now: float) -> None:
         """Step the promoter and carry out its effects."""
@@ -228,22 +264,22 @@
         for effect in effects:
             self.carry_out(effect)
 
-    def carry_out(self, effect: promotion.Effect) -> None:
+    def carry_out(self, effect: Any) -> None:
         """Send one effect of the promoter in the background."""
         match effect:
-            case promotion.AskStatus(upstreams):
+            case AskStatus(upstreams):
                 for name in upstreams:
                     gevent.spawn(self.ask_status, self.links[name])
-            case promotion.FenceMembers(upstreams, term):
+            case FenceMembers(upstreams, term):
                 for name in upstreams:
                     gevent.spawn(self.fence, self.links[name], term)
-            case promotion.PromoteMember(upstream, term):
+            case PromoteMember(upstream, term):
                 gevent.spawn(self.make_primary, self.links[upstream], term)
-            case promotion.QuiesceMember(upstream, term, seconds):
+            case QuiesceMember(upstream, term, seconds):
                 request = QuiesceRequest(term=term, seconds=seconds)
                 link = self.links[upstream]
                 gevent.spawn(link.ask, "/v1/quiesce", request, dict[str, Any])
-            case promotion.Announce(upstream, term):
+            case Announce(upstream, term):
                 self.log.info(
                     "A primary was promoted.",
                     group=self.group,
@@ -259,9 +295,7 @@
         if answer is None:
             return
         self.on_status(link, answer["status"], asked_at)
-        event = promotion.FenceAnswered(
-            link.name, term, answer["granted"], answer["status"]
-        )
+        event = FenceAnswered(link.name, term, answer["granted"], answer["status"])
         self.promote(event, time.monotonic())
 
     def make_primary(self, link: MemberLink, term: int) -> None:
@@ -277,9 +311,7 @@
         answer = link.ask("/v1/promote", request, PromoteAnswer)
         if answer is None:
             return
-        event = promotion.PromoteAnswered(
-            link.name, term, answer["promoted"], answer["status"]
-        )
+        event = PromoteAnswered(link.name, term, answer["promoted"], answer["status"])
         self.promote(event, time.monotonic())
         self.on_status(link, answer["status"], asked_at)
 
--- /dev/null
+++ b/berylhinge/tasks/transactions.py
@@ -0,0 +1,323 @@
+"""Keep open transactions, each pinned to one upstream connection."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import Any, TYPE_CHECKING
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from ..core.read_choice import Need
+from ..core.requests import Served
+from ..errors import Refusal, refuse, RefusedError
+from ..reasons import RefusalReason, RetryReason
+from ..types import Access, LogPoint, Outcome
+from ..wire.upstream import StatementRequest, TransactionRequest
+from .attempts import exchange, Exchanged, Failed, lease
+
+if TYPE_CHECKING:
+    from ..core.group_view import Primary
+    from ..core.requests import TransactionCall
+    from ..types import KeyId, OrganisationId
+    from .connection import Connection
+    from .execution import Executor
+    from .member import MemberLink
+
+REAP_SECONDS = 0.25
+SEPARATOR = "."
+
+
+def owner_of(transaction: str) -> str:
+    """Return the instance that holds a transaction."""
+    return transaction.partition(SEPARATOR)[0]
+
+
+class OpenTransaction:
+    """Hold one transaction's connection and limits."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        executor: Executor,
+        link: MemberLink,
+        connection: Connection,
+        target: Primary | None,
+        organisation: OrganisationId,
+        key: KeyId,
+        ends_at: float,
+    ) -> None:
+        """Keep what later statements need."""
+        self.name = name
+        self.executor = executor
+        self.link = link
+        self.connection = connection
+        self.target = target
+        self.organisation = organisation
+        self.key = key
+        self.ends_at = ends_at
+        self.turn = BoundedSemaphore(1)
+        self.closed = False
+
+    def release(self) -> None:
+        """Give the connection back once; a closed one rolls back upstream."""
+        if not self.closed:
+            self.closed = True
+            self.link.data.give_back(self.connection)
+
+    def abandon(self) -> None:
+        """Close the connection, so that the upstream rolls back."""
+        self.connection.close()
+        self.release()
+
+
+class Transactions:
+    """Begin, run, commit and roll back transactions of this instance."""
+
+    def __init__(self, instance: str, *, limit_seconds: float) -> None:
+        """Start without transactions."""
+        self.instance = instance
+        self.limit_seconds = limit_seconds
+        self.open: dict[str, OpenTransaction] = {}
+        self.reaper: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to end transactions that outlive their limit."""
+        self.reaper = gevent.spawn(self.run_reaper)
+
+    def stop(self) -> None:
+        """Abandon every open transaction."""
+        if self.reaper is not None:
+            self.reaper.kill()
+        for transaction in list(self.open.values()):
+            self.forget(transaction)
+            transaction.abandon()
+
+    def run_reaper(self) -> None:
+        """Abandon transactions past their limit until killed."""
+        while True:
+            gevent.sleep(REAP_SECONDS)
+            now = time.monotonic()
+            for transaction in list(self.open.values()):
+                if now >= transaction.ends_at:
+                    self.forget(transaction)
+                    transaction.abandon()
+
+    def abandon_keys(self, is_withdrawn: Any) -> None:
+        """Abandon every transaction whose key was withdrawn."""
+        for transaction in list(self.open.values()):
+            if is_withdrawn(transaction.key):
+                self.forget(transaction)
+                transaction.abandon()
+
+    def forget(self, transaction: OpenTransaction) -> None:
+        """Remove a transaction from the table."""
+        self.open.pop(transaction.name, None)
+
+    def begin(
+        self,
+        executor: Executor,
+        call: TransactionCall,
+        arrived_at: float,
+        *,
+        organisation: OrganisationId,
+        key: KeyId,
+    ) -> Served:
+        """Open a transaction; raise RefusedError, always not run."""
+        deadline = arrived_at + call.timeout_seconds
+        opened: list[OpenTransaction] = []
+
+        def attempt() -> Served | Failed:
+            return self.try_begin(
+                executor, call, deadline, opened, organisation=organisation, key=key
+            )
+
+        served = executor.persist(attempt, deadline, True)
+        transaction = opened[-1]
+        self.open[transaction.name] = transaction
+        return served._replace(transaction=transaction.name)
+
+    def try_begin(
+        self,
+        executor: Executor,
+        call: TransactionCall,
+        deadline: float,
+        opened: list[OpenTransaction],
+        *,
+        organisation: OrganisationId,
+        key: KeyId,
+    ) -> Served | Failed:
+        """Begin once on the primary, or on a replica for reads."""
+        target, name = self.place(executor, call, deadline)
+        link = executor.group.links[name]
+        connection = lease(link, deadline)
+        if isinstance(connection, Failed):
+            return connection
+        transaction = OpenTransaction(
+            f"{self.instance}{SEPARATOR}{uuid.uuid4().hex}",
+            executor=executor,
+            link=link,
+            connection=connection,
+            target=target,
+            organisation=organisation,
+            key=key,
+            ends_at=time.monotonic() + self.limit_seconds,
+        )
+        request = TransactionRequest(
+            request_id=call.request_id, term=target.term if target else None
+        )
+        floor = call.floor or LogPoint(0, 0)
+        try:
+            result = exchange(link, connection, "/v1/begin", request, deadline)
+            if isinstance(result, Exchanged):
+                result = executor.judge(name, result, floor, deadline)
+        except BaseException:
+            transaction.abandon()
+            raise
+        if isinstance(result, Failed):
+            transaction.abandon()
+            return not_run(result)
+        opened.append(transaction)
+        return result
+
+    def place(
+        self, executor: Executor, call: TransactionCall, deadline: float
+    ) -> tuple[Primary | None, str]:
+        """Choose the upstream; raise RefusedError."""
+        if call.access is Access.WRITE:
+            target = executor.await_target(deadline)
+            if isinstance(target, Failed):
+                raise RefusedError(target.refusal)
+            return target, target.upstream
+        floor = call.floor
+        if floor is None:
+            floor = executor.group.floor(time.monotonic(), 0.0, deadline)
+        if floor is None:
+            detail = f"no majority of {executor.group.group} answered in time"
+            raise RefusedError(refuse(RefusalReason.NO_PRIMARY, detail))
+        chosen = executor.choose(floor, Need.TOKEN, deadline, set())
+        if isinstance(chosen, Failed):
+            raise RefusedError(chosen.refusal)
+        return None, chosen
+
+    def act(
+        self, call: TransactionCall, arrived_at: float, *, organisation: OrganisationId
+    ) -> Served:
+        """Run, commit or roll back in an open transaction; raise RefusedError."""
+        transaction = self.open.get(call.transaction)
+        if transaction is None or transaction.organisation != organisation:
+            detail = "the transaction ended, or was never begun here"
+            raise RefusedError(refuse(RefusalReason.UNKNOWN_TRANSACTION, detail))
+        deadline = arrived_at + call.timeout_seconds
+        if not transaction.turn.acquire(timeout=call.timeout_seconds):
+            detail = "another statement of the transaction still runs"
+            raise RefusedError(refuse(RefusalReason.DEADLINE_TOO_SHORT, detail))
+        try:
+            if transaction.closed:
+                raise RefusedError(lost_transaction("it ended meanwhile"))
+            return self.run_action(transaction, call, deadline)
+        finally:
+            transaction.turn.release()
+
+    def run_action(
+        self, transaction: OpenTransaction, call: TransactionCall, deadline: float
+    ) -> Served:
+        """Dispatch one action."""
+        match call.action:
+            case "statement":
+                return self.run_statement(transaction, call, deadline)
+            case "commit":
+                return self.commit(transaction, call, deadline)
+            case _:
+                return self.roll_back(transaction, call, deadline)
+
+    def run_statement(
+        self, transaction: OpenTransaction, call: TransactionCall, deadline: float
+    ) -> Served:
+        """Run a statement on the pinned connection; raise RefusedError."""
+        request = StatementRequest(
+            request_id=call.request_id,
+            access="write" if transaction.target else "read",
+            statement=call.statement,
+            parameters=call.parameters,
+            term=transaction.target.term if transaction.target else None,
+        )
+        result = self.send(transaction, "/v1/statement", request, deadline)
+        if isinstance(result, Exchanged):
+            floor = call.floor or LogPoint(0, 0)
+            executor = transaction.executor
+            result = executor.judge(transaction.link.name, result, floor, deadline)
+        if isinstance(result, Served):
+            return result
+        if result.retry is None and transaction.connection.is_open:
+            # The statement alone failed; the transaction is still open.
+            raise RefusedError(result.refusal)
+        self.forget(transaction)
+        transaction.abandon()
+        raise RefusedError(lost_transaction(result.refusal.detail))
+
+    def commit(
+        self, transaction: OpenTransaction, call: TransactionCall, deadline: float
+    ) -> Served:
+        """Commit and wait for a majority; raise RefusedError."""
+        self.forget(transaction)
+        target = transaction.target
+        request = TransactionRequest(
+            request_id=call.request_id, term=target.term if target else None
+        )
+        executor = transaction.executor
+        number = executor.group.begin_write()
+        try:
+            result: Any = self.send(transaction, "/v1/commit", request, deadline)
+            transaction.release()
+            if isinstance(result, Exchanged) and target is not None:
+                result = executor.acknowledge(target, result, deadline)
+            elif isinstance(result, Exchanged):
+                floor = call.floor or LogPoint(0, 0)
+                name = transaction.link.name
+                result = executor.judge(name, result, floor, deadline)
+        finally:
+            transaction.abandon()
+            executor.group.end_write(number)
+        if isinstance(result, Served):
+            return result
+        if result.refusal.outcome is Outcome.NOT_RUN:
+            raise RefusedError(lost_transaction(result.refusal.detail))
+        raise RefusedError(result.refusal)
+
+    def roll_back(
+        self, transaction: OpenTransaction, call: TransactionCall, deadline: float
+    ) -> Served:
+        """Roll back; a lost answer rolls back too, by closing."""
+        self.forget(transaction)
+        request = TransactionRequest(request_id=call.request_id)
+        result = self.send(transaction, "/v1/rollback", request, deadline)
+        if isinstance(result, Failed):
+            transaction.abandon()
+        transaction.release()
+        name = transaction.link.name
+        return Served([], [], 0, None, name, "primary", transaction.name)
+
+    def send(
+        self, transaction: OpenTransaction, path: str, message: Any, deadline: float
+    ) -> Exchanged | Failed:
+        """Exchange on the pinned connection; close it on an unexpected end."""
+        link, connection = transaction.link, transaction.connection
+        try:
+            return exchange(link, connection, path, message, deadline)
+        except BaseException:
+            transaction.abandon()
+            raise
+
+
+def lost_transaction(detail: str) -> Refusal:
+    """Build the refusal of a transaction that was rolled back."""
+    return refuse(RefusalReason.TRANSACTION_LOST, detail)
+
+
+def not_run(result: Failed) -> Failed:
+    """Say that a failed begin changed nothing, whatever became of its answer."""
+    refusal = result.refusal._replace(outcome=Outcome.NOT_RUN)
+    return Failed(result.retry or RetryReason.CONNECTION_LOST, refusal)
