--- a/berylhinge/tasks/http.py
+++ b/berylhinge/tasks/http.py
@@ -21,6 +21,7 @@
 
 JSON = "application/json"
 MAX_CONNECTIONS = 20_000
+MAX_PORT = 65_535
 
 
 class Address(NamedTuple):
@@ -37,7 +38,7 @@
 def parse_address(text: str) -> Address:
     """Parse host:port; raise ValueError for any other form."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdigit() or int(port) > MAX_PORT:
         raise ValueError(f"got {text!r}, expected IP:PORT")
     return Address(host, int(port))
 
