--- /dev/null
+++ b/berylhinge/core/tests/test_admission.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import pytest
+
+from ...reasons import RefusalReason
+from ...types import Access
+from ..admission import (
+    AdmissionState,
+    cancel,
+    Dropped,
+    finish,
+    offer,
+    Offered,
+    Request,
+    resize,
+    take,
+)
+
+FAR = 1000.0
+
+
+def request(name: str, *, access: Access = Access.READ, deadline: float = FAR):
+    return Request(name, name[0], access, deadline)
+
+
+def serve(state: AdmissionState, count: int, seconds: float = 0.002) -> str:
+    now, served = 0.0, ""
+    for _ in range(count):
+        started = take(state, now).request
+        if started is None:
+            break
+        now += seconds
+        finish(state, started.request, now)
+        served += started.organisation
+    return served
+
+
+@pytest.mark.parametrize(
+    ("weights", "offered", "served"),
+    [
+        ({}, "aaaaaabb", "ababaa"),
+        ({}, "aaabbb", "ababab"),
+        ({"a": 2.0}, "aaaabbbb", "ababaa"),
+        ({}, "ab", "ab"),
+    ],
+)
+def test_organisations_take_turns_by_weight(weights, offered, served) -> None:
+    state = AdmissionState(slots=1, bound=100, weights=weights)
+    for number, organisation in enumerate(offered):
+        offer(state, request(f"{organisation}{number}"), 0.0)
+    assert serve(state, len(served)) == served
+
+
+def test_an_idle_organisation_gains_no_credit() -> None:
+    state = AdmissionState(slots=1, bound=100)
+    for number in range(20):
+        offer(state, request(f"a{number}"), 0.0)
+    serve(state, 10)
+    for number in range(5):
+        offer(state, request(f"b{number}"), 0.0)
+    # The virtual time is that of the last start, one turn behind its finish.
+    assert serve(state, 6) in ("ababab", "bababa", "bbabab")
+
+
+def test_a_write_is_charged_by_its_slot_time() -> None:
+    state = AdmissionState(slots=1, bound=500)
+    for number in range(150):
+        offer(state, request(f"w{number}", access=Access.WRITE), 0.0)
+        offer(state, request(f"r{number}"), 0.0)
+    now, held = 0.0, {"w": 0.0, "r": 0.0}
+    for _ in range(150):
+        started = take(state, now).request
+        assert started is not None
+        seconds = 0.010 if started.access is Access.WRITE else 0.002
+        now += seconds
+        held[started.organisation] += seconds
+        finish(state, started.request, now)
+    assert held["w"] / held["r"] == pytest.approx(1.0, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ("queued", "newcomer", "expected"),
+    [
+        ("aaab", "c0", Offered(True, (Dropped(request("a2"), "queue-full"),))),
+        ("aaab", "a9", Offered(False, (Dropped(request("a9"), "queue-full"),))),
+        ("abcd", "a9", Offered(False, (Dropped(request("a9"), "queue-full"),))),
+    ],
+)
+def test_a_full_queue_refuses_the_longest(queued, newcomer, expected) -> None:
+    state = AdmissionState(slots=1, bound=4)
+    for number, organisation in enumerate(queued):
+        assert offer(state, request(f"{organisation}{number}"), 0.0).queued
+    assert offer(state, request(newcomer), 0.0) == expected
+    assert state.waiting == 4
+
+
+def test_what_cannot_finish_in_time_is_refused_early() -> None:
+    state = AdmissionState(slots=1, bound=1000)
+    for number in range(100):
+        offer(state, request(f"a{number}"), 0.0)
+    late = request("a100", deadline=0.1)
+    dropped = (Dropped(late, RefusalReason.DEADLINE_TOO_SHORT),)
+    assert offer(state, late, 0.0) == Offered(False, dropped)
+    # Another organisation is not behind the first one's queue.
+    assert offer(state, request("b0", deadline=0.1), 0.0).queued
+
+
+def test_a_head_past_its_time_is_dropped_unstarted() -> None:
+    state = AdmissionState(slots=1, bound=10)
+    offer(state, request("a0"), 0.0)
+    offer(state, request("a1", deadline=0.02), 0.0)
+    offer(state, request("a2"), 0.0)
+    take(state, 0.0)
+    finish(state, "a0", 0.5)
+    started = take(state, 0.5)
+    assert started.request == request("a2")
+    assert [drop.request.request for drop in started.dropped] == ["a1"]
+
+
+def test_cancelled_requests_never_start_and_free_their_place() -> None:
+    state = AdmissionState(slots=1, bound=3)
+    for name in ("a0", "a1", "a2"):
+        offer(state, request(name), 0.0)
+    assert cancel(state, "a0", 0.0)
+    assert not cancel(state, "a0", 0.0)
+    assert offer(state, request("b0"), 0.0) == Offered(True)
+    assert serve(state, 9) in ("aba", "baa", "aab")
+
+
+def test_slots_bound_what_runs() -> None:
+    state = AdmissionState(slots=2, bound=10)
+    for name in ("a0", "a1", "a2", "a3"):
+        offer(state, request(name), 0.0)
+    assert take(state, 0.0).request is not None
+    assert take(state, 0.0).request is not None
+    assert take(state, 0.0).request is None
+    resize(state, 3)
+    assert take(state, 0.0).request is not None
+    assert not finish(state, "unknown", 0.0)
