--- a/berylhinge/core/tests/test_admission.py
+++ b/berylhinge/core/tests/test_admission.py
@@ -17,9 +17,12 @@
 )
 
 FAR = 1000.0
+FULL = RefusalReason.QUEUE_FULL
 
 
-def request(name: str, *, access: Access = Access.READ, deadline: float = FAR):
+def request(
+    name: str, *, access: Access = Access.READ, deadline: float = FAR
+) -> Request:
     return Request(name, name[0], access, deadline)
 
 
@@ -44,7 +47,9 @@
         ({}, "ab", "ab"),
     ],
 )
-def test_organisations_take_turns_by_weight(weights, offered, served) -> None:
+def test_organisations_take_turns_by_weight(
+    weights: dict[str, float], offered: str, served: str
+) -> None:
     state = AdmissionState(slots=1, bound=100, weights=weights)
     for number, organisation in enumerate(offered):
         offer(state, request(f"{organisation}{number}"), 0.0)
@@ -81,12 +86,14 @@
 @pytest.mark.parametrize(
     ("queued", "newcomer", "expected"),
     [
-        ("aaab", "c0", Offered(True, (Dropped(request("a2"), "queue-full"),))),
-        ("aaab", "a9", Offered(False, (Dropped(request("a9"), "queue-full"),))),
-        ("abcd", "a9", Offered(False, (Dropped(request("a9"), "queue-full"),))),
+        ("aaab", "c0", Offered(True, (Dropped(request("a2"), FULL),))),
+        ("aaab", "a9", Offered(False, (Dropped(request("a9"), FULL),))),
+        ("abcd", "a9", Offered(False, (Dropped(request("a9"), FULL),))),
     ],
 )
-def test_a_full_queue_refuses_the_longest(queued, newcomer, expected) -> None:
+def test_a_full_queue_refuses_the_longest(
+    queued: str, newcomer: str, expected: Offered
+) -> None:
     state = AdmissionState(slots=1, bound=4)
     for number, organisation in enumerate(queued):
         assert offer(state, request(f"{organisation}{number}"), 0.0).queued
--- a/berylhinge/core/tests/test_connections.py
+++ b/berylhinge/core/tests/test_connections.py
@@ -23,6 +23,7 @@
     Reuse,
     serving_instances,
     surplus,
+    Verdict,
 )
 
 LIVE = [f"i{number}" for number in range(7)]
@@ -39,7 +40,9 @@
         (0, 3, [0, 0, 0]),
     ],
 )
-def test_allowances_stay_within_the_limit(limit, serving, expected) -> None:
+def test_allowances_stay_within_the_limit(
+    limit: int, serving: int, expected: list[int]
+) -> None:
     found = [connection_allowance(limit, serving, place) for place in range(serving)]
     assert found == expected
     assert sum(found) <= limit
@@ -75,7 +78,9 @@
         (Exchange.BROKEN, Close(), 0),
     ],
 )
-def test_only_a_clean_connection_is_used_again(exchange, verdict, left) -> None:
+def test_only_a_clean_connection_is_used_again(
+    exchange: Exchange, verdict: Verdict, left: int
+) -> None:
     pool, limits = new_pool(), PoolLimits(2)
     given, limits = lease(pool, limits, 0.0)
     assert given == Open(1)
