--- /dev/null
+++ b/berylhinge/tasks/configuration.py
@@ -0,0 +1,305 @@
+"""Follow the configuration in the store and at peers, and prove it current."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+from returns.result import Failure, Success
+
+from ..core import adoption
+from ..core.adoption import Adopt, AdoptionState, Announce, AskStore, Pull
+from ..core.configuration import CONFIGURATION_KEY, empty_configuration
+from ..core.freshness import (
+    check_fresh,
+    new_freshness,
+    store_confirmed,
+    voucher_confirmed,
+)
+from ..core.index import build_index
+from ..core.parts import (
+    assemble,
+    decode_head,
+    encode_head,
+    missing_parts,
+    part_configuration,
+    part_key,
+)
+from .links import PeerLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from ..core.configuration import Configuration
+    from ..core.index import DeclarationIndex
+    from ..core.parts import PartedConfiguration
+    from ..types import InstanceId, KeyId
+    from .links import Links
+    from .logs import Log
+    from .platform import PlatformClient
+
+TICK_SECONDS = 0.1
+PROOF_SECONDS = 0.8
+PULL_TIMEOUT_SECONDS = 0.5
+LONE_WATCH_SECONDS = 1.0
+
+
+class VersionNews(NamedTuple):
+    """Tell a peer the version in force and keys withdrawn ahead of the store."""
+
+    version: int
+    withdrawals: tuple[str, ...]
+
+
+class PullRequest(NamedTuple):
+    """Ask a peer for a configuration newer than a version, without known parts."""
+
+    version: int
+    digests: tuple[str, ...]
+
+
+class PullAnswer(NamedTuple):
+    """Return a head and the parts that the asker lacks."""
+
+    head: bytes
+    parts: dict[str, bytes]
+    withdrawals: tuple[str, ...]
+
+
+class ProofRequest(NamedTuple):
+    """Ask a voucher whether it knows a newer version."""
+
+    version: int
+    sent_at: float
+
+
+class ProofAnswer(NamedTuple):
+    """Return the voucher's version and the asker's own send time."""
+
+    version: int
+    sent_at: float
+    withdrawals: tuple[str, ...]
+
+
+class ConfigurationTask:
+    """Own the adopted configuration and its proofs."""
+
+    def __init__(
+        self,
+        me: InstanceId,
+        *,
+        links: Links,
+        platform: PlatformClient,
+        vouchers: Callable[[], Collection[InstanceId]],
+        on_adopt: Callable[[Configuration, DeclarationIndex], None],
+        log: Log,
+    ) -> None:
+        """Start without a configuration."""
+        self.links = links
+        self.platform = platform
+        self.vouchers = vouchers
+        self.on_adopt = on_adopt
+        self.log = log
+        self.state = AdoptionState(me)
+        self.freshness = new_freshness()
+        self.parted: PartedConfiguration | None = None
+        self.revision = 0
+        self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
+        self.greenlets: list[gevent.Greenlet] = []
+        links.register(VersionNews, self.on_news)
+        links.register(ProofRequest, self.on_proof_request)
+        links.register(ProofAnswer, self.on_proof)
+        links.register(PullAnswer)
+        links.register_call(PullRequest, self.on_pull)
+
+    def start(self) -> None:
+        """Tick in the background."""
+        self.greenlets = [
+            gevent.spawn(self.run_ticks),
+            gevent.spawn(self.run_proofs),
+        ]
+
+    def stop(self) -> None:
+        """End the greenlets."""
+        gevent.killall(self.greenlets)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.state.version
+
+    def is_fresh(self) -> bool:
+        """Tell whether the keys in force are proven to be current."""
+        proof = check_fresh(
+            self.freshness, self.version, self.vouchers(), time.monotonic()
+        )
+        return isinstance(proof, Success)
+
+    def set_peers(self, peers: tuple[InstanceId, ...]) -> None:
+        """Replace the live peers."""
+        if peers != self.state.peers:
+            self.step(adoption.PeersChanged(peers))
+
+    def withdraw(self, keys: tuple[KeyId, ...]) -> None:
+        """Withdraw keys at once, ahead of the store."""
+        self.step(adoption.KeysWithdrawn(keys))
+
+    def run_ticks(self) -> None:
+        """Let time pass."""
+        while True:
+            self.step(adoption.Tick())
+            gevent.sleep(TICK_SECONDS)
+
+    def run_proofs(self) -> None:
+        """Ask the vouchers again and again whether they know a newer version."""
+        while True:
+            request = ProofRequest(self.version, time.monotonic())
+            for voucher in self.vouchers():
+                self.links.send(voucher, request)
+            gevent.sleep(PROOF_SECONDS * self.rng.uniform(0.8, 1.0))
+
+    def step(self, event: adoption.AdoptionEvent) -> None:
+        """Step the core and carry out what it wants."""
+        self.state, effects = adoption.step(
+            event, self.state, time.monotonic(), self.rng
+        )
+        for effect in effects:
+            self.carry_out(effect)
+
+    def carry_out(self, effect: adoption.AdoptionEffect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case Pull(peer, version):
+                gevent.spawn(self.pull, peer, version)
+            case Announce(peers, version, withdrawals):
+                for peer in peers:
+                    self.links.send(peer, VersionNews(version, withdrawals))
+            case AskStore(_, wait_seconds):
+                gevent.spawn(self.ask_store, wait_seconds)
+            case Adopt(configuration, withdrawals):
+                self.adopt(configuration, withdrawals)
+
+    def adopt(
+        self, configuration: Configuration, withdrawals: frozenset[KeyId]
+    ) -> None:
+        """Put a configuration in force, its withdrawn keys included."""
+        index = build_index(configuration.declaration)
+        for key in withdrawals & index.keys.keys():
+            index.keys[key] = index.keys[key]._replace(withdrawn=True)
+        if self.parted is None or self.parted.configuration != configuration:
+            self.parted = part_configuration(configuration)
+        self.log.info("A configuration is in force.", version=configuration.version)
+        self.on_adopt(configuration, index)
+
+    def known_parts(self) -> dict[str, bytes]:
+        """Return the parts of the configuration in force."""
+        return self.parted.parts if self.parted else {}
+
+    def ask_store(self, wait_seconds: float) -> None:
+        """Read or watch the store, fetching missing parts."""
+        if wait_seconds and not self.vouchers():
+            wait_seconds = min(wait_seconds, LONE_WATCH_SECONDS)
+        sent_at = time.monotonic()
+        configuration = self.read_store(wait_seconds)
+        if configuration is None:
+            self.step(adoption.StoreFailed())
+            return
+        self.freshness = store_confirmed(self.freshness, configuration.version, sent_at)
+        self.step(adoption.StoreSent(configuration, sent_at))
+
+    def read_store(self, wait_seconds: float) -> Configuration | None:
+        """Return the store's configuration, none without a whole answer."""
+        result = self.platform.watch(
+            CONFIGURATION_KEY,
+            after_revision=self.revision if wait_seconds else 0,
+            timeout_seconds=wait_seconds,
+        )
+        if isinstance(result, Failure):
+            return None
+        stored = result.unwrap()
+        if stored["value"] is None:
+            return empty_configuration()
+        configuration = self.decode(stored["value"], self.fetch_from_store)
+        if configuration is not None:
+            self.revision = stored["revision"]
+        return configuration
+
+    def decode(self, value: Any, fetch: Callable[[str], bytes | None]) -> Any:
+        """Build the configuration of a head, fetching what is missing."""
+        decoded = decode_head(value)
+        if isinstance(decoded, Failure):
+            self.log.info("A configuration was unreadable.")
+            return None
+        head = decoded.unwrap()
+        known = dict(self.known_parts())
+        for digest in missing_parts(head, known):
+            part = fetch(digest)
+            if part is None:
+                return None
+            known[digest] = part
+        built = assemble(head, known)
+        if isinstance(built, Failure):
+            self.log.info("A configuration was refused.", errors=str(built.failure()))
+            return None
+        return built.unwrap().configuration
+
+    def fetch_from_store(self, digest: str) -> bytes | None:
+        """Read one part from the store."""
+        result = self.platform.get(part_key(digest))
+        if isinstance(result, Failure):
+            return None
+        value = result.unwrap()["value"]
+        return None if value is None else value.encode()
+
+    def pull(self, peer: InstanceId, version: int) -> None:
+        """Pull a newer configuration from a peer."""
+        request = PullRequest(version, tuple(self.known_parts()))
+        try:
+            answer = self.links.call(peer, request, PULL_TIMEOUT_SECONDS)
+        except PeerLost:
+            self.step(adoption.PullFailed(peer))
+            return
+        configuration = (
+            self.decode(answer.head, answer.parts.get) if answer.head else None
+        )
+        if configuration is None:
+            self.step(adoption.PullFailed(peer))
+            return
+        self.step(adoption.PeerSent(peer, configuration, answer.withdrawals))
+
+    def on_pull(self, sender: InstanceId, message: PullRequest) -> PullAnswer:
+        """Return the configuration in force if it is newer."""
+        withdrawals = tuple(sorted(self.state.withdrawals))
+        if self.parted is None or self.version <= message.version:
+            return PullAnswer(b"", {}, withdrawals)
+        known = set(message.digests)
+        parts = {
+            digest: part
+            for digest, part in self.parted.parts.items()
+            if digest not in known
+        }
+        return PullAnswer(encode_head(self.parted, inline=False), parts, withdrawals)
+
+    def on_news(self, sender: InstanceId, message: VersionNews) -> None:
+        """Take a peer's version and withdrawals."""
+        self.step(adoption.VersionHeard(sender, message.version, message.withdrawals))
+
+    def on_proof_request(self, sender: InstanceId, message: ProofRequest) -> None:
+        """Answer with the version known here, and learn of a newer one."""
+        withdrawals = tuple(sorted(self.state.withdrawals))
+        answer = ProofAnswer(self.version, message.sent_at, withdrawals)
+        self.links.send(sender, answer)
+        if message.version > self.version:
+            self.step(adoption.VersionHeard(sender, message.version))
+
+    def on_proof(self, sender: InstanceId, message: ProofAnswer) -> None:
+        """Count a voucher's answer from the moment its request was sent."""
+        self.freshness = voucher_confirmed(
+            self.freshness, sender, message.version, message.sent_at
+        )
+        if message.version > self.version or message.withdrawals:
+            self.step(
+                adoption.VersionHeard(sender, message.version, message.withdrawals)
+            )
--- /dev/null
+++ b/berylhinge/tasks/fleet.py
@@ -0,0 +1,257 @@
+"""Share capacity with the other instances and follow who is live."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+from returns.result import Failure, Success
+
+from ..core import capacity, minting, rates
+from ..core.buckets import Terms
+from ..core.capacity import Adopted, FetchRoster, ReadRoster, RosterRead, Send, Tick
+from ..core.connections import serving_instances
+from ..core.minting import Settle
+from ..core.permits import is_held
+from ..core.rates import Admitted, Refused
+from ..core.roster import Member, proposal_delay, propose, Roster, ROSTER_KEY, settle
+from ..errors import refuse, RefusedError
+from ..reasons import RefusalReason
+from .links import PeerLost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..core.index import DeclarationIndex
+    from ..types import GroupId, InstanceId, OrganisationId
+    from .links import Links
+    from .logs import Log
+    from .platform import PlatformClient
+
+TICK_SECONDS = 0.1
+ROSTER_TIMEOUT_SECONDS = 1.0
+PROPOSE_PAUSE_SECONDS = 0.5
+CAPACITY_MESSAGES = (
+    capacity.VouchRequest,
+    capacity.VouchAnswer,
+    rates.Ask,
+    rates.Give,
+    rates.Taken,
+    rates.Deny,
+    minting.Collect,
+    minting.Holdings,
+)
+
+
+class RosterRequest(NamedTuple):
+    """Ask a peer for its roster."""
+
+    epoch: int
+
+
+class RosterAnswer(NamedTuple):
+    """Return a peer's roster."""
+
+    roster: Roster
+
+
+class FleetTask:
+    """Own the capacity state: roster, permit, units and minting."""
+
+    def __init__(
+        self,
+        me: Member,
+        *,
+        links: Links,
+        platform: PlatformClient,
+        live: Callable[[], frozenset[Member]],
+        serving_count: int,
+        log: Log,
+    ) -> None:
+        """Start without units and without a permit."""
+        self.me = me
+        self.links = links
+        self.platform = platform
+        self.live = live
+        self.serving_count = serving_count
+        self.log = log
+        self.state = capacity.new_capacity(me)
+        self.rng = random.Random(f"{me.instance}/{me.incarnation}")
+        self.resigned: frozenset[Member] = frozenset()
+        self.greenlets: list[gevent.Greenlet] = []
+        for kind in CAPACITY_MESSAGES:
+            links.register(kind, self.on_message)
+        links.register(RosterAnswer)
+        links.register_call(RosterRequest, self.on_roster_request)
+
+    def start(self) -> None:
+        """Tick, and propose rosters, in the background."""
+        self.greenlets = [
+            gevent.spawn(self.run_ticks),
+            gevent.spawn(self.run_proposals),
+        ]
+
+    def stop(self) -> None:
+        """End the greenlets."""
+        gevent.killall(self.greenlets)
+
+    def configure(self, index: DeclarationIndex) -> None:
+        """Put the organisations' rates of a configuration in force."""
+        terms = {
+            name: Terms(one["rate_per_second"], one["burst"])
+            for name, one in index.organisations.items()
+        }
+        capacity.configure(self.state, terms, time.monotonic())
+
+    def admit(self, organisation: OrganisationId, deadline: float) -> None:
+        """Charge one request, waiting briefly for units; raise RefusedError."""
+        started = time.monotonic()
+        waited = 0.0
+        while True:
+            now = time.monotonic()
+            verdict = capacity.admit(self.state, organisation, 1.0, now, waited=waited)
+            self.send_all(capacity.drain(self.state))
+            if isinstance(verdict, Admitted):
+                return
+            if isinstance(verdict, Refused):
+                raise RefusedError(self.refusal(organisation, verdict))
+            if now + verdict.seconds >= deadline:
+                late = Refused(RefusalReason.RATE_EXCEEDED, 1.0)
+                raise RefusedError(self.refusal(organisation, late))
+            gevent.sleep(verdict.seconds)
+            waited = time.monotonic() - started
+
+    def refusal(self, organisation: OrganisationId, verdict: Refused) -> Any:
+        """Say which organisation is over its rate."""
+        return refuse(
+            verdict.reason,
+            f"organisation {organisation}",
+            retry_after_seconds=verdict.retry_after_seconds,
+        )
+
+    def keys_proven(self) -> bool:
+        """Tell whether the permit, and so the keys in force, are current."""
+        return is_held(self.state.permit, time.monotonic())
+
+    def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
+        """Return the live instances that serve a group, best first."""
+        live = sorted(member.instance for member in self.live())
+        return tuple(serving_instances(live, group, self.serving_count))
+
+    def on_message(self, sender: InstanceId, message: Any) -> None:
+        """Take one message of the capacity protocol."""
+        self.step(message)
+
+    def step(self, event: Any) -> None:
+        """Step the core and carry out what it wants."""
+        self.state, effects = capacity.step(
+            self.state, event, time.monotonic(), self.rng
+        )
+        self.send_all(effects)
+
+    def send_all(self, effects: list[Any]) -> None:
+        """Carry out effects."""
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self.deliver(to, message)
+                case ReadRoster():
+                    gevent.spawn(self.read_roster)
+                case FetchRoster(peer, epoch):
+                    gevent.spawn(self.fetch_roster, peer, epoch)
+                case Settle(epoch):
+                    gevent.spawn(self.settle_roster, epoch)
+
+    def deliver(self, to: Member, message: Any) -> None:
+        """Send a message, or take it directly when it is to this instance."""
+        if to == self.me:
+            gevent.spawn(self.step, message)
+        else:
+            self.links.send(to.instance, message)
+
+    def on_roster_request(
+        self, sender: InstanceId, message: RosterRequest
+    ) -> RosterAnswer:
+        """Return the roster in force here."""
+        return RosterAnswer(self.state.permit.roster)
+
+    def fetch_roster(self, peer: Member, epoch: int) -> None:
+        """Fetch a newer roster from a peer."""
+        try:
+            answer = self.links.call(
+                peer.instance, RosterRequest(epoch), ROSTER_TIMEOUT_SECONDS
+            )
+        except PeerLost:
+            return
+        self.step(Adopted(answer.roster))
+
+    def load_roster(self) -> tuple[Roster, int] | None:
+        """Read the roster and its revision from the store."""
+        result = self.platform.get(ROSTER_KEY)
+        if isinstance(result, Failure):
+            return None
+        stored = result.unwrap()
+        if stored["value"] is None:
+            return Roster(), stored["revision"]
+        roster = msgspec.json.decode(stored["value"], type=Roster)
+        return roster, stored["revision"]
+
+    def read_roster(self) -> None:
+        """Read the roster and take the store's word."""
+        sent_at = time.monotonic()
+        loaded = self.load_roster()
+        if loaded is not None:
+            self.step(RosterRead(loaded[0], sent_at))
+
+    def save_roster(self, roster: Roster, revision: int) -> bool:
+        """Swap the roster in; return whether that is certain."""
+        value = msgspec.json.encode(roster).decode()
+        result = self.platform.swap(ROSTER_KEY, value, expected_revision=revision)
+        return isinstance(result, Success) and result.unwrap()["swapped"]
+
+    def settle_roster(self, epoch: int) -> None:
+        """Record that all units up to an epoch are accounted for."""
+        loaded = self.load_roster()
+        if loaded is None or loaded[0].epoch != epoch:
+            return
+        if self.save_roster(settle(loaded[0], epoch), loaded[1]):
+            self.read_roster()
+
+    def run_ticks(self) -> None:
+        """Let time pass for permit, units and minting."""
+        while True:
+            self.step(Tick())
+            gevent.sleep(TICK_SECONDS)
+
+    def run_proposals(self) -> None:
+        """Propose a new roster whenever the live instances differ from it."""
+        while True:
+            gevent.sleep(PROPOSE_PAUSE_SECONDS * self.rng.uniform(0.8, 1.2))
+            if self.wanted(self.state.permit.roster) is None:
+                continue
+            gevent.sleep(proposal_delay(self.state.permit.roster, self.me))
+            if self.wanted(self.state.permit.roster) is not None:
+                self.propose_roster()
+
+    def wanted(self, roster: Roster) -> Roster | None:
+        """Return the roster that the live instances call for, none if no other."""
+        live = self.live()
+        if self.me not in live and self.me not in self.resigned:
+            return None
+        return propose(roster, live, resigned=self.resigned)
+
+    def propose_roster(self) -> None:
+        """Swap a new roster in from the store's newest one."""
+        sent_at = time.monotonic()
+        loaded = self.load_roster()
+        if loaded is None:
+            return
+        self.step(RosterRead(loaded[0], sent_at))
+        wanted = self.wanted(loaded[0])
+        if wanted is None or not self.save_roster(wanted, loaded[1]):
+            return
+        self.log.info("A roster was proposed.", epoch=wanted.epoch)
+        self.read_roster()
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -70,6 +70,14 @@
     ssl_context: ssl.SSLContext | None = None
 
 
+class Endpoint(NamedTuple):
+    """Name an upstream and its listeners."""
+
+    upstream: UpstreamId
+    data: str
+    control: str
+
+
 class GroupTask:
     """Watch the members, share confirmation rounds and promote when needed."""
 
@@ -126,6 +134,19 @@
         for link in self.links.values():
             link.stop()
 
+    def serves(self, upstreams: tuple[Upstream, ...]) -> bool:
+        """Tell whether the members are the same as declared before."""
+        return tuple(map(endpoint_of, upstreams)) == tuple(
+            map(endpoint_of, self.upstreams)
+        )
+
+    def adjust(self, rank: int, allowances: dict[UpstreamId, int]) -> None:
+        """Take a new rank and a new division of the connections."""
+        self.promotion = self.promotion._replace(rank=rank)
+        for name, allowance in allowances.items():
+            if self.links[name].data.allowance != allowance:
+                self.links[name].data.resize(allowance)
+
     def is_interested(self) -> bool:
         """Tell whether anyone waits for the view to change."""
         return self.changed.waiters > 0 or self.promotion.stage != "idle"
@@ -342,3 +363,8 @@
             "connections": link.data.leased + len(link.data.idle),
             "allowance": link.data.allowance,
         }
+
+
+def endpoint_of(upstream: Upstream) -> Endpoint:
+    """Return what a link depends on."""
+    return Endpoint(upstream["id"], upstream["data"], upstream["control"])
--- /dev/null
+++ b/berylhinge/tasks/live.py
@@ -0,0 +1,92 @@
+"""Follow the platform's list of instances and announce this one."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from ..core.roster import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..wire.platform import InstanceRecord
+    from .platform import PlatformClient
+
+ANNOUNCE_SECONDS = 2.0
+LIST_SECONDS = 2.0
+
+
+class LiveList:
+    """Own the announcement and the newest list of instances."""
+
+    def __init__(
+        self,
+        record: InstanceRecord,
+        platform: PlatformClient,
+        *,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Know only this instance at first."""
+        self.record = record
+        self.platform = platform
+        self.on_change = on_change
+        self.records: dict[str, InstanceRecord] = {record["instance"]: record}
+        self.rng = random.Random(record["instance"])
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Announce and list in the background."""
+        self.greenlets = [
+            gevent.spawn(self.run_announcements),
+            gevent.spawn(self.run_listing),
+        ]
+
+    def stop(self) -> None:
+        """End the greenlets."""
+        gevent.killall(self.greenlets)
+
+    def leave(self) -> None:
+        """Announce that this instance is leaving."""
+        self.record["state"] = "leaving"
+        gevent.spawn(self.platform.announce, self.record)
+
+    def members(self) -> frozenset[Member]:
+        """Return the live instances."""
+        return frozenset(
+            Member(record["instance"], record["incarnation"])
+            for record in self.records.values()
+            if record["state"] == "live"
+        )
+
+    def peers(self) -> dict[str, str]:
+        """Return the other instances' peer addresses, leaving ones included."""
+        me = self.record["instance"]
+        return {
+            name: record["peer"] for name, record in self.records.items() if name != me
+        }
+
+    def run_announcements(self) -> None:
+        """Announce this instance until killed."""
+        while True:
+            self.platform.announce(self.record)
+            gevent.sleep(ANNOUNCE_SECONDS * self.rng.uniform(0.8, 1.2))
+
+    def run_listing(self) -> None:
+        """Read the list until killed; an outage keeps the last one."""
+        while True:
+            result = self.platform.instances()
+            if isinstance(result, Success):
+                self.take(result.unwrap()["instances"])
+            gevent.sleep(LIST_SECONDS * self.rng.uniform(0.8, 1.2))
+
+    def take(self, records: list[InstanceRecord]) -> None:
+        """Keep a new list, with this instance as it knows itself."""
+        found = {record["instance"]: record for record in records}
+        found[self.record["instance"]] = self.record
+        if found != self.records:
+            self.records = found
+            self.on_change()
--- a/berylhinge/tasks/platform.py
+++ b/berylhinge/tasks/platform.py
@@ -11,6 +11,7 @@
 from ..wire.platform import (
     GetRequest,
     InstanceList,
+    InstanceRecord,
     LeaseAnswer,
     LeaseRequest,
     StoredValue,
@@ -29,10 +30,11 @@
 GET_PATH = "/v1/get"
 SWAP_PATH = "/v1/swap"
 WATCH_PATH = "/v1/watch"
-LEASE_GRANT_PATH = "/v1/leases/grant"
-LEASE_RENEW_PATH = "/v1/leases/renew"
-LEASE_REVOKE_PATH = "/v1/leases/revoke"
-INSTANCES_PATH = "/v1/instances"
+LEASE_GRANT_PATH = "/v1/lease/grant"
+LEASE_RENEW_PATH = "/v1/lease/renew"
+LEASE_REVOKE_PATH = "/v1/lease/revoke"
+INSTANCES_PATH = "/v1/instances/list"
+ANNOUNCE_PATH = "/v1/instances/announce"
 
 CALL_SECONDS = 1.0
 WATCH_MARGIN_SECONDS = 1.0
@@ -133,6 +135,10 @@
         """Read the list of live and leaving instances."""
         return self.read(INSTANCES_PATH, {}, InstanceList)
 
+    def announce(self, record: InstanceRecord) -> Result[Any, StoreError]:
+        """List this instance for some seconds; repeating changes nothing."""
+        return self.read(ANNOUNCE_PATH, record, dict[str, Any])
+
     def read(
         self,
         path: str,
--- /dev/null
+++ b/berylhinge/tasks/proxy.py
@@ -0,0 +1,311 @@
+"""Compose one instance from its tasks."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any, TYPE_CHECKING
+
+import gevent
+
+from ..core.connections import connection_allowance
+from ..core.roster import Member, vouchers
+from .callers import CallersApp
+from .configuration import ConfigurationTask
+from .dispatch import Dispatcher
+from .execution import Executor
+from .fleet import FleetTask
+from .group import GroupOptions, GroupTask
+from .http import parse_address, server_address, start_server
+from .links import Links
+from .live import LiveList
+from .logs import Log
+from .metrics import Metrics
+from .operators import OperatorsApp
+from .platform import PlatformClient
+from .transactions import Transactions
+
+if TYPE_CHECKING:
+    from ..core.configuration import Configuration
+    from ..core.declarations import Upstream
+    from ..core.index import DeclarationIndex
+    from ..settings import Settings
+    from ..types import GroupId, InstanceId
+    from ..wire.platform import InstanceRecord
+
+LAG_SAMPLE_SECONDS = 0.05
+
+
+class Proxy:
+    """Own every task of one instance."""
+
+    def __init__(self, settings: Settings, *, incarnation: int) -> None:
+        """Listen on every address; serve after ``start``."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.me = Member(settings.instance, incarnation)
+        self.metrics = Metrics()
+        self.log = Log("proxy", settings.instance)
+        self.index: DeclarationIndex | None = None
+        self.groups: dict[GroupId, GroupTask] = {}
+        self.hub_lag = 0.0
+        self.platform = PlatformClient(
+            [parse_address(text) for text in settings.platform],
+            timeout_seconds=settings.limits.store_seconds,
+            on_call=lambda result: self.metrics.count("store_calls_total", result),
+        )
+        self.links = Links(
+            parse_address(settings.peers),
+            seal=self.seal,
+            unseal=self.unseal,
+            on_count=self.metrics.count_peer,
+        )
+        self.transactions = Transactions(
+            settings.instance, limit_seconds=settings.limits.transaction_seconds
+        )
+        self.build_tasks()
+        self.open_listeners()
+
+    def build_tasks(self) -> None:
+        """Create the tasks that share this instance's links and platform."""
+        settings = self.settings
+        self.live = LiveList(self.record(), self.platform, on_change=self.on_live)
+        self.fleet = FleetTask(
+            self.me,
+            links=self.links,
+            platform=self.platform,
+            live=self.live.members,
+            serving_count=settings.serving_instances,
+            log=Log("fleet", settings.instance),
+        )
+        self.configuration = ConfigurationTask(
+            settings.instance,
+            links=self.links,
+            platform=self.platform,
+            vouchers=self.voucher_names,
+            on_adopt=self.on_adopt,
+            log=Log("configuration", settings.instance),
+        )
+        self.fleet.keys_proven = self.configuration.is_fresh
+        self.dispatcher = Dispatcher(
+            settings.instance,
+            fleet=self.fleet,
+            links=self.links,
+            transactions=self.transactions,
+            metrics=self.metrics,
+            log=self.log,
+        )
+
+    def open_listeners(self) -> None:
+        """Listen for callers and operators."""
+        limits = self.settings.limits
+        self.callers_app = CallersApp(
+            self.dispatcher,
+            self.metrics,
+            body_limit_bytes=limits.body_bytes,
+            body_timeout_seconds=limits.body_seconds,
+        )
+        self.callers = start_server(
+            parse_address(self.settings.callers),
+            self.callers_app,
+            max_connections=limits.connections,
+        )
+        operators = OperatorsApp(
+            self.metrics,
+            is_ready=self.is_ready,
+            status=self.status,
+            refresh=self.refresh_gauges,
+            actions={"/v1/withdrawals": self.withdraw, "/v1/drain": self.drain},
+        )
+        self.operators = start_server(parse_address(self.settings.operators), operators)
+
+    def record(self) -> InstanceRecord:
+        """Return what the platform lists of this instance."""
+        settings = self.settings
+        return {
+            "instance": settings.instance,
+            "incarnation": self.incarnation,
+            "place": settings.place,
+            "state": "live",
+            "peer": settings.advertised_peers or settings.peers,
+            "callers": settings.advertised_callers or settings.callers,
+            "operators": settings.advertised_operators or settings.operators,
+        }
+
+    def start(self) -> None:
+        """Start every task."""
+        self.links.start()
+        self.transactions.start()
+        self.live.start()
+        self.fleet.start()
+        self.configuration.start()
+        gevent.spawn(self.watch_hub)
+        self.log.info("The instance started.", callers=self.settings.callers)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.callers.stop(timeout=0)
+        self.operators.stop(timeout=0)
+        self.configuration.stop()
+        self.fleet.stop()
+        self.live.stop()
+        self.transactions.stop()
+        for group in self.groups.values():
+            group.stop()
+        self.links.stop()
+        self.platform.close()
+
+    def seal(self, body: bytes) -> bytes:
+        """Wrap a message for a peer."""
+        raise NotImplementedError
+
+    def unseal(self, data: bytes) -> tuple[InstanceId, bytes] | None:
+        """Unwrap a peer's message."""
+        raise NotImplementedError
+
+    def voucher_names(self) -> tuple[InstanceId, ...]:
+        """Return the instances that vouch for this one."""
+        members = self.fleet.state.permit.roster.members
+        return tuple(member.instance for member in vouchers(members, self.me))
+
+    def on_live(self) -> None:
+        """Follow a changed list of instances."""
+        peers = self.live.peers()
+        self.links.set_addresses(peers)
+        self.configuration.set_peers(tuple(sorted(peers)))
+        self.serve_groups()
+
+    def on_adopt(self, configuration: Configuration, index: DeclarationIndex) -> None:
+        """Put a configuration in force on every task."""
+        self.index = index
+        self.dispatcher.index = index
+        self.fleet.configure(index)
+        self.transactions.abandon_keys(self.is_withdrawn)
+        self.serve_groups()
+
+    def is_withdrawn(self, key: str) -> bool:
+        """Tell whether a key no longer works."""
+        known = self.index.keys.get(key) if self.index else None
+        return bool(key) and (known is None or known.withdrawn)
+
+    def serve_groups(self) -> None:
+        """Start and stop group tasks as rendezvous hashing says."""
+        if self.index is None:
+            return
+        wanted = {}
+        for group, upstreams in self.index.members.items():
+            serving = self.fleet.serving(group)
+            if self.settings.instance in serving and upstreams:
+                wanted[group] = (serving.index(self.settings.instance), len(serving))
+        for group in list(self.groups):
+            if group not in wanted:
+                self.stop_group(group)
+        for group, (rank, count) in wanted.items():
+            self.serve_group(group, self.index.members[group], rank, count)
+
+    def serve_group(
+        self,
+        group: GroupId,
+        upstreams: tuple[Upstream, ...],
+        rank: int,
+        count: int,
+    ) -> None:
+        """Start a group's task, or adjust a running one."""
+        allowances = {
+            upstream["id"]: connection_allowance(upstream["connections"], count, rank)
+            for upstream in upstreams
+        }
+        running = self.groups.get(group)
+        if running is not None and running.serves(upstreams):
+            running.adjust(rank, allowances)
+            return
+        if running is not None:
+            self.stop_group(group)
+        options = GroupOptions(
+            instance=self.settings.instance,
+            promoter=f"{self.settings.instance}#{self.incarnation}",
+            place=self.settings.place,
+            rank=rank,
+            allowances=allowances,
+        )
+        task = GroupTask(
+            group,
+            upstreams,
+            options,
+            live_peers=lambda: self.serving_peers(group),
+            metrics=self.metrics,
+            log=Log("group", self.settings.instance),
+        )
+        task.start()
+        self.groups[group] = task
+        rng = random.Random(f"{self.me}/{group}")
+        self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
+
+    def stop_group(self, group: GroupId) -> None:
+        """Stop serving a group."""
+        self.dispatcher.executors.pop(group, None)
+        self.groups.pop(group).stop()
+
+    def serving_peers(self, group: GroupId) -> frozenset[InstanceId]:
+        """Return the other live instances that serve a group."""
+        return frozenset(self.fleet.serving(group)) - {self.settings.instance}
+
+    def is_ready(self) -> bool:
+        """Tell whether requests can be served."""
+        return self.index is not None and not self.callers_app.leaving
+
+    def watch_hub(self) -> None:
+        """Measure how long the hub stalls."""
+        while True:
+            started = time.monotonic()
+            gevent.sleep(LAG_SAMPLE_SECONDS)
+            stall = time.monotonic() - started - LAG_SAMPLE_SECONDS
+            self.hub_lag = max(self.hub_lag * 0.99, stall)
+
+    def withdraw(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Withdraw keys at once."""
+        self.configuration.withdraw(tuple(str(key) for key in body["keys"]))
+        return {"version": self.configuration.version}
+
+    def drain(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Begin a planned stop."""
+        return {"draining": self.settings.instance}
+
+    def refresh_gauges(self) -> None:
+        """Set the gauges before a scrape."""
+        gauge = self.metrics.gauge
+        gauge("configuration_version", self.configuration.version)
+        gauge("hub_lag_seconds", self.hub_lag)
+        for name, group in self.groups.items():
+            report = group.report()
+            gauge("group_term", report["term"], group=name)
+            for upstream, member in report["members"].items():
+                if member["lag_entries"] is not None:
+                    gauge(
+                        "replica_lag_entries",
+                        member["lag_entries"],
+                        upstream=upstream,
+                    )
+        for name, bucket in self.fleet.state.rates.buckets.items():
+            gauge("rate_units", bucket.units, organisation=name)
+
+    def status(self) -> dict[str, Any]:
+        """Return the instance's status for operators."""
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.incarnation,
+            "place": self.settings.place,
+            "state": self.live.record["state"],
+            "ready": self.is_ready(),
+            "config_version": self.configuration.version,
+            "roster_epoch": self.fleet.state.permit.roster.epoch,
+            "permit_held": self.fleet.keys_proven(),
+            "groups": {name: group.report() for name, group in self.groups.items()},
+            "shares": {
+                name: {"units": bucket.units, "tokens": bucket.tokens}
+                for name, bucket in self.fleet.state.rates.buckets.items()
+            },
+        }
+
+
+__all__ = ["Proxy", "server_address"]
