--- /dev/null
+++ b/berylhinge/cli/dev.py
@@ -0,0 +1,260 @@
+"""Run a whole small system in one process on loopback."""
+
+from __future__ import annotations
+
+import base64
+import secrets
+import signal
+import sys
+import time
+from typing import Any, NamedTuple
+
+import click
+import gevent
+import msgspec
+from gevent.event import Event
+from geventhttpclient import HTTPClient
+
+from .. import __version__
+from ..core.configuration import (
+    CONFIGURATION_KEY,
+    empty_configuration,
+    next_configuration,
+    ReplaceDeclaration,
+)
+from ..core.declarations import Declaration
+from ..core.keys import grant_key
+from ..core.parts import encode_for_store, part_configuration
+from ..settings import read_settings
+from ..standins.group import start_group
+from ..standins.platform import start_platform
+from ..tasks.logs import start_logging
+from ..tasks.proxy import Proxy
+from .proxy import new_incarnation
+
+LOOPBACK = "127.0.0.1:0"
+PLACES = ("north-a", "north-b", "north-c")
+UPSTREAMS = ("orders-1", "orders-2", "orders-3")
+ROUTE = "orders"
+ORGANISATION = "acme"
+READY_SECONDS = 20.0
+READY_POLL_SECONDS = 0.05
+REQUEST_TIMEOUT_SECONDS = 10.0
+
+
+class Demo(NamedTuple):
+    """Hold the running parts and what a caller needs."""
+
+    proxies: list[Proxy]
+    parts: list[Any]
+    key: str
+
+    def describe(self) -> dict[str, Any]:
+        """Return the ready line."""
+        records = [proxy.live.record for proxy in self.proxies]
+        return {
+            "callers": [f"http://{record['callers']}" for record in records],
+            "operators": [f"http://{record['operators']}" for record in records],
+            "route": ROUTE,
+            "key": self.key,
+        }
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for proxy in self.proxies:
+            proxy.stop()
+        for part in self.parts:
+            part.stop()
+
+
+def sample_declaration(group: Any, record: Any) -> Declaration:
+    """Declare one organisation, one group of three databases and one route."""
+    upstreams = [
+        {
+            "id": database.upstream,
+            "group": "orders",
+            "data": str(database.data),
+            "control": str(database.control),
+            "place": place,
+            "connections": 16,
+            "slots": 2,
+        }
+        for database, place in zip(group.databases, PLACES, strict=True)
+    ]
+    return {
+        "organisations": [
+            {
+                "id": ORGANISATION,
+                "rate_per_second": 5_000,
+                "burst": 5_000,
+                "labels": {"tier": "gold"},
+            }
+        ],
+        "keys": [record],
+        "groups": [{"id": "orders", "labels": {"service": "orders-db"}}],
+        "upstreams": upstreams,
+        "routes": [
+            {
+                "id": ROUTE,
+                "groups": {"match_labels": {"service": "orders-db"}},
+                "organisations": {"match_labels": {"tier": "gold"}},
+            }
+        ],
+    }
+
+
+def start_demo(instances: int = 2) -> Demo:
+    """Start the platform, the group and the instances, and wait until ready."""
+    platform = start_platform(list_lag_seconds=0.2)
+    group = start_group(list(UPSTREAMS), places=list(PLACES))
+    granted = grant_key(ORGANISATION, secrets.token_bytes)
+    declaration = sample_declaration(group, granted.record)
+    proxies = [
+        start_instance(f"instance-{number + 1}", PLACES[number], str(platform.address))
+        for number in range(instances)
+    ]
+    store_declaration(proxies[0], declaration)
+    demo = Demo(proxies, [platform, group], granted.text.reveal())
+    await_ready(demo)
+    return demo
+
+
+SECRET = base64.b64encode(secrets.token_bytes(32)).decode()
+
+
+def start_instance(name: str, place: str, platform: str) -> Proxy:
+    """Start one instance on free ports."""
+    settings = read_settings(
+        {
+            "instance": name,
+            "place": place,
+            "callers": LOOPBACK,
+            "operators": LOOPBACK,
+            "peers": LOOPBACK,
+            "platform": [platform],
+            "peer_secrets": [SECRET],
+        }
+    ).unwrap()
+    proxy = Proxy(settings, incarnation=new_incarnation())
+    proxy.start()
+    return proxy
+
+
+def store_declaration(proxy: Proxy, declaration: Declaration) -> None:
+    """Store the first configuration."""
+    edit = ReplaceDeclaration(declaration)
+    following = next_configuration(empty_configuration(), edit, "demo").unwrap()
+    head, parts = encode_for_store(part_configuration(following))
+    assert not parts
+    answer = proxy.platform.swap(CONFIGURATION_KEY, head.decode(), expected_revision=0)
+    assert answer.unwrap()["swapped"]
+
+
+def await_ready(demo: Demo) -> None:
+    """Wait until every instance serves; raise TimeoutError."""
+    deadline = time.monotonic() + READY_SECONDS
+    while not all(is_serving(proxy, len(demo.proxies)) for proxy in demo.proxies):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not ready within {READY_SECONDS} s")
+        gevent.sleep(READY_POLL_SECONDS)
+
+
+def is_serving(proxy: Proxy, count: int) -> bool:
+    """Tell whether an instance has a configuration, peers and a primary."""
+    reports = [group.report() for group in proxy.groups.values()]
+    led = all(report["primary"] for report in reports)
+    members = len(proxy.fleet.state.permit.roster.members)
+    units = sum(bucket.units for bucket in proxy.fleet.state.rates.buckets.values())
+    known = len(proxy.live.records) == count == members
+    return proxy.is_ready() and led and known and (units > 0 or count > 1)
+
+
+class Client:
+    """Call one instance as a caller would."""
+
+    def __init__(self, base: str) -> None:
+        """Keep one connection."""
+        self.http = HTTPClient.from_url(
+            base, network_timeout=REQUEST_TIMEOUT_SECONDS, concurrency=1
+        )
+
+    def call(
+        self, path: str, body: dict[str, Any], *, key: str, session: str | None = None
+    ) -> tuple[int, dict[str, Any], str | None]:
+        """Return status, body and session token."""
+        headers = {"Authorization": f"Bearer {key}"}
+        if session:
+            headers["Berylhinge-Session"] = session
+        payload = msgspec.json.encode(body)
+        response = self.http.post(path, payload, headers)
+        answer = msgspec.json.decode(response.read())
+        return response.status_code, answer, response.get("Berylhinge-Session")
+
+
+def check_demo(demo: Demo) -> bool:
+    """Write through one instance, read through the other, and try a wrong key."""
+    first, second = (Client(base) for base in demo.describe()["callers"])
+    path = f"/v1/routes/{ROUTE}/statements"
+    key = demo.key
+    table = {
+        "statement": "CREATE TABLE visits (id INTEGER, cat TEXT)",
+        "access": "write",
+    }
+    insert = {
+        "statement": "INSERT INTO visits VALUES (?, ?)",
+        "parameters": [1, "Pus"],
+        "access": "write",
+    }
+    select = {"statement": "SELECT id, cat FROM visits", "access": "read"}
+    results = []
+
+    def expect(text: str, held: bool, seen: object) -> None:
+        results.append(held)
+        click.echo(f"{'ok' if held else 'FAILED'}: {text}: {seen}")
+
+    status, answer, session = first.call(path, table, key=key)
+    expect("a table is created through the first instance", status == 200, answer)
+    status, answer, session = first.call(path, insert, key=key, session=session)
+    expect("a row is written through the first instance", status == 200, answer)
+    status, answer, _ = second.call(path, select, key=key, session=session)
+    rows = answer.get("rows")
+    expect(
+        "it is read through the second, with the token", rows == [[1, "Pus"]], answer
+    )
+    status, answer, _ = second.call(path, select, key=key)
+    rows = answer.get("rows")
+    expect("it is read through the second, without one", rows == [[1, "Pus"]], answer)
+    status, answer, _ = second.call(path, select, key="bh_0_wrong")
+    refused = status == 401 and answer.get("outcome") == "not-run"
+    expect("a wrong key is refused, not run", refused, answer)
+    return all(results)
+
+
+@click.command()
+@click.version_option(__version__, prog_name="berylhinge-dev")
+@click.option("--check", is_flag=True, help="Try a few requests, print them and exit.")
+@click.option("--verbose", is_flag=True, help="Write logs to standard error.")
+def main(check: bool, verbose: bool) -> None:
+    """Run a platform, a database group and two instances until Ctrl-C."""
+    if verbose:
+        start_logging()
+    stopped = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    try:
+        demo = start_demo()
+    except (OSError, TimeoutError) as error:
+        click.echo(f"the demo did not start: {error}", err=True)
+        sys.exit(1)
+    try:
+        if check:
+            sys.exit(0 if check_demo(demo) else 1)
+        click.echo(msgspec.json.encode(demo.describe()).decode())
+        sys.stdout.flush()
+        stopped.wait()
+    finally:
+        demo.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -109,6 +109,7 @@
         self.body_limit_bytes = body_limit_bytes
         self.body_timeout_seconds = body_timeout_seconds
         self.leaving = False
+        self.refusing = False
         self.active = 0
 
     def __call__(
@@ -139,6 +140,9 @@
         self, environ: Environ, request_id: str
     ) -> tuple[Served, list[tuple[str, str]]]:
         """Parse, authenticate, route and run; raise RefusedError."""
+        if self.refusing:
+            detail = "the instance has stopped serving"
+            raise RefusedError(refuse(RefusalReason.INSTANCE_LEAVING, detail))
         body = self.read_body(environ)
         segments = split_path(environ)
         caller = self.dispatcher.identify(
--- a/berylhinge/tasks/execution.py
+++ b/berylhinge/tasks/execution.py
@@ -56,9 +56,20 @@
         self.metrics = metrics
         self.rng = rng
         self.budget = FULL_BUDGET
+        self.active = 0
 
     def run(self, call: StatementCall, arrived_at: float, max_age: float) -> Served:
         """Run one statement to its end; raise RefusedError."""
+        self.active += 1
+        try:
+            return self.run_counted(call, arrived_at, max_age)
+        finally:
+            self.active -= 1
+
+    def run_counted(
+        self, call: StatementCall, arrived_at: float, max_age: float
+    ) -> Served:
+        """Run a statement that ``active`` counts."""
         deadline = arrived_at + call.timeout_seconds
         if call.access is Access.WRITE:
             return self.persist(
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -220,6 +220,17 @@
         if self.save_roster(settle(loaded[0], epoch), loaded[1]):
             self.read_roster()
 
+    def hand_back(self, deadline: float) -> None:
+        """Pass every unit to others, then resign from the roster."""
+        self.state = capacity.leave(self.state)
+        while time.monotonic() < deadline and not capacity.is_empty(self.state):
+            gevent.sleep(TICK_SECONDS)
+        if not capacity.is_empty(self.state):
+            return
+        self.step(capacity.Withdrawn())
+        self.resigned = frozenset({self.me})
+        self.propose_roster()
+
     def run_ticks(self) -> None:
         """Let time pass for permit, units and minting."""
         while True:
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -147,6 +147,11 @@
             if self.links[name].data.allowance != allowance:
                 self.links[name].data.resize(allowance)
 
+    def close_idle(self) -> None:
+        """Close the connections that nothing uses."""
+        for link in self.links.values():
+            link.data.resize(link.data.leased)
+
     def is_interested(self) -> bool:
         """Tell whether anyone waits for the view to change."""
         return self.changed.waiters > 0 or self.promotion.stage != "idle"
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from itertools import count
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -11,11 +12,12 @@
 from gevent import get_hub
 from gevent.event import AsyncResult
 
+from .http import Address
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..types import InstanceId
-    from .http import Address
 
 SEND_BUFFER_MESSAGES = 4_096
 RECEIVE_BUFFER_MESSAGES = 4_096
@@ -56,6 +58,7 @@
         on_count: Callable[[str, int], None],
     ) -> None:
         """Listen at once; messages flow after ``start``."""
+        self.listen = listen
         self.inbox = pynng.Pull0(
             listen=f"tcp://{listen.host}:{listen.port}",
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
@@ -74,6 +77,12 @@
         self.decoder = msgspec.msgpack.Decoder(Frame)
         self.reader: gevent.Greenlet | None = None
 
+    @property
+    def address(self) -> Address:
+        """Return where the inbox listens."""
+        bound = self.inbox.listeners[0].local_address
+        return Address(self.listen.host, socket.ntohs(bound.port))
+
     def register(self, kind: type, handler: Callable[..., Any] | None = None) -> None:
         """Handle messages of a kind in the reader; the handler must not block."""
         self.kinds[kind.__name__] = kind
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -10,6 +10,7 @@
 
 from ..core.connections import connection_allowance
 from ..core.roster import Member, vouchers
+from . import shutdown
 from .callers import CallersApp
 from .configuration import ConfigurationTask
 from .dispatch import Dispatcher
@@ -34,6 +35,7 @@
     from ..wire.platform import InstanceRecord
 
 LAG_SAMPLE_SECONDS = 0.05
+RETIRE_PAUSE_SECONDS = 0.05
 
 
 class Proxy:
@@ -65,6 +67,7 @@
         )
         self.build_tasks()
         self.open_listeners()
+        self.live.record.update(self.bound_addresses())
 
     def build_tasks(self) -> None:
         """Create the tasks that share this instance's links and platform."""
@@ -127,9 +130,19 @@
             "incarnation": self.incarnation,
             "place": settings.place,
             "state": "live",
-            "peer": settings.advertised_peers or settings.peers,
-            "callers": settings.advertised_callers or settings.callers,
-            "operators": settings.advertised_operators or settings.operators,
+            "peer": settings.peers,
+            "callers": settings.callers,
+            "operators": settings.operators,
+        }
+
+    def bound_addresses(self) -> dict[str, str]:
+        """Return the addresses that others use, with the ports really bound."""
+        settings = self.settings
+        operators = str(server_address(self.operators))
+        return {
+            "peer": settings.advertised_peers or str(self.links.address),
+            "callers": settings.advertised_callers or str(server_address(self.callers)),
+            "operators": settings.advertised_operators or operators,
         }
 
     def start(self) -> None:
@@ -142,6 +155,11 @@
         gevent.spawn(self.watch_hub)
         self.log.info("The instance started.", callers=self.settings.callers)
 
+    def shut_down(self) -> None:
+        """Stop gracefully: leave, finish what runs, hand units back, then stop."""
+        shutdown.shut_down(self)
+        self.stop()
+
     def stop(self) -> None:
         """Stop at once."""
         self.callers.stop(timeout=0)
@@ -242,9 +260,21 @@
         self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
 
     def stop_group(self, group: GroupId) -> None:
-        """Stop serving a group."""
-        self.dispatcher.executors.pop(group, None)
-        self.groups.pop(group).stop()
+        """Give a group to others and let what runs here end."""
+        executor = self.dispatcher.executors.pop(group)
+        gevent.spawn(self.retire, self.groups.pop(group), executor)
+
+    def retire(self, task: GroupTask, executor: Executor) -> None:
+        """Stop a group's task once nothing runs on it, or at the limit."""
+        ends_at = time.monotonic() + self.settings.limits.transaction_seconds
+        while time.monotonic() < ends_at and self.is_busy(executor):
+            task.close_idle()
+            gevent.sleep(RETIRE_PAUSE_SECONDS)
+        task.stop()
+
+    def is_busy(self, executor: Executor) -> bool:
+        """Tell whether statements or transactions still use a group here."""
+        return executor.active > 0 or self.transactions.count(executor) > 0
 
     def serving_peers(self, group: GroupId) -> frozenset[InstanceId]:
         """Return the other live instances that serve a group."""
@@ -268,7 +298,8 @@
         return {"version": self.configuration.version}
 
     def drain(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Begin a planned stop."""
+        """Begin a planned stop in the background."""
+        gevent.spawn(shutdown.leave, self)
         return {"draining": self.settings.instance}
 
     def refresh_gauges(self) -> None:
@@ -306,6 +337,3 @@
                 for name, bucket in self.fleet.state.rates.buckets.items()
             },
         }
-
-
-__all__ = ["Proxy", "server_address"]
--- /dev/null
+++ b/berylhinge/tasks/shutdown.py
@@ -0,0 +1,40 @@
+"""Take one instance out of service without cutting a request."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+if TYPE_CHECKING:
+    from .proxy import Proxy
+
+LINGER_SECONDS = 3.0
+POLL_SECONDS = 0.05
+HAND_BACK_SECONDS = 2.0
+
+
+def leave(proxy: Proxy) -> None:
+    """Announce leaving; answers then ask callers to reconnect elsewhere."""
+    if proxy.callers_app.leaving:
+        return
+    proxy.log.info("The instance is leaving.")
+    proxy.callers_app.leaving = True
+    proxy.live.leave()
+    proxy.on_live()
+
+
+def shut_down(proxy: Proxy) -> None:
+    """Leave, serve until the callers have gone, and hand capacity back."""
+    leave(proxy)
+    deadline = time.monotonic() + proxy.settings.limits.drain_seconds
+    linger_until = time.monotonic() + LINGER_SECONDS
+    while time.monotonic() < deadline:
+        quiet = not proxy.callers_app.active and not proxy.transactions.open
+        if quiet and time.monotonic() >= linger_until:
+            break
+        gevent.sleep(POLL_SECONDS)
+    proxy.callers_app.refusing = True
+    proxy.fleet.hand_back(time.monotonic() + HAND_BACK_SECONDS)
+    proxy.log.info("The instance stopped.")
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -105,6 +105,10 @@
                     self.forget(transaction)
                     transaction.abandon()
 
+    def count(self, executor: Executor) -> int:
+        """Count the open transactions of one group's executor."""
+        return sum(one.executor is executor for one in self.open.values())
+
     def abandon_keys(self, is_withdrawn: Any) -> None:
         """Abandon every transaction whose key was withdrawn."""
         for transaction in list(self.open.values()):
