Version the configuration, split it by content and apply edits at most once

Cause: operators race, answers of the store get lost, and a change must never be applied twice or reverted by an instance.

A state machine applies an edit by compare-and-swap; another adopts what the store or a peer has. Keys are trusted only while their currency is proven.

--- /dev/null
+++ b/berylhinge/core/adoption.py
@@ -0,0 +1,335 @@
+"""Spread the configuration to every instance, and never go back to an older one.
+
+A few instances, chosen by rendezvous hashing, watch the store; the others hear of
+new versions by rumour mongering (Demers et al., 1987) and pull them from a peer.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+
+from .rendezvous import top
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..types import InstanceId, KeyId, Seconds
+    from .configuration import Configuration
+
+WATCHERS = 3
+WATCHED = "configuration"
+WATCH_SECONDS = 30.0
+ANNOUNCE_FANOUT = 4
+PULL_SECONDS = 0.5
+START_PEERS = 3
+POLL_SECONDS = 120.0
+STORE_RETRY_MIN_SECONDS = 0.5
+STORE_RETRY_MAX_SECONDS = 10.0
+STORE_RETRIES_PER_SECOND = 200.0
+FIRST_ASKS_PER_SECOND = 1_000.0
+REARM_SECONDS = 0.2
+REANNOUNCE_SECONDS = 1.0
+
+
+class Tick(NamedTuple):
+    """Let time pass; send one every 50 to 250 ms."""
+
+
+class PeersChanged(NamedTuple):
+    """Deliver the other live instances."""
+
+    peers: tuple[InstanceId, ...]
+
+
+class VersionHeard(NamedTuple):
+    """Deliver a peer's version, and keys withdrawn ahead of the store."""
+
+    peer: InstanceId
+    version: int
+    withdrawals: tuple[KeyId, ...] = ()
+
+
+class PeerSent(NamedTuple):
+    """Deliver a configuration pulled from a peer, and its withdrawals."""
+
+    peer: InstanceId
+    configuration: Configuration
+    withdrawals: tuple[KeyId, ...] = ()
+
+
+class PullFailed(NamedTuple):
+    """Report that a peer gave no configuration."""
+
+    peer: InstanceId
+
+
+class StoreSent(NamedTuple):
+    """Deliver the store's configuration, asked for at ``sent_at``."""
+
+    configuration: Configuration
+    sent_at: Seconds
+
+
+class StoreFailed(NamedTuple):
+    """Report that the store gave no answer."""
+
+
+class KeysWithdrawn(NamedTuple):
+    """Withdraw keys at once, ahead of the store."""
+
+    keys: tuple[KeyId, ...]
+
+
+class Pull(NamedTuple):
+    """Ask a peer for a configuration newer than the version."""
+
+    peer: InstanceId
+    version: int
+
+
+class Announce(NamedTuple):
+    """Tell peers the version, and keys withdrawn ahead of the store."""
+
+    peers: tuple[InstanceId, ...]
+    version: int
+    withdrawals: tuple[KeyId, ...]
+
+
+class AskStore(NamedTuple):
+    """Read the store, waiting up to the time for a newer version; 0 is at once."""
+
+    version: int
+    wait_seconds: Seconds
+
+
+class Adopt(NamedTuple):
+    """Put a configuration in force, with keys withdrawn ahead of the store."""
+
+    configuration: Configuration
+    withdrawals: frozenset[KeyId]
+
+
+class AdoptionState(NamedTuple):
+    """Hold what one instance has adopted and whom it asks."""
+
+    me: InstanceId
+    peers: tuple[InstanceId, ...] = ()
+    configuration: Configuration | None = None
+    withdrawals: frozenset[KeyId] = frozenset()
+    settled: frozenset[KeyId] = frozenset()
+    announce_at: Seconds = 0.0
+    heard_version: int = 0
+    heard_from: InstanceId | None = None
+    pulling_until: Seconds = 0.0
+    asking_store: bool = False
+    store_at: Seconds = 0.0
+    store_failures: int = 0
+    store_confirmed_at: Seconds | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether any configuration is in force."""
+        return self.configuration is not None
+
+
+AdoptionEvent: TypeAlias = (
+    Tick
+    | PeersChanged
+    | VersionHeard
+    | PeerSent
+    | PullFailed
+    | StoreSent
+    | StoreFailed
+    | KeysWithdrawn
+)
+AdoptionEffect: TypeAlias = Pull | Announce | AskStore | Adopt
+AdoptionStep: TypeAlias = tuple[AdoptionState, list[AdoptionEffect]]
+
+
+@singledispatch
+def step(
+    event: AdoptionEvent, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Refuse an event of an unknown type."""
+    raise TypeError(f"got {type(event).__name__}, expected an adoption event")
+
+
+@step.register
+def on_tick(
+    event: Tick, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Ask the store when it is due and a peer when one is ahead."""
+    effects: list[AdoptionEffect] = []
+    if not state.asking_store and now >= state.store_at:
+        wait = WATCH_SECONDS if watches(state) and state.is_ready else 0.0
+        effects.append(AskStore(state.version, wait))
+        state = state._replace(asking_store=True)
+    if state.withdrawals and now >= state.announce_at:
+        effects.append(announce(state, rng))
+        state = state._replace(announce_at=now + REANNOUNCE_SECONDS)
+    state, pulls = pull_if_behind(state, now, rng)
+    return state, [*effects, *pulls]
+
+
+@step.register
+def on_peers(
+    event: PeersChanged, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Keep the live peers; a new watcher asks the store soon."""
+    watched = watches(state)
+    is_first = not state.peers and not state.is_ready
+    state = state._replace(peers=event.peers)
+    if is_first:
+        spread = len(event.peers) / FIRST_ASKS_PER_SECOND
+        state = state._replace(store_at=now + rng.uniform(0.0, spread))
+    elif watches(state) and not watched:
+        soon = now + rng.uniform(0.0, STORE_RETRY_MIN_SECONDS)
+        state = state._replace(store_at=min(state.store_at, soon))
+    return state, []
+
+
+@step.register
+def on_heard(
+    event: VersionHeard, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Remember who is ahead, and take withdrawals at once."""
+    if event.version > state.heard_version:
+        state = state._replace(heard_version=event.version, heard_from=event.peer)
+    state, effects = add_withdrawals(state, frozenset(event.withdrawals), rng)
+    state, pulls = pull_if_behind(state, now, rng)
+    return state, [*effects, *pulls]
+
+
+@step.register
+def on_peer_sent(
+    event: PeerSent, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Adopt a peer's configuration if it is newer."""
+    state = state._replace(pulling_until=now)
+    state, effects = adopt(state, event.configuration, rng)
+    state, more = add_withdrawals(state, frozenset(event.withdrawals), rng)
+    return state, [*effects, *more]
+
+
+@step.register
+def on_pull_failed(
+    event: PullFailed, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Ask another peer next."""
+    heard_from = None if state.heard_from == event.peer else state.heard_from
+    return state._replace(heard_from=heard_from, pulling_until=now), []
+
+
+@step.register
+def on_store_sent(
+    event: StoreSent, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Adopt the store's configuration if it is newer, and ask again in time."""
+    pause = rng.uniform(0.0, REARM_SECONDS)
+    if not watches(state):
+        pause = POLL_SECONDS * rng.uniform(0.5, 1.5)
+    state = state._replace(
+        asking_store=False,
+        store_at=now + pause,
+        store_failures=0,
+        store_confirmed_at=event.sent_at,
+    )
+    return adopt(state, event.configuration, rng)
+
+
+@step.register
+def on_store_failed(
+    event: StoreFailed, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Ask again after a random pause that grows, and that a large fleet stretches."""
+    ceiling = min(
+        STORE_RETRY_MAX_SECONDS, STORE_RETRY_MIN_SECONDS * 2**state.store_failures
+    )
+    if not watches(state):
+        ceiling = max(ceiling, len(state.peers) / STORE_RETRIES_PER_SECOND)
+    if state.is_ready and not watches(state):
+        ceiling = POLL_SECONDS
+    state = state._replace(
+        asking_store=False,
+        store_at=now + rng.uniform(ceiling / 2, ceiling),
+        store_failures=min(state.store_failures + 1, 16),
+    )
+    return state, []
+
+
+@step.register
+def on_withdrawn(
+    event: KeysWithdrawn, state: AdoptionState, now: Seconds, rng: Random
+) -> AdoptionStep:
+    """Withdraw keys and tell peers."""
+    return add_withdrawals(state, frozenset(event.keys), rng)
+
+
+def watches(state: AdoptionState) -> bool:
+    """Tell whether this instance is one of the store's watchers."""
+    return state.me in top((*state.peers, state.me), WATCHED, WATCHERS)
+
+
+def pull_if_behind(state: AdoptionState, now: Seconds, rng: Random) -> AdoptionStep:
+    """Pull from whoever is ahead; before the first configuration from anyone."""
+    if now < state.pulling_until or not state.peers:
+        return state, []
+    if state.heard_version > state.version:
+        known = state.heard_from in state.peers and state.heard_from is not None
+        peer = state.heard_from if known else None
+        chosen = [peer] if peer else [rng.choice(state.peers)]
+    elif not state.is_ready:
+        count = min(START_PEERS, len(state.peers))
+        chosen = rng.sample(state.peers, count)
+    else:
+        return state, []
+    # A pull that isn't answered in time turns to another peer.
+    state = state._replace(heard_from=None, pulling_until=now + PULL_SECONDS)
+    return state, [Pull(peer, state.version) for peer in chosen]
+
+
+def adopt(
+    state: AdoptionState, configuration: Configuration, rng: Random
+) -> AdoptionStep:
+    """Put a newer configuration in force and tell some peers."""
+    if configuration.version <= state.version:
+        return state, []
+    settled = frozenset(
+        key["id"]
+        for key in configuration.declaration.get("keys", ())
+        if key["state"] == "withdrawn"
+    )
+    withdrawals = state.withdrawals - settled
+    state = state._replace(
+        configuration=configuration,
+        settled=settled,
+        withdrawals=withdrawals,
+        heard_version=max(state.heard_version, configuration.version),
+    )
+    return state, [Adopt(configuration, withdrawals), announce(state, rng)]
+
+
+def add_withdrawals(
+    state: AdoptionState, keys: frozenset[KeyId], rng: Random
+) -> AdoptionStep:
+    """Withdraw keys ahead of the store and tell peers of what is new."""
+    withdrawals = state.withdrawals | (keys - state.settled)
+    if withdrawals == state.withdrawals:
+        return state, []
+    state = state._replace(withdrawals=withdrawals)
+    if state.configuration is None:
+        return state, []
+    return state, [Adopt(state.configuration, withdrawals), announce(state, rng)]
+
+
+def announce(state: AdoptionState, rng: Random) -> Announce:
+    """Tell a few random peers what is in force."""
+    count = min(ANNOUNCE_FANOUT, len(state.peers))
+    peers = tuple(rng.sample(state.peers, count))
+    return Announce(peers, state.version, tuple(sorted(state.withdrawals)))
--- /dev/null
+++ b/berylhinge/core/differences.py
@@ -0,0 +1,115 @@
+"""Compare declarations and check that one may follow another."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import msgspec
+
+from ..errors import FieldError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..types import GroupId, UpstreamId
+    from .declarations import Declaration, Upstream
+
+SECTIONS = ("organisations", "keys", "groups", "upstreams", "routes")
+CONCEALED_FIELDS = ("salt", "hash")
+MEMBERSHIP_FIELDS = ("data", "control")
+
+
+class Difference(NamedTuple):
+    """Show one changed field; none stands for an absent one."""
+
+    path: str
+    before: str | None
+    after: str | None
+
+
+def differences(before: Declaration, after: Declaration) -> tuple[Difference, ...]:
+    """Return every changed field, by section and identifier."""
+    found: list[Difference] = []
+    for section in SECTIONS:
+        old = by_id(before, section)
+        new = by_id(after, section)
+        for name in sorted(old.keys() | new.keys()):
+            path = f"{section}.{name}"
+            found += changed_fields(path, old.get(name, {}), new.get(name, {}))
+    return tuple(found)
+
+
+def by_id(declaration: Declaration, section: str) -> dict[str, dict[str, Any]]:
+    """Return a section's entries by identifier."""
+    entries: Any = declaration.get(section, ())
+    return {entry["id"]: entry for entry in entries}
+
+
+def changed_fields(
+    path: str, old: dict[str, Any], new: dict[str, Any]
+) -> Iterator[Difference]:
+    """Yield the fields in which two entries differ."""
+    for field in sorted(old.keys() | new.keys()):
+        before = shown_field(field, old)
+        after = shown_field(field, new)
+        if old.get(field) != new.get(field):
+            yield Difference(f"{path}.{field}", before, after)
+
+
+def shown_field(field: str, entry: dict[str, Any]) -> str | None:
+    """Return a field as JSON, and never a salt or hash."""
+    if field not in entry:
+        return None
+    if field in CONCEALED_FIELDS:
+        return "(concealed)"
+    return msgspec.json.encode(entry[field]).decode()
+
+
+def changed_groups(before: Declaration, after: Declaration) -> set[GroupId]:
+    """Return the groups that gained, lost or replaced an upstream."""
+    old = membership(before)
+    new = membership(after)
+    return {
+        group
+        for group in old.keys() | new.keys()
+        if old.get(group, {}) != new.get(group, {})
+    }
+
+
+def membership(
+    declaration: Declaration,
+) -> dict[GroupId, dict[UpstreamId, tuple[str, str]]]:
+    """Return each group's upstreams and where they are reached."""
+    found: dict[GroupId, dict[UpstreamId, tuple[str, str]]] = {}
+    for upstream in declaration["upstreams"]:
+        found.setdefault(upstream["group"], {})[upstream["id"]] = reached_at(upstream)
+    return found
+
+
+def reached_at(upstream: Upstream) -> tuple[str, str]:
+    """Return the addresses that identify the database behind an upstream."""
+    return upstream["data"], upstream["control"]
+
+
+def check_memberships(before: Declaration, after: Declaration) -> list[FieldError]:
+    """Return an error for each group in which more than one upstream changes.
+
+    Majorities of two sets that differ by one member always intersect, those of
+    sets that differ by more need not (Ongaro 2014, section 4.1).
+    """
+    old = membership(before)
+    new = membership(after)
+    errors = []
+    for group in sorted(old.keys() & new.keys()):
+        names = old[group].keys() | new[group].keys()
+        changed = [
+            name
+            for name in sorted(names)
+            if old[group].get(name) != new[group].get(name)
+        ]
+        if len(changed) > 1:
+            path = f"$.upstreams (group {group})"
+            remedy = "apply one change of the group's members after the other"
+            expected = "at most one changed upstream"
+            errors.append(FieldError(path, ", ".join(changed), expected, remedy))
+    return errors
--- /dev/null
+++ b/berylhinge/core/parts.py
@@ -0,0 +1,179 @@
+"""Split a configuration into parts by content, so that changes travel small.
+
+Entries are spread over parts by the hash of their identifier and each part is named
+by its digest, as in a Merkle tree of one level (Merkle, 1987): two versions share
+the parts that no change touched.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, NamedTuple, NotRequired, TYPE_CHECKING, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+from xxhash import xxh3_64_intdigest
+
+from ..errors import FieldError
+from ..wire.platform import VALUE_LIMIT_BYTES
+from .configuration import Change, Configuration, CONFIGURATION_KEY
+from .declarations import Declaration, empty_declaration
+from .differences import SECTIONS
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+PART_BYTES = 16_384
+INLINE_LIMIT_BYTES = VALUE_LIMIT_BYTES // 2
+DIGEST_BYTES = 16
+
+
+class Head(TypedDict):
+    """Name a version, its changes and its parts; ``inline`` holds small ones."""
+
+    version: int
+    changes: list[Change]
+    membership_versions: dict[str, int]
+    digests: list[str]
+    inline: NotRequired[list[Any]]
+
+
+class PartedConfiguration(NamedTuple):
+    """Hold a configuration with its encoded parts."""
+
+    configuration: Configuration
+    digests: tuple[str, ...]
+    parts: dict[str, bytes]
+
+
+ENTRIES = msgspec.json.Decoder(list[tuple[str, dict[str, Any]]])
+
+
+def part_key(digest: str) -> str:
+    """Return the store's key of a part."""
+    return f"{CONFIGURATION_KEY}/{digest}"
+
+
+def part_configuration(configuration: Configuration) -> PartedConfiguration:
+    """Encode a configuration's entries into parts."""
+    encoded = split(configuration.declaration)
+    named = [(digest_of(part), part) for part in encoded]
+    digests = tuple(digest for digest, _ in named)
+    return PartedConfiguration(configuration, digests, dict(named))
+
+
+def split(declaration: Declaration) -> list[bytes]:
+    """Return the entries' encodings, spread over parts of about ``PART_BYTES``."""
+    entries = [
+        (
+            f"{section}/{entry['id']}",
+            msgspec.json.encode((section, entry), order="sorted"),
+        )
+        for section in SECTIONS
+        for entry in section_entries(declaration, section)
+    ]
+    size = sum(len(encoded) for _, encoded in entries)
+    count = part_count(size)
+    buckets: list[list[bytes]] = [[] for _ in range(count)]
+    for name, encoded in entries:
+        buckets[xxh3_64_intdigest(name.encode()) % count].append(encoded)
+    return [b"[" + b",".join(sorted(bucket)) + b"]" for bucket in buckets]
+
+
+def section_entries(declaration: Declaration, section: str) -> list[dict[str, Any]]:
+    """Return a section's entries."""
+    entries: Any = declaration.get(section, [])
+    return list(entries)
+
+
+def part_count(size: int) -> int:
+    """Return the power of two that keeps parts at about ``PART_BYTES``."""
+    count = 1
+    while size > count * PART_BYTES:
+        count *= 2
+    return count
+
+
+def digest_of(part: bytes) -> str:
+    """Return the name of a part's content."""
+    return hashlib.blake2b(part, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def encode_head(parted: PartedConfiguration, *, inline: bool) -> bytes:
+    """Encode the head, with its parts inside where asked."""
+    configuration = parted.configuration
+    head: Head = {
+        "version": configuration.version,
+        "changes": list(configuration.changes),
+        "membership_versions": configuration.membership_versions,
+        "digests": list(parted.digests),
+    }
+    if inline:
+        head["inline"] = [msgspec.Raw(parted.parts[name]) for name in parted.digests]
+    return msgspec.json.encode(head)
+
+
+def encode_for_store(parted: PartedConfiguration) -> tuple[bytes, dict[str, bytes]]:
+    """Return the head's value and the parts that need values of their own."""
+    head = encode_head(parted, inline=True)
+    if len(head) <= INLINE_LIMIT_BYTES:
+        return head, {}
+    return encode_head(parted, inline=False), dict(parted.parts)
+
+
+def decode_head(value: bytes | str) -> Result[Head, tuple[FieldError, ...]]:
+    """Decode a head or return why it is none."""
+    try:
+        return Success(msgspec.json.decode(value, type=Head))
+    except msgspec.MsgspecError as error:
+        remedy = "restore the stored configuration or apply a declaration anew"
+        return Failure((FieldError("configuration", str(error), "a head", remedy),))
+
+
+def missing_parts(head: Head, known: Mapping[str, bytes]) -> tuple[str, ...]:
+    """Return the parts of a head that must be fetched."""
+    if "inline" in head:
+        return ()
+    return tuple(digest for digest in head["digests"] if digest not in known)
+
+
+def assemble(
+    head: Head, known: Mapping[str, bytes]
+) -> Result[PartedConfiguration, tuple[FieldError, ...]]:
+    """Build the configuration of a head, checking each part's digest."""
+    inline = head.get("inline")
+    encoded = (
+        [known.get(digest, b"") for digest in head["digests"]]
+        if inline is None
+        else [msgspec.json.encode(part) for part in inline]
+    )
+    if [digest_of(part) for part in encoded] != head["digests"]:
+        remedy = "fetch the missing parts again"
+        error = FieldError("configuration", "other parts", "those of the head", remedy)
+        return Failure((error,))
+    parts = dict(zip(head["digests"], encoded, strict=True))
+
+    def build(declaration: Declaration) -> PartedConfiguration:
+        configuration = Configuration(
+            head["version"],
+            tuple(head["changes"]),
+            head["membership_versions"],
+            declaration,
+        )
+        return PartedConfiguration(configuration, tuple(head["digests"]), parts)
+
+    return join(encoded).map(build)
+
+
+def join(encoded: list[bytes]) -> Result[Declaration, tuple[FieldError, ...]]:
+    """Decode the entries of all parts into one checked declaration."""
+    declaration: Any = empty_declaration()
+    try:
+        for part in encoded:
+            for section, entry in ENTRIES.decode(part):
+                declaration[section].append(entry)
+        # Fields were checked before the swap; here only their types are.
+        return Success(msgspec.convert(declaration, Declaration))
+    except (msgspec.MsgspecError, KeyError) as error:
+        remedy = "restore the stored configuration or apply a declaration anew"
+        return Failure((FieldError("configuration", str(error), "entries", remedy),))
--- /dev/null
+++ b/berylhinge/core/tests/test_configuration.py
@@ -0,0 +1,151 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ..configuration import (
+    Configuration,
+    Edit,
+    empty_configuration,
+    GrantKey,
+    MarkUpstream,
+    next_configuration,
+    ReplaceDeclaration,
+    version_of_change,
+    WithdrawKey,
+)
+from ..differences import Difference, differences
+from .samples import declared, organisation, sample, upstream
+
+SALT = "A" * 22 + "=="
+HASH = "A" * 43 + "="
+OTHER_HASH = "B" * 42 + "A="
+
+
+def key(**changes: str) -> Any:
+    plain = {"id": "k", "organisation": "ark", "state": "granted"}
+    return {**plain, "salt": SALT, "hash": HASH, **changes}
+
+
+def first(**changes: Any) -> Configuration:
+    edit = ReplaceDeclaration(declared(**changes))
+    return next_configuration(empty_configuration(), edit, "c1").unwrap()
+
+
+def after(current: Configuration, edit: Edit) -> Configuration:
+    return next_configuration(current, edit, "c2").unwrap()
+
+
+def test_versions_and_changes() -> None:
+    second = after(first(), GrantKey(key()))
+    assert second.version == 2
+    assert version_of_change(second, "c1") == 1
+    assert version_of_change(second, "c2") == 2
+    assert version_of_change(second, "c3") is None
+
+
+def test_the_version_exceeds_what_is_in_force() -> None:
+    edit = ReplaceDeclaration(declared())
+    result = next_configuration(empty_configuration(), edit, "c", floor_version=9)
+    assert result.unwrap().version == 10
+
+
+@pytest.mark.parametrize(
+    "stored, declared_keys, expected",
+    [
+        ([key()], None, [("k", "granted")]),
+        ([key()], [], [("k", "granted")]),
+        ([], [key()], [("k", "granted")]),
+        ([key(state="withdrawn")], [key()], [("k", "withdrawn")]),
+        ([key()], [key(state="withdrawn")], [("k", "withdrawn")]),
+        ([key()], [key(id="m")], [("k", "granted"), ("m", "granted")]),
+    ],
+)
+def test_a_file_merges_keys_and_never_revives_one(
+    stored: list[Any], declared_keys: list[Any] | None, expected: list[Any]
+) -> None:
+    document = sample()
+    del document["keys"]
+    if declared_keys is not None:
+        document["keys"] = declared_keys
+    found = after(first(keys=stored), ReplaceDeclaration(document))  # type: ignore[arg-type]
+    keys = found.declaration["keys"]
+    assert [(one["id"], one["state"]) for one in keys] == expected
+
+
+def test_a_removed_organisation_takes_its_keys_along() -> None:
+    current = first(keys=[key()])
+    edit = ReplaceDeclaration(
+        declared(organisations=[organisation("bod", home="south")])
+    )
+    assert after(current, edit).declaration["keys"] == []
+
+
+@pytest.mark.parametrize(
+    "edit, path",
+    [
+        (WithdrawKey("absent"), "$.keys"),
+        (MarkUpstream("absent", "leaving"), "$.upstreams"),
+        (GrantKey(key()), "$.keys[1].id"),
+        (GrantKey(key(id="m", organisation="absent")), "$.keys[1].organisation"),
+        (ReplaceDeclaration(declared(keys=[key(hash=OTHER_HASH)])), "$.keys[0]"),
+        (ReplaceDeclaration(declared(upstreams=[])), "$.groups[0]"),
+    ],
+)
+def test_refused_edits(edit: Edit, path: str) -> None:
+    errors = next_configuration(first(keys=[key()]), edit, "c2").failure()
+    assert errors[0].path == path
+
+
+def test_a_withdrawal_and_a_mark() -> None:
+    current = after(first(keys=[key()]), WithdrawKey("k"))
+    current = after(current, MarkUpstream("db-4", "leaving"))
+    changed = differences(first(keys=[key()]).declaration, current.declaration)
+    assert changed == (
+        Difference("keys.k.state", '"granted"', '"withdrawn"'),
+        Difference("upstreams.db-4.state", None, '"leaving"'),
+    )
+
+
+UPSTREAMS = [upstream(number) for number in range(6)]
+EXTRA = [upstream(number, group="g1") for number in (6, 7)]
+
+
+@pytest.mark.parametrize(
+    "upstreams, refused",
+    [
+        ([*UPSTREAMS, EXTRA[0]], []),
+        ([*UPSTREAMS, *EXTRA], ["$.upstreams (group g1)"]),
+        (UPSTREAMS[1:], []),
+        (UPSTREAMS[2:], ["$.upstreams (group g1)"]),
+        ([*UPSTREAMS[1:], EXTRA[0]], ["$.upstreams (group g1)"]),
+        ([upstream(0, control="127.0.0.1:9000"), *UPSTREAMS[1:]], []),
+        (
+            [*(upstream(n, data=f"127.0.0.2:{n + 1}") for n in (0, 1)), *UPSTREAMS[2:]],
+            ["$.upstreams (group g1)"],
+        ),
+        ([upstream(0, slots=9), upstream(1, slots=9), *UPSTREAMS[2:]], []),
+        ([upstream(0, group="g2"), *UPSTREAMS[1:]], []),
+    ],
+)
+def test_a_group_changes_one_member_a_version(
+    upstreams: list[Any], refused: list[str]
+) -> None:
+    edit = ReplaceDeclaration(declared(upstreams=upstreams))
+    result = next_configuration(first(), edit, "c2")
+    errors = result.swap().value_or(())
+    assert [error.path for error in errors] == refused
+
+
+def test_a_change_of_members_is_dated() -> None:
+    current = first()
+    assert current.membership_versions == {"g1": 1, "g2": 1}
+    edit = ReplaceDeclaration(declared(upstreams=UPSTREAMS[1:]))
+    assert after(current, edit).membership_versions == {"g1": 2, "g2": 1}
+
+
+def test_differences_hide_salts_and_hashes() -> None:
+    changed = differences(declared(), declared(keys=[key()]))
+    assert HASH not in str(changed)
+    assert Difference("keys.k.hash", None, "(concealed)") in changed
--- /dev/null
+++ b/berylhinge/core/tests/test_parts.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from ..configuration import Configuration
+from ..differences import differences
+from ..parts import (
+    assemble,
+    decode_head,
+    encode_for_store,
+    encode_head,
+    missing_parts,
+    part_configuration,
+)
+from .samples import declared, upstream
+
+
+def configuration(count: int, *, version: int = 7, **changes: Any) -> Configuration:
+    upstreams = [
+        upstream(
+            number,
+            data=f"10.1.{number // 200}.1:{1 + number % 200}",
+            control=f"10.2.{number // 200}.1:{1 + number % 200}",
+        )
+        for number in range(count)
+    ]
+    changed = [{**upstreams[0], **changes}, *upstreams[1:]]
+    declaration = declared(upstreams=changed)
+    return Configuration(
+        version, ({"id": "c", "version": version},), {"g1": 3}, declaration
+    )
+
+
+def test_a_small_configuration_is_one_value() -> None:
+    parted = part_configuration(configuration(6))
+    value, parts = encode_for_store(parted)
+    head = decode_head(value).unwrap()
+    assert parts == {}
+    assert missing_parts(head, {}) == ()
+    found = assemble(head, {}).unwrap()
+    declaration = found.configuration.declaration
+    assert differences(declaration, parted.configuration.declaration) == ()
+    assert found.configuration[:3] == parted.configuration[:3]
+    assert found[1:] == parted[1:]
+
+
+def test_a_large_configuration_is_split_below_the_store_s_limit() -> None:
+    parted = part_configuration(configuration(4_000))
+    value, parts = encode_for_store(parted)
+    assert len(parts) > 1
+    assert max(map(len, [value, *parts.values()])) < 100_000
+    head = decode_head(value).unwrap()
+    assert set(missing_parts(head, {})) == set(parts)
+    found = assemble(head, parts).unwrap()
+    assert found.digests == parted.digests
+    assert found.configuration.version == 7
+
+
+def test_one_change_moves_one_part() -> None:
+    before = part_configuration(configuration(4_000))
+    after = part_configuration(configuration(4_000, version=8, slots=9))
+    head = decode_head(encode_head(after, inline=False)).unwrap()
+    assert len(missing_parts(head, before.parts)) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"digests": []},
+        {"digests": ["00"]},
+        {"inline": [[]]},
+        {"inline": [[["organisations", {"id": 1}]]]},
+    ],
+)
+def test_a_head_whose_parts_differ_is_refused(changes: dict[str, Any]) -> None:
+    value, _ = encode_for_store(part_configuration(configuration(6)))
+    head = {**msgspec.json.decode(value), **changes}
+    assert assemble(head, {}).failure()  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("value", ["", "{", "[]", '{"version": 1}', b"\xff"])
+def test_a_value_that_is_no_head_is_refused(value: bytes | str) -> None:
+    assert decode_head(value).failure()
