--- a/berylhinge/load/allowance.py
+++ b/berylhinge/load/allowance.py
@@ -48,7 +48,7 @@
         tokens = min(allowance.burst, tokens)
         last = operation.sent
         sent += 1
-        cost = max(1, operation.statements)
+        cost = max(1, operation.admissions)
         inside = tokens >= cost
         due += inside
         if operation.verdict is Verdict.OK:
--- a/berylhinge/load/checker.py
+++ b/berylhinge/load/checker.py
@@ -188,12 +188,12 @@
     """Check each organisation's certain admissions over all windows."""
     admitted = defaultdict(list)
     for operation in operations:
-        if operation.statements:
+        if operation.admissions:
             admitted[operation.organisation].append(
-                (operation.sent, operation.done, operation.statements)
+                (operation.sent, operation.done, operation.admissions)
             )
     for organisation, admissions in admitted.items():
         over = excess(admissions, allowances[organisation])
         if over > EXCESS_TOLERANCE:
-            detail = f"{organisation} got {over:.1f} statements more than its allowance"
+            detail = f"{organisation} got {over:.1f} requests more than its allowance"
             yield Violation(Promise.WITHIN_RATE, -1, detail)
--- a/berylhinge/load/driver.py
+++ b/berylhinge/load/driver.py
@@ -23,6 +23,7 @@
     from .schedule import Send
 
 PAIR = (1, 2)
+TRANSACTION_ADMISSIONS = 1 + len(PAIR)
 
 
 class Session:
@@ -147,7 +148,7 @@
         row: str,
         version: int = 0,
         seen: int | None = None,
-        statement_count: int = 1,
+        admissions: int = 1,
         echoed: bool = True,
     ) -> Operation:
         """Describe a finished operation."""
@@ -167,7 +168,7 @@
             answer.reason,
             answer.status,
             seen,
-            statement_count if succeeded else 0,
+            admissions if succeeded else 0,
             answer.echoed and echoed,
             f"load-{self.knobs.seed}-{send.index}",
             answer.body.get("served_by", "") if succeeded else "",
@@ -256,7 +257,9 @@
     commit = driver.call(
         send, f"{path}/commit", timeout, session, "-commit", begin.instance
     )
-    return driver.record(send, commit, sent=sent, row=unique, statement_count=len(PAIR))
+    return driver.record(
+        send, commit, sent=sent, row=unique, admissions=TRANSACTION_ADMISSIONS
+    )
 
 
 def roll_back(driver: Driver, send: Send, path: str, instance: int) -> None:
--- a/berylhinge/load/faults.py
+++ b/berylhinge/load/faults.py
@@ -16,6 +16,7 @@
 
 PORT_SECONDS = 5.0
 CONTROLLER_SECONDS = 300.0
+FAULTS_PATH = "/v1/faults"
 EVERYONE = ["*"]
 
 
@@ -101,20 +102,20 @@
     def cut_primary(self, route: str) -> str:
         """Partition the primary from everyone."""
         addresses = self.find_primary(route).addresses
-        exchange(addresses["fault"], "/v1/faults", {"partition": EVERYONE})
+        exchange(addresses["fault"], FAULTS_PATH, {"partition": EVERYONE})
         return addresses["upstream"]
 
     def leave_primary(self, route: str) -> str:
         """Mark the primary as leaving."""
         addresses = self.find_primary(route).addresses
-        exchange(addresses["fault"], "/v1/faults", {"leaving": True})
+        exchange(addresses["fault"], FAULTS_PATH, {"leaving": True})
         return addresses["upstream"]
 
     def heal_group(self, route: str) -> None:
         """Take every fault of a group back."""
-        clear = {"partition": [], "slow_seconds": 0.0, "down": False, "leaving": False}
+        clear = {"partition": [], "down": False, "leaving": False}
         for addresses in self.fleet["routes"][route]:
-            exchange(addresses["fault"], "/v1/faults", clear)
+            exchange(addresses["fault"], FAULTS_PATH, clear)
 
     def set_platform(self, *, down: bool) -> None:
         """Take the platform's service down or up."""
@@ -123,7 +124,7 @@
             raise FaultPortError(
                 "platform: got no fault port, expected platform_fault in the fleet file"
             )
-        exchange(address, "/v1/faults", {"down": down})
+        exchange(address, FAULTS_PATH, {"down": down})
 
     def order(self, action: str) -> str:
         """Have the launcher replace or kill instances; wait until it has."""
--- a/berylhinge/load/records.py
+++ b/berylhinge/load/records.py
@@ -21,7 +21,7 @@
 
     ``row`` is the session's row or the unique id inserted; ``version`` is what
     was written; ``seen`` is the version read, 0 where the row was absent.
-    ``statements`` counts statements certainly admitted. ``echoed`` is false
+    ``admissions`` counts what was certainly charged. ``echoed`` is false
     when the answer carried another request id or another row.
     """
 
@@ -39,7 +39,7 @@
     reason: str
     status: int
     seen: int | None
-    statements: int
+    admissions: int
     echoed: bool
     request_id: str
     served_by: str
--- a/berylhinge/load/scenario.py
+++ b/berylhinge/load/scenario.py
@@ -7,18 +7,15 @@
 
 import msgspec
 
+from ..core.forms import Count, Identifier, NotNegative, Positive
 from ..errors import DocumentError, FieldError
 from .documents import decode_document
 
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Count = Annotated[int, msgspec.Meta(ge=1)]
-Name = Annotated[str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9-]*$")]
 
 
 class Kind(StrEnum):
-    """Name what one operation does."""
+    """Identifier what one operation does."""
 
     READ = "read"
     FRESH = "fresh"
@@ -58,7 +55,7 @@
     to any instance at random.
     """
 
-    organisation: Name
+    organisation: Identifier
     rate_per_second: Positive
     burst: Positive
     weight: Positive
@@ -72,9 +69,9 @@
 class FleetSize(TypedDict):
     """Describe the processes that the experiment runs against."""
 
-    places: list[Name]
-    service: Name
-    databases: list[Name]
+    places: list[Identifier]
+    service: Identifier
+    databases: list[Identifier]
     upstreams_per_group: Count
     slots: Count
     connections: Count
@@ -109,9 +106,9 @@
 class Scenario(TypedDict):
     """Describe one experiment whole."""
 
-    name: Name
-    user: Name
-    fault: Name
+    name: Identifier
+    user: Identifier
+    fault: Identifier
     seed: int
     seconds: Positive
     warmup_seconds: NotNegative
--- a/berylhinge/load/tests/test_checker.py
+++ b/berylhinge/load/tests/test_checker.py
@@ -102,7 +102,7 @@
 
 def test_over_admission_is_a_broken_promise() -> None:
     sent = [
-        operation(Kind.READ, seen=0)._replace(statements=1, sent=0.0, done=1.0)
+        operation(Kind.READ, seen=0)._replace(admissions=1, sent=0.0, done=1.0)
         for _ in range(4)
     ]
     found = check(sent, {"r": EMPTY}, {"org": Allowance(1, 2)}, max_age_seconds=1)
--- a/berylhinge/load/tests/test_scenario.py
+++ b/berylhinge/load/tests/test_scenario.py
@@ -44,7 +44,7 @@
     ({"faults": [{"at_seconds": 1, "action": "platform-up", "x": 1}]}, "$.faults[0].x"),
     (
         {"mix": dict.fromkeys(("read", "fresh", "aged"), 0)},
-        "$.mix",
+        "$.mix.write",
     ),
     (
         {
--- a/berylhinge/load/windows.py
+++ b/berylhinge/load/windows.py
@@ -59,7 +59,7 @@
 ) -> float:
     """Return by how much the worst window exceeds the rate and burst, at least 0.
 
-    An admission is (sent, done, statements); it certainly lies in a window
+    An admission is (sent, done, count); it certainly lies in a window
     that holds both moments, so a positive excess is proof of over-admission.
     Windows start at a send and end at a completion: O(n log n) for all pairs.
     """
@@ -68,9 +68,9 @@
     ends = sorted({done for _, done, _ in admissions})
     tree = WindowTree([-allowance.rate * end for end in ends])
     worst = 0.0
-    for sent, done, statements in sorted(admissions, reverse=True):
-        tree.add_from(bisect_left(ends, done), statements)
-        count = tree.greatest_from(bisect_left(ends, sent))
-        over = count + allowance.rate * sent - allowance.burst
+    for sent, done, count in sorted(admissions, reverse=True):
+        tree.add_from(bisect_left(ends, done), count)
+        most = tree.greatest_from(bisect_left(ends, sent))
+        over = most + allowance.rate * sent - allowance.burst
         worst = max(worst, over)
     return worst
