Serve a write and a read through two instances

Found and mended: messages whose types are imported for checking alone cannot be decoded; two starting instances removed each other from the roster because each trusted a lagging list (a member is now removed only after it was absent for some seconds). Peer messages are not yet authenticated.

--- a/berylhinge/cli/dev.py
+++ b/berylhinge/cli/dev.py
@@ -16,6 +16,7 @@
 from geventhttpclient import HTTPClient
 
 from .. import __version__
+from ..core.buckets import UNITS
 from ..core.configuration import (
     CONFIGURATION_KEY,
     empty_configuration,
@@ -153,20 +154,23 @@
 def await_ready(demo: Demo) -> None:
     """Wait until every instance serves; raise TimeoutError."""
     deadline = time.monotonic() + READY_SECONDS
-    while not all(is_serving(proxy, len(demo.proxies)) for proxy in demo.proxies):
+    while not is_serving(demo):
         if time.monotonic() > deadline:
             raise TimeoutError(f"not ready within {READY_SECONDS} s")
         gevent.sleep(READY_POLL_SECONDS)
 
 
-def is_serving(proxy: Proxy, count: int) -> bool:
-    """Tell whether an instance has a configuration, peers and a primary."""
-    reports = [group.report() for group in proxy.groups.values()]
-    led = all(report["primary"] for report in reports)
-    members = len(proxy.fleet.state.permit.roster.members)
-    units = sum(bucket.units for bucket in proxy.fleet.state.rates.buckets.values())
-    known = len(proxy.live.records) == count == members
-    return proxy.is_ready() and led and known and (units > 0 or count > 1)
+def is_serving(demo: Demo) -> bool:
+    """Tell whether all instances know each other, a primary and the whole rate."""
+    units = 0
+    for proxy in demo.proxies:
+        if not proxy.is_ready() or len(proxy.live.records) < len(demo.proxies):
+            return False
+        if not all(group.report()["primary"] for group in proxy.groups.values()):
+            return False
+        bucket = proxy.fleet.state.rates.buckets.get(ORGANISATION)
+        units += bucket.units if bucket else 0
+    return units == UNITS
 
 
 class Client:
--- a/berylhinge/core/adoption.py
+++ b/berylhinge/core/adoption.py
@@ -7,16 +7,13 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+from random import Random
+from typing import NamedTuple, TypeAlias
 
+from ..types import InstanceId, KeyId, Seconds
+from .configuration import Configuration
 from .rendezvous import top
 
-if TYPE_CHECKING:
-    from random import Random
-
-    from ..types import InstanceId, KeyId, Seconds
-    from .configuration import Configuration
-
 WATCHERS = 3
 WATCHED = "configuration"
 WATCH_SECONDS = 30.0
--- a/berylhinge/core/minting.py
+++ b/berylhinge/core/minting.py
@@ -10,6 +10,7 @@
 from functools import singledispatch
 from typing import NamedTuple, TYPE_CHECKING, TypeAlias
 
+from ..types import OrganisationId, Seconds
 from .buckets import Bucket, UNITS
 from .permits import (
     Adopted,
@@ -26,7 +27,6 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from ..types import OrganisationId, Seconds
 
 COLLECT_SECONDS = 0.3
 COLLECT_LIMIT_SECONDS = 2.0
--- a/berylhinge/core/permits.py
+++ b/berylhinge/core/permits.py
@@ -12,12 +12,12 @@
 from functools import singledispatch
 from typing import NamedTuple, TYPE_CHECKING, TypeAlias
 
+from ..types import Seconds
 from .roster import majority, Member, Roster, vouchers
 
 if TYPE_CHECKING:
     from random import Random
 
-    from ..types import Seconds
 
 PERMIT_SECONDS = 3.0
 STORE_BOUND_SECONDS = 900.0
--- a/berylhinge/core/rates.py
+++ b/berylhinge/core/rates.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, TYPE_CHECKING, TypeAlias
 
 from ..reasons import RefusalReason
+from ..types import OrganisationId, Seconds
 from .buckets import (
     Bucket,
     low_water,
@@ -26,7 +27,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from ..types import OrganisationId, Seconds
 
 WAIT_LIMIT_SECONDS = 0.25
 WAIT_STEP_SECONDS = 0.004
--- a/berylhinge/core/roster.py
+++ b/berylhinge/core/roster.py
@@ -11,12 +11,12 @@
 from functools import lru_cache
 from typing import NamedTuple, TYPE_CHECKING
 
+from ..types import InstanceId, Seconds
 from .rendezvous import rank, top
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..types import InstanceId, Seconds
 
 ROSTER_KEY = "fleet/roster"
 VOUCHERS = 5
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -34,6 +34,7 @@
 TICK_SECONDS = 0.1
 ROSTER_TIMEOUT_SECONDS = 1.0
 PROPOSE_PAUSE_SECONDS = 0.5
+ABSENT_SECONDS = 3.0
 CAPACITY_MESSAGES = (
     capacity.VouchRequest,
     capacity.VouchAnswer,
@@ -81,6 +82,7 @@
         self.state = capacity.new_capacity(me)
         self.rng = random.Random(f"{me.instance}/{me.incarnation}")
         self.resigned: frozenset[Member] = frozenset()
+        self.absent_since: dict[Member, float] = {}
         self.greenlets: list[gevent.Greenlet] = []
         for kind in CAPACITY_MESSAGES:
             links.register(kind, self.on_message)
@@ -252,7 +254,24 @@
         live = self.live()
         if self.me not in live and self.me not in self.resigned:
             return None
-        return propose(roster, live, resigned=self.resigned)
+        present = live | self.lately_absent(roster, live)
+        return propose(roster, present, resigned=self.resigned)
+
+    def lately_absent(
+        self, roster: Roster, live: frozenset[Member]
+    ) -> frozenset[Member]:
+        """Return members missing from the lagging list for too short a time."""
+        now = time.monotonic()
+        missing = frozenset(roster.members) - live - self.resigned
+        self.absent_since = {
+            member: self.absent_since.get(member, now) for member in missing
+        }
+        restarted = {member.instance for member in live}
+        return frozenset(
+            member
+            for member, since in self.absent_since.items()
+            if now - since < ABSENT_SECONDS and member.instance not in restarted
+        )
 
     def propose_roster(self) -> None:
         """Swap a new roster in from the store's newest one."""
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -175,11 +175,16 @@
 
     def seal(self, body: bytes) -> bytes:
         """Wrap a message for a peer."""
-        raise NotImplementedError
+        import msgspec
+
+        return msgspec.msgpack.encode((self.settings.instance, body))
 
     def unseal(self, data: bytes) -> tuple[InstanceId, bytes] | None:
         """Unwrap a peer's message."""
-        raise NotImplementedError
+        import msgspec
+
+        a, b = msgspec.msgpack.decode(data)
+        return a, b
 
     def voucher_names(self) -> tuple[InstanceId, ...]:
         """Return the instances that vouch for this one."""
