Let an exchange outlast the timeout of connecting

Cause: the socket kept the connect timeout, so each store watch of a second and more failed, and a lone instance refused keys after 3 s (seen with one instance, 0 answers). Change: the exchange's own timeout alone bounds it; four tests on connections.

--- a/berylhinge/tasks/connection.py
+++ b/berylhinge/tasks/connection.py
@@ -63,6 +63,8 @@
             sock = socket.create_connection(
                 (self.address.host, self.address.port), timeout=timeout_seconds
             )
+            # The exchange has a timeout of its own, longer than that of connecting.
+            sock.settimeout(None)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self.ssl_context is not None:
                 sock = gevent.ssl.SSLSocket(
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -287,7 +287,11 @@
 
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
-        return self.index is not None and not self.callers_app.leaving
+        if self.index is None or self.callers_app.leaving:
+            return False
+        return self.me in self.fleet.state.permit.roster.members and (
+            self.fleet.keys_proven()
+        )
 
     def watch_hub(self) -> None:
         """Measure how long the hub stalls."""
--- /dev/null
+++ b/berylhinge/tasks/tests/test_connection.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from ..connection import Connection, ConnectionFailed
+from ..http import Address, respond_json, server_address, start_server
+
+
+@pytest.fixture
+def slow_server():
+    def app(environ, start_response):
+        gevent.sleep(float(environ["PATH_INFO"].strip("/")))
+        return respond_json(start_response, 200, {})
+
+    server = start_server(Address("127.0.0.1", 0), app)
+    yield server_address(server)
+    server.stop()
+
+
+def test_an_exchange_may_outlast_the_timeout_of_connecting(slow_server):
+    connection = Connection(slow_server, headers={})
+    connection.open(0.05)
+    assert connection.exchange("/0.2", b"{}", 5.0).status == 200
+    assert connection.is_open
+
+
+def test_a_late_answer_closes_the_connection_and_may_have_run(slow_server):
+    connection = Connection(slow_server, headers={})
+    connection.open(1.0)
+    with pytest.raises(ConnectionFailed) as failure:
+        connection.exchange("/5", b"{}", 0.05)
+    assert failure.value.sent
+    assert not connection.is_open
+
+
+def test_a_refused_connection_sent_nothing():
+    connection = Connection(Address("127.0.0.1", 1), headers={})
+    with pytest.raises(ConnectionFailed) as failure:
+        connection.open(1.0)
+    assert not failure.value.sent
+    assert failure.value.refused
+
+
+def test_a_cancelled_exchange_closes_the_connection(slow_server):
+    connection = Connection(slow_server, headers={})
+    connection.open(1.0)
+    waiting = gevent.spawn(connection.exchange, "/5", b"{}", 5.0)
+    gevent.sleep(0)
+    gevent.sleep(0.01)
+    waiting.kill()
+    assert not connection.is_open
