Spread the configuration by rumour and show that it never reverts

Cause: one watch an instance would be 2,000 waiting calls, and an outage's end would bring everyone's calls in one second.

Change: three watchers, announcements to four random peers, pulls, and polls with jitter whose retries stretch with the fleet; keys withdrawn ahead of the store spread the same way. Properties on a virtual clock, each shown to catch a broken rule.

--- a/berylhinge/core/adoption.py
+++ b/berylhinge/core/adoption.py
@@ -27,7 +27,7 @@
 STORE_RETRY_MIN_SECONDS = 0.5
 STORE_RETRY_MAX_SECONDS = 10.0
 STORE_RETRIES_PER_SECOND = 200.0
-FIRST_ASKS_PER_SECOND = 1_000.0
+FIRST_ASKS_PER_SECOND = 500.0
 REARM_SECONDS = 0.2
 REANNOUNCE_SECONDS = 1.0
 
@@ -115,6 +115,7 @@
 
     me: InstanceId
     peers: tuple[InstanceId, ...] = ()
+    watching: bool = True
     configuration: Configuration | None = None
     withdrawals: frozenset[KeyId] = frozenset()
     settled: frozenset[KeyId] = frozenset()
@@ -160,14 +161,14 @@
     raise TypeError(f"got {type(event).__name__}, expected an adoption event")
 
 
-@step.register
+@step.register(Tick)
 def on_tick(
     event: Tick, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
     """Ask the store when it is due and a peer when one is ahead."""
     effects: list[AdoptionEffect] = []
     if not state.asking_store and now >= state.store_at:
-        wait = WATCH_SECONDS if watches(state) and state.is_ready else 0.0
+        wait = WATCH_SECONDS if state.watching and state.is_ready else 0.0
         effects.append(AskStore(state.version, wait))
         state = state._replace(asking_store=True)
     if state.withdrawals and now >= state.announce_at:
@@ -177,24 +178,25 @@
     return state, [*effects, *pulls]
 
 
-@step.register
+@step.register(PeersChanged)
 def on_peers(
     event: PeersChanged, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
     """Keep the live peers; a new watcher asks the store soon."""
-    watched = watches(state)
+    watched = state.watching
     is_first = not state.peers and not state.is_ready
-    state = state._replace(peers=event.peers)
+    watching = state.me in watchers((*event.peers, state.me))
+    state = state._replace(peers=event.peers, watching=watching)
     if is_first:
         spread = len(event.peers) / FIRST_ASKS_PER_SECOND
         state = state._replace(store_at=now + rng.uniform(0.0, spread))
-    elif watches(state) and not watched:
+    elif state.watching and not watched:
         soon = now + rng.uniform(0.0, STORE_RETRY_MIN_SECONDS)
         state = state._replace(store_at=min(state.store_at, soon))
     return state, []
 
 
-@step.register
+@step.register(VersionHeard)
 def on_heard(
     event: VersionHeard, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
@@ -206,7 +208,7 @@
     return state, [*effects, *pulls]
 
 
-@step.register
+@step.register(PeerSent)
 def on_peer_sent(
     event: PeerSent, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
@@ -217,7 +219,7 @@
     return state, [*effects, *more]
 
 
-@step.register
+@step.register(PullFailed)
 def on_pull_failed(
     event: PullFailed, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
@@ -226,13 +228,13 @@
     return state._replace(heard_from=heard_from, pulling_until=now), []
 
 
-@step.register
+@step.register(StoreSent)
 def on_store_sent(
     event: StoreSent, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
     """Adopt the store's configuration if it is newer, and ask again in time."""
     pause = rng.uniform(0.0, REARM_SECONDS)
-    if not watches(state):
+    if not state.watching:
         pause = POLL_SECONDS * rng.uniform(0.5, 1.5)
     state = state._replace(
         asking_store=False,
@@ -243,7 +245,7 @@
     return adopt(state, event.configuration, rng)
 
 
-@step.register
+@step.register(StoreFailed)
 def on_store_failed(
     event: StoreFailed, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
@@ -251,9 +253,9 @@
     ceiling = min(
         STORE_RETRY_MAX_SECONDS, STORE_RETRY_MIN_SECONDS * 2**state.store_failures
     )
-    if not watches(state):
+    if not state.watching:
         ceiling = max(ceiling, len(state.peers) / STORE_RETRIES_PER_SECOND)
-    if state.is_ready and not watches(state):
+    if state.is_ready and not state.watching:
         ceiling = POLL_SECONDS
     state = state._replace(
         asking_store=False,
@@ -263,7 +265,7 @@
     return state, []
 
 
-@step.register
+@step.register(KeysWithdrawn)
 def on_withdrawn(
     event: KeysWithdrawn, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
@@ -271,9 +273,14 @@
     return add_withdrawals(state, frozenset(event.keys), rng)
 
 
-def watches(state: AdoptionState) -> bool:
-    """Tell whether this instance is one of the store's watchers."""
-    return state.me in top((*state.peers, state.me), WATCHED, WATCHERS)
+def watchers(instances: tuple[InstanceId, ...]) -> list[InstanceId]:
+    """Return the instances that watch the store."""
+    return top(instances, WATCHED, WATCHERS)
+
+
+def is_newer(state: AdoptionState, configuration: Configuration) -> bool:
+    """Tell whether a configuration may follow the one in force."""
+    return configuration.version > state.version
 
 
 def pull_if_behind(state: AdoptionState, now: Seconds, rng: Random) -> AdoptionStep:
@@ -298,7 +305,7 @@
     state: AdoptionState, configuration: Configuration, rng: Random
 ) -> AdoptionStep:
     """Put a newer configuration in force and tell some peers."""
-    if configuration.version <= state.version:
+    if not is_newer(state, configuration):
         return state, []
     settled = frozenset(
         key["id"]
--- a/berylhinge/core/applying.py
+++ b/berylhinge/core/applying.py
@@ -138,13 +138,13 @@
     raise TypeError(f"got {type(event).__name__}, expected an apply event")
 
 
-@step.register
+@step.register(Begin)
 def on_begin(event: Begin, state: ApplyState, now: Seconds, rng: Random) -> ApplyStep:
     """Read what is stored."""
     return state, [ReadStore(0.0)]
 
 
-@step.register
+@step.register(StoreRead)
 def on_read(
     event: StoreRead, state: ApplyState, now: Seconds, rng: Random
 ) -> ApplyStep:
@@ -172,7 +172,7 @@
     return state, [SwapStore(following, event.revision)]
 
 
-@step.register
+@step.register(StoreReadFailed)
 def on_read_failed(
     event: StoreReadFailed, state: ApplyState, now: Seconds, rng: Random
 ) -> ApplyStep:
@@ -180,7 +180,7 @@
     return read_again(state, event.detail, rng)
 
 
-@step.register
+@step.register(SwapAnswered)
 def on_answered(
     event: SwapAnswered, state: ApplyState, now: Seconds, rng: Random
 ) -> ApplyStep:
@@ -191,7 +191,7 @@
     return read_again(state, "other changes won each time", rng)
 
 
-@step.register
+@step.register(SwapFailed)
 def on_swap_failed(
     event: SwapFailed, state: ApplyState, now: Seconds, rng: Random
 ) -> ApplyStep:
--- /dev/null
+++ b/berylhinge/core/tests/test_adoption.py
@@ -0,0 +1,148 @@
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from ..adoption import (
+    Adopt,
+    AdoptionState,
+    Announce,
+    AskStore,
+    KeysWithdrawn,
+    PeersChanged,
+    PeerSent,
+    Pull,
+    PULL_SECONDS,
+    PullFailed,
+    step,
+    StoreFailed,
+    StoreSent,
+    Tick,
+    VersionHeard,
+    WATCH_SECONDS,
+    watchers,
+)
+from ..configuration import Configuration
+from .samples import declared
+
+PEERS = tuple(f"i-{number}" for number in range(20))
+WATCHER = watchers(PEERS)[0]
+OTHER = next(name for name in PEERS if name not in watchers(PEERS))
+
+
+def configuration(version: int, *withdrawn: str) -> Configuration:
+    keys: Any = [{"id": key, "state": "withdrawn"} for key in withdrawn]
+    return Configuration(version, (), {}, {**declared(), "keys": keys})
+
+
+def run(state: AdoptionState, *events: Any, now: float = 10.0) -> Any:
+    effects: list[Any] = []
+    for event in events:
+        state, effects = step(event, state, now, Random(1))
+    return state, effects
+
+
+def member(name: str = OTHER, version: int = 5) -> AdoptionState:
+    others = tuple(peer for peer in PEERS if peer != name)
+    state, _ = run(AdoptionState(name), PeersChanged(others))
+    state, _ = run(state, StoreSent(configuration(version), 9.0))
+    found: AdoptionState = state._replace(store_at=1e9)
+    return found
+
+
+@pytest.mark.parametrize(
+    "event, version",
+    [
+        (StoreSent(configuration(6), 9.5), 6),
+        (StoreSent(configuration(5), 9.5), 5),
+        (StoreSent(configuration(4), 9.5), 5),
+        (PeerSent("i-1", configuration(9)), 9),
+        (PeerSent("i-1", configuration(5)), 5),
+        (PeerSent("i-1", configuration(1)), 5),
+    ],
+)
+def test_versions_only_grow(event: Any, version: int) -> None:
+    state, effects = run(member(), event)
+    assert state.version == version
+    adopted = [effect for effect in effects if isinstance(effect, Adopt)]
+    assert len(adopted) == (version > 5)
+
+
+@pytest.mark.parametrize(
+    "events, expected",
+    [
+        ([VersionHeard("i-1", 6)], [Pull("i-1", 5)]),
+        ([VersionHeard("i-1", 5)], []),
+        ([VersionHeard("i-1", 4)], []),
+        ([VersionHeard("i-1", 6), VersionHeard("i-2", 7)], []),
+    ],
+)
+def test_whoever_is_ahead_is_asked_once(events: list[Any], expected: list[Any]) -> None:
+    _, effects = run(member(), *events)
+    assert effects == expected
+
+
+def test_an_unanswered_pull_turns_to_another_peer() -> None:
+    state, _ = run(member(), VersionHeard("i-1", 6))
+    state, effects = run(state, Tick(), now=10.0 + PULL_SECONDS / 2)
+    assert effects == []
+    _, effects = run(state, Tick(), now=10.0 + PULL_SECONDS)
+    assert [type(effect) for effect in effects] == [Pull]
+
+
+def test_a_failed_pull_turns_to_another_peer() -> None:
+    state, _ = run(member(), VersionHeard("i-1", 6), PullFailed("i-1"))
+    _, effects = run(state, Tick())
+    assert [type(effect) for effect in effects] == [Pull]
+
+
+def test_without_a_configuration_peers_are_asked() -> None:
+    state = AdoptionState("new", peers=PEERS, asking_store=True)
+    state, effects = run(state, StoreFailed(), Tick())
+    assert not state.is_ready
+    assert [type(effect) for effect in effects] == [Pull] * 3
+    state, _ = run(state, PeerSent("i-1", configuration(3)))
+    assert state.is_ready
+
+
+@pytest.mark.parametrize("name, wait", [(WATCHER, WATCH_SECONDS), (OTHER, 0.0)])
+def test_few_watch_and_the_others_poll(name: str, wait: float) -> None:
+    state = member(name)._replace(store_at=0.0)
+    state, effects = run(state, Tick())
+    assert effects == [AskStore(5, wait)]
+    assert run(state, Tick())[1] == []
+
+
+def test_polls_and_retries_are_spread() -> None:
+    starts = set()
+    for seed in range(20):
+        state, _ = step(StoreFailed(), member(WATCHER), 10.0, Random(seed))
+        starts.add(round(state.store_at, 6))
+    assert len(starts) == 20
+
+
+def test_withdrawals_are_in_force_at_once_and_spread() -> None:
+    state, effects = run(member(), KeysWithdrawn(("k",)))
+    assert effects[0] == Adopt(configuration(5), frozenset({"k"}))
+    assert isinstance(effects[1], Announce)
+    assert effects[1].withdrawals == ("k",)
+    assert run(state, KeysWithdrawn(("k",)))[1] == []
+    _, effects = run(state, Tick())
+    assert [type(effect) for effect in effects] == [Announce]
+
+
+def test_a_stored_withdrawal_settles_the_early_one() -> None:
+    state, _ = run(member(), KeysWithdrawn(("k",)))
+    state, _ = run(state, StoreSent(configuration(6, "k"), 9.5))
+    assert state.withdrawals == frozenset()
+    state, effects = run(state, VersionHeard("i-1", 5, ("k",)))
+    assert effects == []
+
+
+def test_a_new_instance_learns_early_withdrawals_from_its_peer() -> None:
+    state = AdoptionState("new", peers=PEERS)
+    state, effects = run(state, PeerSent("i-1", configuration(3), ("k",)))
+    assert state.withdrawals == {"k"}
+    assert effects[-2] == Adopt(configuration(3), frozenset({"k"}))
--- /dev/null
+++ b/berylhinge/core/tests/test_applying.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from ..applying import (
+    Applied,
+    ApplyState,
+    ATTEMPTS_LIMIT,
+    Begin,
+    Conflict,
+    Finish,
+    ReadStore,
+    Refused,
+    step,
+    StoreRead,
+    StoreReadFailed,
+    SwapAnswered,
+    SwapFailed,
+    SwapStore,
+    Unchanged,
+    Unreachable,
+)
+from ..configuration import (
+    CHANGES_KEPT,
+    Configuration,
+    Edit,
+    empty_configuration,
+    GrantKey,
+    MarkUpstream,
+    next_configuration,
+    ReplaceDeclaration,
+    WithdrawKey,
+)
+from .samples import declared, organisation, upstream
+
+FIRST = next_configuration(
+    empty_configuration(), ReplaceDeclaration(declared()), "first"
+).unwrap()
+KEY: Any = {
+    "id": "k",
+    "organisation": "ark",
+    "state": "granted",
+    "salt": "A" * 22 + "==",
+    "hash": "A" * 43 + "=",
+}
+LEAVING = MarkUpstream("db-0", "leaving")
+FASTER = ReplaceDeclaration(
+    declared(
+        organisations=[
+            organisation("ark", home="north") | {"rate_per_second": 200.0},
+            organisation("bod", home="south"),
+        ]
+    )
+)
+
+
+def follow(current: Configuration, *edits: tuple[str, Edit]) -> Configuration:
+    for change_id, edit in edits:
+        current = next_configuration(current, edit, change_id).unwrap()
+    return current
+
+
+def run(state: ApplyState, *events: Any) -> tuple[ApplyState, Any]:
+    effects: list[Any] = []
+    for event in events:
+        state, effects = step(event, state, 0.0, Random(1))
+    (effect,) = effects
+    return state, effect
+
+
+def outcome(effect: Any) -> Any:
+    assert isinstance(effect, Finish)
+    return effect.outcome
+
+
+def test_a_change_is_swapped_in() -> None:
+    state, effect = run(ApplyState("c", LEAVING), Begin(), StoreRead(FIRST, 5))
+    assert isinstance(effect, SwapStore)
+    assert (effect.configuration.version, effect.expected_revision) == (2, 5)
+    _, effect = run(state, SwapAnswered(swapped=True))
+    assert isinstance(outcome(effect), Applied)
+    assert [one.path for one in outcome(effect).differences] == ["upstreams.db-0.state"]
+
+
+@pytest.mark.parametrize(
+    "edit, other, expected",
+    [
+        (FASTER, ("o", LEAVING), Conflict),
+        (FASTER, ("o", GrantKey(KEY)), SwapStore),
+        (LEAVING, ("o", GrantKey(KEY)), SwapStore),
+        (LEAVING, ("o", FASTER), SwapStore),
+        (LEAVING, ("o", LEAVING), Unchanged),
+        (GrantKey(KEY), ("o", GrantKey(KEY)), Refused),
+    ],
+)
+def test_after_another_operator_won(
+    edit: Edit, other: tuple[str, Edit], expected: type
+) -> None:
+    state, _ = run(ApplyState("c", edit), Begin(), StoreRead(FIRST, 5))
+    state, effect = run(state, SwapAnswered(swapped=False))
+    assert isinstance(effect, ReadStore)
+    _, effect = run(state, StoreRead(follow(FIRST, other), 6))
+    found = effect if isinstance(effect, SwapStore) else outcome(effect)
+    assert isinstance(found, expected)
+
+
+def test_a_conflict_lists_what_the_other_changed() -> None:
+    state, _ = run(ApplyState("c", FASTER), StoreRead(FIRST, 5), SwapAnswered(False))
+    _, effect = run(state, StoreRead(follow(FIRST, ("o", LEAVING)), 6))
+    conflict = outcome(effect)
+    assert conflict.version == 2
+    assert [one.path for one in conflict.differences] == ["upstreams.db-0.state"]
+
+
+def test_an_unexpected_version_is_a_conflict() -> None:
+    state = ApplyState("c", FASTER, expected_version=0)
+    _, effect = run(state, Begin(), StoreRead(FIRST, 5))
+    paths = [one.path for one in outcome(effect).differences]
+    assert paths == ["organisations.ark.rate_per_second"]
+
+
+@pytest.mark.parametrize(
+    "later, expected",
+    [
+        ([("c", LEAVING)], Applied(2, ())),
+        ([("c", LEAVING), ("o", GrantKey(KEY)), ("p", FASTER)], Applied(2, ())),
+    ],
+)
+def test_a_swap_whose_answer_was_lost_is_recognised(
+    later: list[tuple[str, Edit]], expected: Applied
+) -> None:
+    state, _ = run(ApplyState("c", LEAVING), StoreRead(FIRST, 5))
+    state, effect = run(state, SwapFailed(unknown=True, detail="lost"))
+    assert isinstance(effect, ReadStore)
+    _, effect = run(state, StoreRead(follow(FIRST, *later), 5 + len(later)))
+    assert outcome(effect).version == expected.version
+
+
+def test_a_swap_that_may_be_forgotten_is_unknown() -> None:
+    state, _ = run(
+        ApplyState("c", LEAVING), StoreRead(FIRST, 5), SwapFailed(True, "lost")
+    )
+    changes = tuple(
+        {"id": str(version), "version": version}
+        for version in range(9, 9 + CHANGES_KEPT)
+    )
+    current = FIRST._replace(version=9 + CHANGES_KEPT, changes=changes)  # type: ignore[arg-type]
+    _, effect = run(state, StoreRead(current, 400))
+    assert isinstance(outcome(effect), Unreachable)
+    assert outcome(effect).unknown
+
+
+@pytest.mark.parametrize(
+    "failures, unknown",
+    [
+        ([StoreReadFailed("down")], False),
+        ([SwapFailed(unknown=False, detail="refused")], False),
+        ([SwapFailed(unknown=True, detail="lost"), StoreReadFailed("down")], True),
+    ],
+)
+def test_giving_up_tells_what_is_known(failures: list[Any], unknown: bool) -> None:
+    state, _ = run(ApplyState("c", LEAVING), StoreRead(FIRST, 5))
+    effect: Any = None
+    for attempt in range(ATTEMPTS_LIMIT + 1):
+        event = failures[min(attempt, len(failures) - 1)]
+        state, effect = run(state, event)
+    assert outcome(effect).unknown is unknown
+
+
+@pytest.mark.parametrize(
+    "edit",
+    [
+        WithdrawKey("absent"),
+        ReplaceDeclaration(declared(upstreams=[upstream(0)])),
+    ],
+)
+def test_a_change_that_cannot_follow_is_refused(edit: Edit) -> None:
+    _, effect = run(ApplyState("c", edit), StoreRead(FIRST, 5))
+    assert isinstance(outcome(effect), Refused)
+
+
+def test_declaring_the_same_changes_nothing() -> None:
+    state = ApplyState("c", ReplaceDeclaration(declared()))
+    _, effect = run(state, StoreRead(FIRST, 5))
+    assert outcome(effect) == Unchanged(1)
