Authenticate peer messages and drop replayed ones

Cause: an instance must not act on what another didn't send, nor twice.

The recipient's incarnation is signed, since a restarted instance has forgotten its windows.

--- /dev/null
+++ b/berylhinge/core/tests/test_envelopes.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Any
+
+import msgspec
+import pytest
+
+from ..envelopes import (
+    DropReason,
+    EnvelopeState,
+    new_envelopes,
+    seal,
+    TAG_BYTES,
+    unseal,
+    WINDOW_MESSAGES,
+    with_secrets,
+)
+
+OLD = b"o" * 32
+NEW = b"n" * 32
+
+
+def instance(name: str, incarnation: int = 1, *secrets: bytes) -> EnvelopeState:
+    return new_envelopes(name, incarnation, secrets or (OLD,))
+
+
+def sealed(sender: EnvelopeState, recipient: str = "b", incarnation: int = 1) -> bytes:
+    return seal(
+        sender, b"hello", recipient=recipient, recipient_incarnation=incarnation
+    )
+
+
+def test_a_message_arrives_once() -> None:
+    receiver = instance("b")
+    data = sealed(instance("a"))
+    envelope = unseal(receiver, data).unwrap()
+    assert (envelope.sender, envelope.body) == ("a", b"hello")
+    assert unseal(receiver, data).failure() is DropReason.REPLAYED
+
+
+@pytest.mark.parametrize(
+    "sender, verifier, accepted",
+    [
+        ((OLD,), (OLD,), True),
+        ((OLD,), (OLD, NEW), True),
+        ((OLD,), (NEW, OLD), True),
+        ((NEW, OLD), (OLD, NEW), True),
+        ((NEW, OLD), (NEW,), True),
+        ((NEW,), (OLD,), False),
+        ((NEW, OLD), (OLD,), False),
+    ],
+)
+def test_rotation_of_secrets(sender: Any, verifier: Any, accepted: bool) -> None:
+    result = unseal(instance("b", 1, *verifier), sealed(instance("a", 1, *sender)))
+    if accepted:
+        assert result.unwrap().body == b"hello"
+    else:
+        assert result.failure() is DropReason.UNAUTHENTICATED
+
+
+def test_rotation_keeps_the_windows() -> None:
+    receiver = instance("b")
+    data = sealed(instance("a"))
+    unseal(receiver, data).unwrap()
+    receiver = with_secrets(receiver, (NEW, OLD))
+    assert unseal(receiver, data).failure() is DropReason.REPLAYED
+
+
+@pytest.mark.parametrize("count", [0, 3])
+def test_one_or_two_secrets(count: int) -> None:
+    with pytest.raises(ValueError, match="secrets"):
+        new_envelopes("a", 1, [OLD] * count)
+
+
+@pytest.mark.parametrize(
+    "data, reason",
+    [
+        (b"", DropReason.UNAUTHENTICATED),
+        (b"x" * TAG_BYTES, DropReason.UNAUTHENTICATED),
+        (sealed(instance("a"))[:-1], DropReason.UNAUTHENTICATED),
+        (sealed(instance("a")) + b"x", DropReason.UNAUTHENTICATED),
+        (sealed(instance("a"), "c"), DropReason.WRONG_RECIPIENT),
+        (sealed(instance("a"), "b", 2), DropReason.STALE_RECIPIENT),
+        (sealed(instance("a"), "b", 0), DropReason.STALE_RECIPIENT),
+    ],
+)
+def test_dropped_messages(data: bytes, reason: DropReason) -> None:
+    assert unseal(instance("b"), data).failure() is reason
+
+
+def test_a_signed_message_of_another_form_is_malformed() -> None:
+    sender = instance("a")
+    encoded = msgspec.msgpack.encode(["a", 1])
+    data = hmac.digest(sender.keys[0], encoded, hashlib.sha256) + encoded
+    assert unseal(instance("b"), data).failure() is DropReason.MALFORMED
+
+
+def test_an_older_incarnation_is_stale_and_a_newer_starts_anew() -> None:
+    receiver = instance("b")
+    first = sealed(instance("a", 1))
+    unseal(receiver, sealed(instance("a", 2))).unwrap()
+    assert unseal(receiver, first).failure() is DropReason.STALE_SENDER
+    unseal(receiver, sealed(instance("a", 3))).unwrap()
+
+
+def test_reordering_within_the_window() -> None:
+    sender, receiver = instance("a"), instance("b")
+    messages = [sealed(sender) for _ in range(WINDOW_MESSAGES + 1)]
+    for data in reversed(messages[1:]):
+        unseal(receiver, data).unwrap()
+    assert unseal(receiver, messages[0]).failure() is DropReason.TOO_OLD
+    for data in messages[1:]:
+        assert unseal(receiver, data).failure() is DropReason.REPLAYED
+
+
+def test_recipients_have_sequences_of_their_own() -> None:
+    sender = instance("a")
+    for _ in range(WINDOW_MESSAGES * 2):
+        sealed(sender, "c")
+    assert unseal(instance("b"), sealed(sender)).unwrap().sequence == 1
