--- a/berylhinge/standins/serving.py
+++ b/berylhinge/standins/serving.py
@@ -64,7 +64,7 @@
     def is_gone(self) -> bool:
         """Tell whether the other side closed the connection."""
         try:
-            return self.socket.recv(1, PEEK) == b""
+            return self.socket._sock.recv(1, PEEK) == b""
         except BlockingIOError:
             return False
         except OSError:
@@ -117,6 +117,7 @@
 def dispatch(
     endpoints: Mapping[str, Endpoint],
     environ: Environ,
+    faults: FaultState | None,
     refuse: Callable[[str, str, int], Reply],
 ) -> Reply:
     """Decode the request and answer it, or refuse it by ``refuse``."""
@@ -128,6 +129,7 @@
         request = msgspec.json.decode(body, type=endpoint.request)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return refuse("malformed", str(error), HTTPStatus.BAD_REQUEST)
+    wait_path(faults, environ)
     return endpoint.answer(request, environ)
 
 
@@ -141,8 +143,7 @@
 
     def app(environ: Environ, start_response: StartResponse) -> list[bytes]:
         handler = environ[HANDLER]
-        wait_path(faults, environ)
-        reply = dispatch(endpoints, environ, refuse)
+        reply = dispatch(endpoints, environ, faults, refuse)
         wait_path(faults, environ)
         if faults:
             faults.delay_answer()
