Run a scenario against a fleet of its own processes

Cause: the launcher had no way to put a declaration in force before the operators' program exists. Change: it stores the first configuration by the same encoding as the instances read.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,7 +16,14 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from berylhinge.core.configuration import (
+    CONFIGURATION_KEY,
+    empty_configuration,
+    next_configuration,
+    ReplaceDeclaration,
+)
 from berylhinge.core.keys import grant_key
+from berylhinge.core.parts import encode_for_store, part_configuration, part_key
 from berylhinge.load.faults import exchange, FAULTS_PATH
 from berylhinge.load.fleet import FleetFile, UpstreamAddresses
 from berylhinge.load.scenario import decode_scenario
@@ -197,14 +204,14 @@
         }
 
     def apply(self, declaration: Declaration) -> None:
-        """Put a declaration in force through the operators' program."""
-        path = self.processes.folder / "declaration.json"
-        path.write_bytes(msgspec.json.encode(declaration))
-        arguments = ["berylhinge.cli.ctl", "--platform", self.platform["address"]]
-        process = self.processes.start("ctl", [*arguments, "apply", str(path)])
-        if process.child.wait(timeout=READY_SECONDS) != 0:
-            raise RuntimeError(process.errors.read_text() + process.log.read_text())
-        self.processes.forget(process)
+        """Store a declaration as the first configuration."""
+        edit = ReplaceDeclaration(declaration)
+        following = next_configuration(empty_configuration(), edit, "launch").unwrap()
+        head, parts = encode_for_store(part_configuration(following))
+        values = [(part_key(digest), part) for digest, part in parts.items()]
+        for key, value in [*values, (CONFIGURATION_KEY, head)]:
+            swap = {"key": key, "value": value.decode(), "expected_revision": 0}
+            exchange(self.platform["address"], "/v1/swap", swap)
 
     def start_instance(self, number: int, generation: int = 0) -> Instance:
         """Start one instance on its number's ports, under a name of its own."""
