--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -155,7 +155,9 @@
         if self.index is not None and message.call.route in self.index.routes:
             declared = self.index.routes[message.call.route].max_age_seconds
             age = DEFAULT_MAX_AGE_SECONDS if declared is None else declared
-        served = executor.run(message.call, arrived_at, age)
+        served = executor.run(
+            message.call, arrived_at, age, organisation=message.organisation
+        )
         self.metrics.count("answers_total", message.call.access.value)
         return served
 
--- a/berylhinge/tasks/execution.py
+++ b/berylhinge/tasks/execution.py
@@ -38,13 +38,15 @@
 
     from ..core.group_view import Primary
     from ..core.requests import StatementCall
-    from ..types import UpstreamId
+    from ..types import OrganisationId, UpstreamId
     from ..wire.upstream import UpstreamAnswer
     from .group import GroupTask
+    from .member import MemberLink
     from .metrics import Metrics
 
 EXPECTED_SECONDS = 0.005
 SETTLE_PAUSE_SECONDS = 0.05
+SLOT_HOLD_SECONDS = 0.5
 
 
 class Executor:
@@ -58,27 +60,40 @@
         self.budget = FULL_BUDGET
         self.active = 0
 
-    def run(self, call: StatementCall, arrived_at: float, max_age: float) -> Served:
+    def run(
+        self,
+        call: StatementCall,
+        arrived_at: float,
+        max_age: float,
+        *,
+        organisation: OrganisationId,
+    ) -> Served:
         """Run one statement to its end; raise RefusedError."""
         self.active += 1
         try:
-            return self.run_counted(call, arrived_at, max_age)
+            return self.run_counted(call, arrived_at, max_age, organisation)
         finally:
             self.active -= 1
 
     def run_counted(
-        self, call: StatementCall, arrived_at: float, max_age: float
+        self,
+        call: StatementCall,
+        arrived_at: float,
+        max_age: float,
+        organisation: OrganisationId,
     ) -> Served:
         """Run a statement that ``active`` counts."""
         deadline = arrived_at + call.timeout_seconds
         if call.access is Access.WRITE:
             return self.persist(
-                lambda: self.try_write(call, deadline), deadline, call.idempotent
+                lambda: self.try_write(call, deadline, organisation),
+                deadline,
+                call.idempotent,
             )
         floor, need = self.read_floor(call, arrived_at, max_age, deadline)
         excluded: set[UpstreamId] = set()
         return self.persist(
-            lambda: self.try_read(call, floor, need, deadline, excluded),
+            lambda: self.try_read(call, floor, need, deadline, excluded, organisation),
             deadline,
             call.idempotent,
         )
@@ -126,15 +141,14 @@
                 detail = f"no primary of {self.group.group} holds a majority"
                 return Failed(None, refuse(RefusalReason.NO_PRIMARY, detail))
 
-    def try_write(self, call: StatementCall, deadline: float) -> Served | Failed:
+    def try_write(
+        self, call: StatementCall, deadline: float, organisation: OrganisationId
+    ) -> Served | Failed:
         """Send a write once and wait until it is on a majority."""
         target = self.await_target(deadline)
         if isinstance(target, Failed):
             return target
         link = self.group.links[target.upstream]
-        connection = lease(link, deadline)
-        if isinstance(connection, Failed):
-            return connection
         request = StatementRequest(
             request_id=call.request_id,
             access="write",
@@ -144,17 +158,41 @@
         )
         number = self.group.begin_write()
         try:
-            result = exchange(link, connection, "/v1/statement", request, deadline)
-            link.data.give_back(connection)
+            result = self.take_turn(link, request, organisation, deadline)
             if isinstance(result, Failed):
                 return result
             return self.acknowledge(target, result, deadline)
-        except BaseException:
-            connection.close()
-            raise
         finally:
             self.group.end_write(number)
 
+    def take_turn(
+        self,
+        link: MemberLink,
+        request: StatementRequest,
+        organisation: OrganisationId,
+        deadline: float,
+    ) -> Exchanged | Failed:
+        """Exchange one statement on a slot and a connection of its own."""
+        hold = 0.0
+        ticket = link.gate.enter(organisation, Access(request["access"]), deadline)
+        try:
+            connection = lease(link, deadline)
+            if isinstance(connection, Failed):
+                return connection
+            try:
+                result = exchange(link, connection, "/v1/statement", request, deadline)
+            finally:
+                link.data.give_back(connection)
+            if isinstance(result, Failed) and result.refusal.outcome is Outcome.UNKNOWN:
+                hold = SLOT_HOLD_SECONDS
+            return result
+        finally:
+            # A statement whose answer was lost may still hold the upstream's slot.
+            if hold:
+                gevent.spawn_later(hold, link.gate.leave, ticket)
+            else:
+                link.gate.leave(ticket)
+
     def acknowledge(
         self, target: Primary, result: Exchanged, deadline: float
     ) -> Served | Failed:
@@ -279,26 +317,20 @@
         need: Need,
         deadline: float,
         excluded: set[UpstreamId],
+        organisation: OrganisationId,
     ) -> Served | Failed:
         """Read once and return only confirmed data at or past the floor."""
         chosen = self.choose(floor, need, deadline, excluded)
         if isinstance(chosen, Failed):
             return chosen
         link = self.group.links[chosen]
-        connection = lease(link, deadline)
-        if isinstance(connection, Failed):
-            excluded.add(chosen)
-            return connection
         request = StatementRequest(
             request_id=call.request_id,
             access="read",
             statement=call.statement,
             parameters=call.parameters,
         )
-        try:
-            result = exchange(link, connection, "/v1/statement", request, deadline)
-        finally:
-            link.data.give_back(connection)
+        result = self.take_turn(link, request, organisation, deadline)
         if isinstance(result, Failed):
             excluded.add(chosen)
             return result
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -32,6 +32,7 @@
     Tick,
 )
 from ..core.read_choice import UpstreamLoad
+from ..wire.peers import ReachReport
 from ..wire.upstream import (
     EntryAnswer,
     EntryRequest,
@@ -48,15 +49,16 @@
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from ..core.declarations import Upstream
-    from ..types import GroupId, InstanceId, LogPoint, UpstreamId
+    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, UpstreamId
     from ..wire.upstream import UpstreamAnswer
     from .logs import Log
     from .metrics import Metrics
 
 TICK_SECONDS = 0.02
+REPORT_SECONDS = 0.5
 
 
 class GroupOptions(NamedTuple):
@@ -67,6 +69,8 @@
     place: str
     rank: int
     allowances: dict[UpstreamId, int]
+    queue: int
+    weights: Mapping[OrganisationId, float]
     ssl_context: ssl.SSLContext | None = None
 
 
@@ -88,6 +92,7 @@
         options: GroupOptions,
         *,
         live_peers: Callable[[], frozenset[InstanceId] | None],
+        send: Callable[[InstanceId, NamedTuple], object],
         metrics: Metrics,
         log: Log,
     ) -> None:
@@ -95,6 +100,9 @@
         self.group = group
         self.options = options
         self.live_peers = live_peers
+        self.send = send
+        self.reported_at = float("-inf")
+        self.reported: dict[UpstreamId, float] = {}
         self.metrics = metrics
         self.log = log
         self.upstreams = upstreams
@@ -115,6 +123,8 @@
                 upstream,
                 instance=options.instance,
                 allowance=options.allowances.get(upstream["id"], 1),
+                queue=options.queue,
+                weights=options.weights,
                 ssl_context=options.ssl_context,
             )
             for upstream in upstreams
@@ -145,7 +155,7 @@
         self.promotion = self.promotion._replace(rank=rank)
         for name, allowance in allowances.items():
             if self.links[name].data.allowance != allowance:
-                self.links[name].data.resize(allowance)
+                self.links[name].resize(allowance)
 
     def close_idle(self) -> None:
         """Close the connections that nothing uses."""
@@ -161,8 +171,8 @@
         return {
             name: UpstreamLoad(
                 link.upstream["place"],
-                link.data.leased + len(link.data.waiting),
-                link.data.allowance,
+                link.gate.in_flight,
+                link.gate.slots,
                 link.reachable,
             )
             for name, link in self.links.items()
@@ -248,6 +258,7 @@
             now = time.monotonic()
             self.advance_rounds(now)
             self.poll_if_due(now)
+            self.report_if_due(now)
             self.detection, verdict = detection.judge(
                 self.detection, self.view, self.live_peers(), now
             )
@@ -265,6 +276,24 @@
         for link in self.links.values():
             gevent.spawn(self.ask_status, link)
 
+    def report_if_due(self, now: float) -> None:
+        """Tell the group's other servers which members are unreachable here."""
+        if now - self.reported_at < REPORT_SECONDS:
+            return
+        self.reported_at = now
+        unreachable = detection.unreachable_seconds(self.detection, now)
+        if unreachable or self.reported:
+            report = ReachReport(self.group, unreachable)
+            for peer in self.live_peers() or ():
+                self.send(peer, report)
+        self.reported = unreachable
+
+    def on_report(self, sender: InstanceId, report: ReachReport) -> None:
+        """Take in which members a peer cannot reach."""
+        detection.note_peer(
+            self.detection, sender, report.unreachable, time.monotonic()
+        )
+
     def begin_write(self) -> int:
         """Note that a write waits for its answer or acknowledgement."""
         number = next(self.write_ids)
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -11,14 +11,15 @@
 import pynng
 from gevent import get_hub
 from gevent.event import AsyncResult
+from returns.result import Failure
 
+from ..core.envelopes import EnvelopeState, seal, unseal
+from ..types import InstanceId
 from .http import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..types import InstanceId
-
 SEND_BUFFER_MESSAGES = 4_096
 RECEIVE_BUFFER_MESSAGES = 4_096
 RECONNECT_MIN_MS = 20
@@ -36,6 +37,20 @@
     body: msgspec.Raw
 
 
+class Peer(NamedTuple):
+    """Name a peer's inbox and the incarnation that reads it."""
+
+    address: str
+    incarnation: int
+
+
+class Outbox(NamedTuple):
+    """Hold the socket that dials a peer's inbox."""
+
+    address: str
+    socket: pynng.Push0
+
+
 class PeerLost(Exception):
     """Report that a peer did not answer in time or is not known."""
 
@@ -53,8 +68,7 @@
         self,
         listen: Address,
         *,
-        seal: Callable[[bytes], bytes],
-        unseal: Callable[[bytes], tuple[InstanceId, bytes] | None],
+        envelopes: EnvelopeState,
         on_count: Callable[[str, int], None],
     ) -> None:
         """Listen at once; messages flow after ``start``."""
@@ -64,11 +78,10 @@
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=MAX_MESSAGE_BYTES,
         )
-        self.seal = seal
-        self.unseal = unseal
+        self.envelopes = envelopes
         self.on_count = on_count
-        self.outboxes: dict[InstanceId, tuple[str, pynng.Push0]] = {}
-        self.addresses: dict[InstanceId, str] = {}
+        self.outboxes: dict[InstanceId, Outbox] = {}
+        self.peers: dict[InstanceId, Peer] = {}
         self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
         self.kinds: dict[str, type] = {}
         self.calls: dict[int, AsyncResult] = {}
@@ -102,46 +115,50 @@
         """Stop reading and close every socket."""
         if self.reader is not None:
             self.reader.kill()
-        for _, outbox in self.outboxes.values():
-            outbox.close()
+        for outbox in self.outboxes.values():
+            outbox.socket.close()
         self.inbox.close()
 
-    def set_addresses(self, addresses: dict[InstanceId, str]) -> None:
+    def set_peers(self, peers: dict[InstanceId, Peer]) -> None:
         """Replace the known peers and drop outboxes that no longer fit."""
-        self.addresses = addresses
-        for instance, (address, outbox) in list(self.outboxes.items()):
-            if addresses.get(instance) != address:
+        self.peers = peers
+        for instance, outbox in list(self.outboxes.items()):
+            peer = peers.get(instance)
+            if peer is None or peer.address != outbox.address:
                 del self.outboxes[instance]
-                outbox.close()
+                outbox.socket.close()
 
-    def outbox_for(self, instance: InstanceId) -> pynng.Push0 | None:
+    def outbox_for(self, instance: InstanceId, peer: Peer) -> pynng.Push0:
         """Return the peer's outbox, dialling in the background at first use."""
         known = self.outboxes.get(instance)
         if known is not None:
-            return known[1]
-        address = self.addresses.get(instance)
-        if address is None:
-            return None
+            return known.socket
         outbox = pynng.Push0(
             send_buffer_size=SEND_BUFFER_MESSAGES,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        outbox.dial(f"tcp://{address}", block=False)
-        self.outboxes[instance] = (address, outbox)
+        outbox.dial(f"tcp://{peer.address}", block=False)
+        self.outboxes[instance] = Outbox(peer.address, outbox)
         return outbox
 
     def send(
         self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
     ) -> bool:
         """Send without waiting; return false when it certainly did not leave."""
-        outbox = self.outbox_for(instance)
-        if outbox is None:
+        peer = self.peers.get(instance)
+        if peer is None:
             self.on_count("unknown-peer", 0)
             return False
+        outbox = self.outbox_for(instance, peer)
         body = msgspec.Raw(self.encoder.encode(message))
         frame = Frame(type(message).__name__, call, reply, body)
-        data = self.seal(self.encoder.encode(frame))
+        data = seal(
+            self.envelopes,
+            self.encoder.encode(frame),
+            recipient=instance,
+            recipient_incarnation=peer.incarnation,
+        )
         try:
             outbox.send(data, block=False)
         except pynng.TryAgain:
@@ -178,12 +195,14 @@
 
     def receive(self, data: bytes) -> None:
         """Check, decode and dispatch one message."""
-        opened = self.unseal(data)
-        if opened is None:
+        opened = unseal(self.envelopes, data)
+        if isinstance(opened, Failure):
+            self.on_count(opened.failure().value, len(data))
             return
-        sender, inner = opened
+        envelope = opened.unwrap()
+        sender = envelope.sender
         try:
-            frame = self.decoder.decode(inner)
+            frame = self.decoder.decode(envelope.body)
             kind = self.kinds[frame.kind]
             message = msgspec.msgpack.decode(frame.body, type=kind)
         except (msgspec.MsgspecError, KeyError):
--- a/berylhinge/tasks/live.py
+++ b/berylhinge/tasks/live.py
@@ -9,10 +9,12 @@
 from returns.result import Success
 
 from ..core.roster import Member
+from .links import Peer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..types import InstanceId
     from ..wire.platform import InstanceRecord
     from .platform import PlatformClient
 
@@ -62,11 +64,13 @@
             if record["state"] == "live"
         )
 
-    def peers(self) -> dict[str, str]:
-        """Return the other instances' peer addresses, leaving ones included."""
+    def peers(self) -> dict[InstanceId, Peer]:
+        """Return where the other instances listen, leaving ones included."""
         me = self.record["instance"]
         return {
-            name: record["peer"] for name, record in self.records.items() if name != me
+            name: Peer(record["peer"], record["incarnation"])
+            for name, record in self.records.items()
+            if name != me
         }
 
     def run_announcements(self) -> None:
--- a/berylhinge/tasks/member.py
+++ b/berylhinge/tasks/member.py
@@ -11,14 +11,16 @@
 
 from ..wire.upstream import UpstreamStatus, WatchRequest
 from .connection import Connection, ConnectionFailed
+from .gate import Gate
 from .http import parse_address
 from .pool import Pool, PoolBusy
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from ..core.declarations import Upstream
+    from ..types import OrganisationId
 
 CONTROL_CONNECTIONS = 4
 CONTROL_TIMEOUT_SECONDS = 0.3
@@ -41,6 +43,8 @@
         *,
         instance: str,
         allowance: int,
+        queue: int,
+        weights: Mapping[OrganisationId, float],
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         """Prepare without connecting."""
@@ -53,6 +57,7 @@
             headers=headers,
             ssl_context=ssl_context,
         )
+        self.gate = Gate(min(allowance, upstream["slots"]), queue, weights)
         self.control = Pool(control, allowance=CONTROL_CONNECTIONS, headers=headers)
         self.watch = Connection(control, headers=headers)
         self.status: UpstreamStatus | None = None
@@ -67,6 +72,16 @@
         """Return the upstream's identifier."""
         return self.upstream["id"]
 
+    @property
+    def transaction_limit(self) -> int:
+        """Return how many connections transactions may hold at once."""
+        return max(1, self.data.allowance - self.gate.slots)
+
+    def resize(self, allowance: int) -> None:
+        """Take a new share of the upstream's connections."""
+        self.data.resize(allowance)
+        self.gate.resize(min(allowance, self.upstream["slots"]))
+
     @property
     def reachable(self) -> bool:
         """Tell whether the last control exchange succeeded."""
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -9,7 +9,9 @@
 import gevent
 
 from ..core.connections import connection_allowance
+from ..core.envelopes import new_envelopes
 from ..core.roster import Member, vouchers
+from ..wire.peers import ReachReport
 from . import shutdown
 from .callers import CallersApp
 from .configuration import ConfigurationTask
@@ -56,15 +58,16 @@
             timeout_seconds=settings.limits.store_seconds,
             on_call=lambda result: self.metrics.count("store_calls_total", result),
         )
+        secrets = [secret.reveal() for secret in settings.peer_secrets]
         self.links = Links(
             parse_address(settings.peers),
-            seal=self.seal,
-            unseal=self.unseal,
+            envelopes=new_envelopes(settings.instance, incarnation, secrets),
             on_count=self.metrics.count_peer,
         )
         self.transactions = Transactions(
             settings.instance, limit_seconds=settings.limits.transaction_seconds
         )
+        self.links.register(ReachReport, self.on_reach)
         self.build_tasks()
         self.open_listeners()
         self.live.record.update(self.bound_addresses())
@@ -173,19 +176,6 @@
         self.links.stop()
         self.platform.close()
 
-    def seal(self, body: bytes) -> bytes:
-        """Wrap a message for a peer."""
-        import msgspec
-
-        return msgspec.msgpack.encode((self.settings.instance, body))
-
-    def unseal(self, data: bytes) -> tuple[InstanceId, bytes] | None:
-        """Unwrap a peer's message."""
-        import msgspec
-
-        a, b = msgspec.msgpack.decode(data)
-        return a, b
-
     def voucher_names(self) -> tuple[InstanceId, ...]:
         """Return the instances that vouch for this one."""
         members = self.fleet.state.permit.roster.members
@@ -194,7 +184,7 @@
     def on_live(self) -> None:
         """Follow a changed list of instances."""
         peers = self.live.peers()
-        self.links.set_addresses(peers)
+        self.links.set_peers(peers)
         self.configuration.set_peers(tuple(sorted(peers)))
         self.serve_groups()
 
@@ -250,12 +240,18 @@
             place=self.settings.place,
             rank=rank,
             allowances=allowances,
+            queue=self.settings.limits.queue,
+            weights={
+                name: one.get("weight", 1.0)
+                for name, one in self.index.organisations.items()
+            },
         )
         task = GroupTask(
             group,
             upstreams,
             options,
             live_peers=lambda: self.serving_peers(group),
+            send=self.links.send,
             metrics=self.metrics,
             log=Log("group", self.settings.instance),
         )
@@ -264,6 +260,11 @@
         rng = random.Random(f"{self.me}/{group}")
         self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
 
+    def on_reach(self, sender: InstanceId, message: ReachReport) -> None:
+        """Hand a peer's evidence to the group's task."""
+        if message.group in self.groups:
+            self.groups[message.group].on_report(sender, message)
+
     def stop_group(self, group: GroupId) -> None:
         """Give a group to others and let what runs here end."""
         executor = self.dispatcher.executors.pop(group)
--- /dev/null
+++ b/berylhinge/tasks/tests/test_links.py
@@ -0,0 +1,84 @@
+from __future__ import annotations
+
+from collections import Counter
+from typing import NamedTuple
+
+import gevent
+import pytest
+
+from ...core.envelopes import new_envelopes
+from ..http import Address
+from ..links import Links, Peer, PeerLost
+
+SECRET = b"s" * 32
+OTHER = b"o" * 32
+LOOPBACK = Address("127.0.0.1", 0)
+
+
+class Question(NamedTuple):
+    text: str
+
+
+class Answer(NamedTuple):
+    text: str
+
+
+def make_links(name: str, secrets: list[bytes]) -> tuple[Links, Counter]:
+    counts: Counter = Counter()
+    links = Links(
+        LOOPBACK,
+        envelopes=new_envelopes(name, 1, secrets),
+        on_count=lambda event, size: counts.update([event]),
+    )
+    links.register(Answer)
+    links.register_call(Question, lambda sender, message: Answer(message.text + "!"))
+    links.start()
+    return links, counts
+
+
+@pytest.fixture
+def pair(request):
+    first, first_counts = make_links("first", [SECRET])
+    second, second_counts = make_links("second", request.param)
+    first.set_peers({"second": Peer(str(second.address), 1)})
+    second.set_peers({"first": Peer(str(first.address), 1)})
+    yield first, first_counts, second_counts
+    first.stop()
+    second.stop()
+
+
+@pytest.mark.parametrize(
+    "pair", [[SECRET], [SECRET, OTHER]], indirect=True, ids=["one", "rotating"]
+)
+def test_a_call_is_answered(pair):
+    first, _, _ = pair
+    assert first.call("second", Question("hello"), 5.0) == Answer("hello!")
+
+
+@pytest.mark.parametrize("pair", [[OTHER]], indirect=True, ids=["other"])
+def test_a_message_under_another_secret_is_dropped_and_counted(pair):
+    first, _, second_counts = pair
+    with pytest.raises(PeerLost) as lost:
+        first.call("second", Question("hello"), 0.3)
+    assert lost.value.sent
+    assert second_counts["unauthenticated"] == 1
+
+
+@pytest.mark.parametrize("pair", [[SECRET]], indirect=True)
+def test_an_unknown_peer_was_never_sent_to(pair):
+    first, counts, _ = pair
+    with pytest.raises(PeerLost) as lost:
+        first.call("third", Question("hello"), 0.1)
+    assert not lost.value.sent
+    assert counts["unknown-peer"] == 1
+
+
+@pytest.mark.parametrize("pair", [[SECRET]], indirect=True)
+def test_many_calls_at_once_get_their_own_answers(pair):
+    first, _, _ = pair
+    calls = [
+        gevent.spawn(first.call, "second", Question(str(number)), 5.0)
+        for number in range(200)
+    ]
+    gevent.joinall(calls)
+    assert [call.value.text for call in calls] == [f"{n}!" for n in range(200)]
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -16,6 +16,7 @@
 from ..types import Access, LogPoint, Outcome
 from ..wire.upstream import StatementRequest, TransactionRequest
 from .attempts import exchange, Exchanged, Failed, lease
+from .signal import Broadcast
 
 if TYPE_CHECKING:
     from ..core.group_view import Primary
@@ -81,6 +82,7 @@
         self.instance = instance
         self.limit_seconds = limit_seconds
         self.open: dict[str, OpenTransaction] = {}
+        self.ended = Broadcast()
         self.reaper: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -119,6 +121,19 @@
     def forget(self, transaction: OpenTransaction) -> None:
         """Remove a transaction from the table."""
         self.open.pop(transaction.name, None)
+        self.ended.notify()
+
+    def await_room(self, link: MemberLink, deadline: float) -> bool:
+        """Wait until transactions may hold one more connection of a link."""
+        while self.held(link) >= link.transaction_limit:
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or not self.ended.wait(remaining):
+                return False
+        return True
+
+    def held(self, link: MemberLink) -> int:
+        """Count the transactions that hold a connection of a link."""
+        return sum(one.link is link for one in self.open.values())
 
     def begin(
         self,
@@ -131,24 +146,19 @@
     ) -> Served:
         """Open a transaction; raise RefusedError, always not run."""
         deadline = arrived_at + call.timeout_seconds
-        opened: list[OpenTransaction] = []
 
         def attempt() -> Served | Failed:
             return self.try_begin(
-                executor, call, deadline, opened, organisation=organisation, key=key
+                executor, call, deadline, organisation=organisation, key=key
             )
 
-        served = executor.persist(attempt, deadline, True)
-        transaction = opened[-1]
-        self.open[transaction.name] = transaction
-        return served._replace(transaction=transaction.name)
+        return executor.persist(attempt, deadline, True)
 
     def try_begin(
         self,
         executor: Executor,
         call: TransactionCall,
         deadline: float,
-        opened: list[OpenTransaction],
         *,
         organisation: OrganisationId,
         key: KeyId,
@@ -156,6 +166,9 @@
         """Begin once on the primary, or on a replica for reads."""
         target, name = self.place(executor, call, deadline)
         link = executor.group.links[name]
+        if not self.await_room(link, deadline):
+            detail = f"no connection to {link.name} is left for transactions"
+            return Failed(None, refuse(RefusalReason.DEADLINE_TOO_SHORT, detail))
         connection = lease(link, deadline)
         if isinstance(connection, Failed):
             return connection
@@ -169,6 +182,7 @@
             key=key,
             ends_at=time.monotonic() + self.limit_seconds,
         )
+        self.open[transaction.name] = transaction
         request = TransactionRequest(
             request_id=call.request_id, term=target.term if target else None
         )
@@ -178,13 +192,14 @@
             if isinstance(result, Exchanged):
                 result = executor.judge(name, result, floor, deadline)
         except BaseException:
+            self.forget(transaction)
             transaction.abandon()
             raise
         if isinstance(result, Failed):
+            self.forget(transaction)
             transaction.abandon()
             return not_run(result)
-        opened.append(transaction)
-        return result
+        return result._replace(transaction=transaction.name)
 
     def place(
         self, executor: Executor, call: TransactionCall, deadline: float
--- a/berylhinge/wire/peers.py
+++ b/berylhinge/wire/peers.py
@@ -6,7 +6,7 @@
 
 from ..core.requests import Served, StatementCall, TransactionCall
 from ..errors import Refusal
-from ..types import GroupId, KeyId, OrganisationId
+from ..types import GroupId, KeyId, OrganisationId, Seconds, UpstreamId
 
 
 class ForwardStatement(NamedTuple):
@@ -32,3 +32,10 @@
 
     served: Served | None
     refusal: Refusal | None
+
+
+class ReachReport(NamedTuple):
+    """Tell for how long the sender has failed to reach members of a group."""
+
+    group: GroupId
+    unreachable: dict[UpstreamId, Seconds]
