Leave a superseded primary's answers and keep control loops alive

Change: idempotent writes leave a superseded primary at once, others after a second; each loop logs and goes on; writes wait for a reachable primary.

--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -28,6 +28,7 @@
     part_key,
 )
 from .links import PeerLost
+from .loops import spawn_loop
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -117,8 +118,8 @@
     def start(self) -> None:
         """Tick in the background."""
         self.greenlets = [
-            gevent.spawn(self.run_ticks),
-            gevent.spawn(self.run_proofs),
+            spawn_loop(self.tick, lambda: TICK_SECONDS, self.log),
+            spawn_loop(self.ask_proofs, self.proof_pause, self.log),
         ]
 
     def stop(self) -> None:
@@ -146,19 +147,19 @@
         """Withdraw keys at once, ahead of the store."""
         self.step(adoption.KeysWithdrawn(keys))
 
-    def run_ticks(self) -> None:
+    def tick(self) -> None:
         """Let time pass."""
-        while True:
-            self.step(adoption.Tick())
-            gevent.sleep(TICK_SECONDS)
-
-    def run_proofs(self) -> None:
-        """Ask the vouchers again and again whether they know a newer version."""
-        while True:
-            request = ProofRequest(self.version, time.monotonic())
-            for voucher in self.vouchers():
-                self.links.send(voucher, request)
-            gevent.sleep(PROOF_SECONDS * self.rng.uniform(0.8, 1.0))
+        self.step(adoption.Tick())
+
+    def proof_pause(self) -> float:
+        """Return the time between two proofs."""
+        return PROOF_SECONDS * self.rng.uniform(0.8, 1.0)
+
+    def ask_proofs(self) -> None:
+        """Ask the vouchers whether they know a newer version."""
+        request = ProofRequest(self.version, time.monotonic())
+        for voucher in self.vouchers():
+            self.links.send(voucher, request)
 
     def step(self, event: adoption.AdoptionEvent) -> None:
         """Step the core and carry out what it wants."""
--- a/berylhinge/tasks/execution.py
+++ b/berylhinge/tasks/execution.py
@@ -32,6 +32,7 @@
 from ..types import Access, LogPoint, Outcome
 from ..wire.upstream import StatementRequest
 from .attempts import exchange, Exchanged, Failed, lease
+from .group import PendingWrite
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -131,15 +132,16 @@
             self.group.wait_change(delay)
 
     def await_target(self, deadline: float) -> Primary | Failed:
-        """Wait for a primary that no majority has superseded."""
+        """Wait for a primary that answers and that no majority has superseded."""
         while True:
             target = write_target(self.group.view)
-            if target is not None:
+            if target is not None and self.group.links[target.upstream].reachable:
                 return target
             remaining = deadline - time.monotonic()
-            if remaining <= 0 or not self.group.wait_change(remaining):
-                detail = f"no primary of {self.group.group} holds a majority"
+            if remaining <= 0:
+                detail = f"no reachable primary of {self.group.group} has a majority"
                 return Failed(None, refuse(RefusalReason.NO_PRIMARY, detail))
+            self.group.wait_change(min(remaining, SETTLE_PAUSE_SECONDS))
 
     def try_write(
         self, call: StatementCall, deadline: float, organisation: OrganisationId
@@ -156,9 +158,10 @@
             parameters=call.parameters,
             term=target.term,
         )
-        number = self.group.begin_write()
+        write = PendingWrite(target.term, idempotent=call.idempotent)
+        number = self.group.begin_write(write)
         try:
-            result = self.take_turn(link, request, organisation, deadline)
+            result = self.take_turn(link, request, organisation, deadline, write)
             if isinstance(result, Failed):
                 return result
             return self.acknowledge(target, result, deadline)
@@ -171,6 +174,7 @@
         request: StatementRequest,
         organisation: OrganisationId,
         deadline: float,
+        write: PendingWrite | None = None,
     ) -> Exchanged | Failed:
         """Exchange one statement on a slot and a connection of its own."""
         hold = 0.0
@@ -179,9 +183,13 @@
             connection = lease(link, deadline)
             if isinstance(connection, Failed):
                 return connection
+            if write is not None:
+                write.connection = connection
             try:
                 result = exchange(link, connection, "/v1/statement", request, deadline)
             finally:
+                if write is not None:
+                    write.connection = None
                 link.data.give_back(connection)
             if isinstance(result, Failed) and result.refusal.outcome is Outcome.UNKNOWN:
                 hold = SLOT_HOLD_SECONDS
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -21,6 +21,7 @@
 from ..errors import refuse, RefusedError
 from ..reasons import RefusalReason
 from .links import PeerLost
+from .loops import spawn_loop
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,8 +93,8 @@
     def start(self) -> None:
         """Tick, and propose rosters, in the background."""
         self.greenlets = [
-            gevent.spawn(self.run_ticks),
-            gevent.spawn(self.run_proposals),
+            spawn_loop(self.tick, lambda: TICK_SECONDS, self.log),
+            spawn_loop(self.follow_live, self.proposal_pause, self.log),
         ]
 
     def stop(self) -> None:
@@ -233,21 +234,21 @@
         self.resigned = frozenset({self.me})
         self.propose_roster()
 
-    def run_ticks(self) -> None:
+    def tick(self) -> None:
         """Let time pass for permit, units and minting."""
-        while True:
-            self.step(Tick())
-            gevent.sleep(TICK_SECONDS)
+        self.step(Tick())
+
+    def proposal_pause(self) -> float:
+        """Return the time between two looks at the live instances."""
+        return PROPOSE_PAUSE_SECONDS * self.rng.uniform(0.8, 1.2)
 
-    def run_proposals(self) -> None:
+    def follow_live(self) -> None:
         """Propose a new roster whenever the live instances differ from it."""
-        while True:
-            gevent.sleep(PROPOSE_PAUSE_SECONDS * self.rng.uniform(0.8, 1.2))
-            if self.wanted(self.state.permit.roster) is None:
-                continue
-            gevent.sleep(proposal_delay(self.state.permit.roster, self.me))
-            if self.wanted(self.state.permit.roster) is not None:
-                self.propose_roster()
+        if self.wanted(self.state.permit.roster) is None:
+            return
+        gevent.sleep(proposal_delay(self.state.permit.roster, self.me))
+        if self.wanted(self.state.permit.roster) is not None:
+            self.propose_roster()
 
     def wanted(self, roster: Roster) -> Roster | None:
         """Return the roster that the live instances call for, none if no other."""
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -44,6 +44,7 @@
     QuiesceRequest,
     UpstreamStatus,
 )
+from .loops import spawn_loop
 from .member import MemberLink
 from .signal import Broadcast
 
@@ -52,13 +53,15 @@
     from collections.abc import Callable, Mapping
 
     from ..core.declarations import Upstream
-    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, UpstreamId
+    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, Term, UpstreamId
     from ..wire.upstream import UpstreamAnswer
+    from .connection import Connection
     from .logs import Log
     from .metrics import Metrics
 
 TICK_SECONDS = 0.02
 REPORT_SECONDS = 0.5
+LATE_ANSWER_SECONDS = 1.0
 
 
 class GroupOptions(NamedTuple):
@@ -82,6 +85,18 @@
     control: str
 
 
+class PendingWrite:
+    """Hold a write that waits for its answer or acknowledgement."""
+
+    def __init__(self, term: Term, *, idempotent: bool) -> None:
+        """Start without a connection."""
+        self.term = term
+        self.idempotent = idempotent
+        self.started_at = time.monotonic()
+        self.superseded_at: float | None = None
+        self.connection: Connection | None = None
+
+
 class GroupTask:
     """Watch the members, share confirmation rounds and promote when needed."""
 
@@ -114,7 +129,7 @@
         )
         self.detection = detection.new_detection()
         self.asked_at = float("-inf")
-        self.writes: dict[int, float] = {}
+        self.writes: dict[int, PendingWrite] = {}
         self.write_ids = count(1)
         self.rng = random.Random(options.promoter + group)
         self.changed = Broadcast()
@@ -135,7 +150,7 @@
         """Watch every member and start the promoter's clock."""
         for link in self.links.values():
             link.start(self.on_status, self.is_interested)
-        self.ticker = gevent.spawn(self.run_ticks)
+        self.ticker = spawn_loop(self.tick, lambda: TICK_SECONDS, self.log)
 
     def stop(self) -> None:
         """End every greenlet and close every socket."""
@@ -251,25 +266,25 @@
             self.on_status(link, answer["status"], asked_at)
         return answer
 
-    def run_ticks(self) -> None:
+    def tick(self) -> None:
         """Let time pass for detection, rounds and the promoter."""
-        while True:
-            gevent.sleep(TICK_SECONDS)
-            now = time.monotonic()
-            self.advance_rounds(now)
-            self.poll_if_due(now)
-            self.report_if_due(now)
-            self.detection, verdict = detection.judge(
-                self.detection, self.view, self.live_peers(), now
-            )
-            if not isinstance(verdict, detection.Undecided):
-                self.promote(verdict, now)
-            self.promote(Tick(detection.answering(self.view, now)), now)
+        now = time.monotonic()
+        self.advance_rounds(now)
+        self.poll_if_due(now)
+        self.report_if_due(now)
+        self.abort_superseded(now)
+        self.detection, verdict = detection.judge(
+            self.detection, self.view, self.live_peers(), now
+        )
+        if not isinstance(verdict, detection.Undecided):
+            self.promote(verdict, now)
+        self.promote(Tick(detection.answering(self.view, now)), now)
 
     def poll_if_due(self, now: float) -> None:
         """Ask every member for its status, more often while in doubt."""
-        pending_since = next(iter(self.writes.values()), None)
-        pause = detection.poll_seconds(self.detection, self.view, now, pending_since)
+        oldest = next(iter(self.writes.values()), None)
+        since = oldest.started_at if oldest else None
+        pause = detection.poll_seconds(self.detection, self.view, now, since)
         if now - self.asked_at < pause:
             return
         self.asked_at = now
@@ -294,16 +309,32 @@
             self.detection, sender, report.unreachable, time.monotonic()
         )
 
-    def begin_write(self) -> int:
+    def begin_write(self, write: PendingWrite) -> int:
         """Note that a write waits for its answer or acknowledgement."""
         number = next(self.write_ids)
-        self.writes[number] = time.monotonic()
+        self.writes[number] = write
         return number
 
     def end_write(self, number: int) -> None:
         """Note that a write has ended."""
         del self.writes[number]
 
+    def abort_superseded(self, now: float) -> None:
+        """Stop waiting for answers of primaries that a newer one replaced.
+
+        Only an idempotent write gains by leaving at once; any other may still be
+        answered with the truth by a primary that was merely paused.
+        """
+        primary = primary_of(self.view)
+        if primary is None or not self.writes:
+            return
+        for write in list(self.writes.values()):
+            if write.connection is None or write.term >= primary.term:
+                continue
+            write.superseded_at = write.superseded_at or now
+            if write.idempotent or now - write.superseded_at >= LATE_ANSWER_SECONDS:
+                write.connection.close()
+
     def promote(self, event: Any, now: float) -> None:
         """Step the promoter and carry out its effects."""
         before = self.promotion.stage
--- a/berylhinge/tasks/live.py
+++ b/berylhinge/tasks/live.py
@@ -10,12 +10,14 @@
 
 from ..core.roster import Member
 from .links import Peer
+from .loops import spawn_loop
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..types import InstanceId
     from ..wire.platform import InstanceRecord
+    from .logs import Log
     from .platform import PlatformClient
 
 ANNOUNCE_SECONDS = 2.0
@@ -31,11 +33,13 @@
         platform: PlatformClient,
         *,
         on_change: Callable[[], None],
+        log: Log,
     ) -> None:
         """Know only this instance at first."""
         self.record = record
         self.platform = platform
         self.on_change = on_change
+        self.log = log
         self.records: dict[str, InstanceRecord] = {record["instance"]: record}
         self.rng = random.Random(record["instance"])
         self.greenlets: list[gevent.Greenlet] = []
@@ -43,8 +47,8 @@
     def start(self) -> None:
         """Announce and list in the background."""
         self.greenlets = [
-            gevent.spawn(self.run_announcements),
-            gevent.spawn(self.run_listing),
+            spawn_loop(self.announce, self.announce_pause, self.log),
+            spawn_loop(self.read_list, self.list_pause, self.log),
         ]
 
     def stop(self) -> None:
@@ -73,19 +77,23 @@
             if name != me
         }
 
-    def run_announcements(self) -> None:
-        """Announce this instance until killed."""
-        while True:
-            self.platform.announce(self.record)
-            gevent.sleep(ANNOUNCE_SECONDS * self.rng.uniform(0.8, 1.2))
-
-    def run_listing(self) -> None:
-        """Read the list until killed; an outage keeps the last one."""
-        while True:
-            result = self.platform.instances()
-            if isinstance(result, Success):
-                self.take(result.unwrap()["instances"])
-            gevent.sleep(LIST_SECONDS * self.rng.uniform(0.8, 1.2))
+    def announce(self) -> None:
+        """Announce this instance."""
+        self.platform.announce(self.record)
+
+    def announce_pause(self) -> float:
+        """Return the time between two announcements."""
+        return ANNOUNCE_SECONDS * self.rng.uniform(0.8, 1.2)
+
+    def read_list(self) -> None:
+        """Read the list; an outage keeps the last one."""
+        result = self.platform.instances()
+        if isinstance(result, Success):
+            self.take(result.unwrap()["instances"])
+
+    def list_pause(self) -> float:
+        """Return the time between two reads of the list."""
+        return LIST_SECONDS * self.rng.uniform(0.8, 1.2)
 
     def take(self, records: list[InstanceRecord]) -> None:
         """Keep a new list, with this instance as it knows itself."""
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -91,6 +91,10 @@
         """Count one refusal as the caller saw it."""
         self.counts["refusals_total"][reason.value, outcome.value] += 1
 
+    def count_retry(self, reason: RetryReason) -> None:
+        """Count one retry."""
+        self.counts["retries_total"][reason.value,] += 1
+
     def count_peer(self, event: str, size_bytes: int) -> None:
         """Count one peer message and its bytes."""
         self.counts["peer_messages_total"][event,] += 1
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -75,7 +75,12 @@
     def build_tasks(self) -> None:
         """Create the tasks that share this instance's links and platform."""
         settings = self.settings
-        self.live = LiveList(self.record(), self.platform, on_change=self.on_live)
+        self.live = LiveList(
+            self.record(),
+            self.platform,
+            on_change=self.on_live,
+            log=Log("live", settings.instance),
+        )
         self.fleet = FleetTask(
             self.me,
             links=self.links,
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -16,6 +16,7 @@
 from ..types import Access, LogPoint, Outcome
 from ..wire.upstream import StatementRequest, TransactionRequest
 from .attempts import exchange, Exchanged, Failed, lease
+from .group import PendingWrite
 from .signal import Broadcast
 
 if TYPE_CHECKING:
@@ -287,9 +288,12 @@
             request_id=call.request_id, term=target.term if target else None
         )
         executor = transaction.executor
-        number = executor.group.begin_write()
+        write = PendingWrite(target.term if target else 0, idempotent=False)
+        write.connection = transaction.connection
+        number = executor.group.begin_write(write)
         try:
             result: Any = self.send(transaction, "/v1/commit", request, deadline)
+            write.connection = None
             transaction.release()
             if isinstance(result, Exchanged) and target is not None:
                 result = executor.acknowledge(target, result, deadline)
