--- /dev/null
+++ b/berylhinge/core/membership.py
@@ -0,0 +1,273 @@
+"""Find out which instances are alive, at a cost that doesn't grow with the fleet.
+
+SWIM (Das, Gupta and Motivala, 2002): each instance probes one member a period, by
+way of others where the direct probe fails; suspicions can be refuted; news travel
+on the probes' messages, a bounded number on each.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import NamedTuple, TYPE_CHECKING, TypeAlias
+
+from ..wire.membership import Ack, MembershipMessage, Ping, PingRequest, Status, Update
+from .standings import (
+    alive,
+    Effects,
+    expire_suspects,
+    forget_dead,
+    MembershipState,
+    news,
+    Probe,
+    Relay,
+    Send,
+    take,
+    usable,
+    VersionSeen,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..types import InstanceId, Seconds
+
+PERIOD_SECONDS = 1.0
+ACK_SECONDS = 0.3
+INDIRECT_PROBES = 3
+RECONNECT_PERIODS = 5
+RELAYS_KEPT_SECONDS = 2.0
+PAUSE_SECONDS = 0.5
+
+
+class Tick(NamedTuple):
+    """Let time pass; send one every 50 to 250 ms."""
+
+
+class Received(NamedTuple):
+    """Deliver an authenticated message."""
+
+    sender: InstanceId
+    message: MembershipMessage
+
+
+class Listed(NamedTuple):
+    """Deliver the platform's lagging list of instances."""
+
+    members: tuple[Update, ...]
+
+
+class Leave(NamedTuple):
+    """Tell everyone that this instance is leaving."""
+
+
+MembershipEvent: TypeAlias = Tick | Received | Listed | Leave
+MembershipStep: TypeAlias = tuple[MembershipState, Effects]
+
+
+@singledispatch
+def step(
+    event: MembershipEvent, state: MembershipState, now: Seconds, rng: Random
+) -> MembershipStep:
+    """Refuse an event of an unknown type."""
+    raise TypeError(f"got {type(event).__name__}, expected a membership event")
+
+
+@step.register(Tick)
+def on_tick(
+    event: Tick, state: MembershipState, now: Seconds, rng: Random
+) -> MembershipStep:
+    """Go on with the probe of this period or begin the next."""
+    effects: Effects = []
+    state = excuse_own_pause(state, now)
+    state = expire_suspects(state, now, effects)
+    probe = state.probe
+    if probe and not probe.indirect and now >= probe.sent_at + ACK_SECONDS:
+        state = probe_indirectly(state, probe, rng, effects)
+    if now >= state.probe_at:
+        state = end_probe(state, now, effects)
+        state = begin_probe(state, now, rng, effects)
+    return state, effects
+
+
+@step.register(Received)
+def on_received(
+    event: Received, state: MembershipState, now: Seconds, rng: Random
+) -> MembershipStep:
+    """Take the news on a message, then answer it."""
+    message = event.message
+    effects: Effects = [VersionSeen(event.sender, message.version)]
+    for update in (message.sender, *message.updates):
+        state = take(state, update, now, effects)
+    return answer(message, state, now, effects), effects
+
+
+@step.register(Listed)
+def on_listed(
+    event: Listed, state: MembershipState, now: Seconds, rng: Random
+) -> MembershipStep:
+    """Take members that are new; a dead one needs a newer start to come back."""
+    effects: Effects = []
+    names = frozenset(update.instance for update in event.members)
+    state = state._replace(listed=names)
+    for update in event.members:
+        known = state.members.get(update.instance)
+        if known is None or update.incarnation > known.incarnation:
+            state = take(state, update, now, effects, spread=False)
+        elif update.status is Status.LEAVING:
+            leaving = known._replace(status=Status.LEAVING)
+            state = take(state, leaving, now, effects, spread=False)
+    forget_dead(state, now)
+    return state, effects
+
+
+@step.register(Leave)
+def on_leave(
+    event: Leave, state: MembershipState, now: Seconds, rng: Random
+) -> MembershipStep:
+    """Mark this instance and tell members at once."""
+    me = state.me._replace(status=Status.LEAVING)
+    state = state._replace(me=me)
+    effects: Effects = []
+    members = [name for name in state.members if usable(state, name)]
+    for name in rng.sample(members, min(2 * INDIRECT_PROBES, len(members))):
+        state = ping(state, name, effects)
+    return state, effects
+
+
+@singledispatch
+def answer(
+    message: MembershipMessage, state: MembershipState, now: Seconds, effects: Effects
+) -> MembershipState:
+    """Refuse a message of an unknown type."""
+    raise TypeError(f"got {type(message).__name__}, expected a membership message")
+
+
+@answer.register(Ping)
+def answer_ping(
+    message: Ping, state: MembershipState, now: Seconds, effects: Effects
+) -> MembershipState:
+    """Acknowledge a ping."""
+    to = message.sender.instance
+    ack = Ack(
+        message.sequence, state.version, state.me.instance, state.me, news(state, to)
+    )
+    effects.append(Send(to, message.sender.peer, ack))
+    return state
+
+
+@answer.register(Ack)
+def answer_ack(
+    message: Ack, state: MembershipState, now: Seconds, effects: Effects
+) -> MembershipState:
+    """End the probe that is acknowledged, or relay to whom asked for it."""
+    probe = state.probe
+    if probe and (probe.sequence, probe.target) == (message.sequence, message.subject):
+        return state._replace(probe=None)
+    relay = state.relays.pop(message.sequence, None)
+    if relay is not None and relay.origin in state.members:
+        peer = state.members[relay.origin].peer
+        updates = news(state, relay.origin)
+        ack = Ack(relay.sequence, state.version, message.subject, state.me, updates)
+        effects.append(Send(relay.origin, peer, ack))
+    return state
+
+
+@answer.register(PingRequest)
+def answer_request(
+    message: PingRequest, state: MembershipState, now: Seconds, effects: Effects
+) -> MembershipState:
+    """Ping the subject and remember for whom."""
+    if message.subject not in state.members:
+        return state
+    state = ping(state, message.subject, effects)
+    relay = Relay(message.sender.instance, message.sequence, now)
+    state.relays[state.sequence] = relay
+    for sequence, old in list(state.relays.items()):
+        if now - old.sent_at <= RELAYS_KEPT_SECONDS:
+            break
+        del state.relays[sequence]
+    return state
+
+
+def ping(
+    state: MembershipState, target: InstanceId, effects: Effects
+) -> MembershipState:
+    """Send a ping under a new sequence."""
+    sequence = state.sequence + 1
+    message = Ping(sequence, state.version, state.me, news(state, target))
+    effects.append(Send(target, state.members[target].peer, message))
+    return state._replace(sequence=sequence)
+
+
+def begin_probe(
+    state: MembershipState, now: Seconds, rng: Random, effects: Effects
+) -> MembershipState:
+    """Ping the next member of a shuffled round, and now and then a dead one."""
+    jitter = rng.uniform(0.9, 1.1)
+    state = state._replace(probe_at=now + PERIOD_SECONDS * jitter)
+    if state.dead and rng.random() * RECONNECT_PERIODS < 1.0:
+        lost = [name for name in state.dead if name in state.listed]
+        if lost:
+            state = ping(state, rng.choice(lost), effects)
+    state, target = next_target(state, rng)
+    if target is None:
+        return state
+    state = ping(state, target, effects)
+    return state._replace(probe=Probe(target, state.sequence, now))
+
+
+def next_target(
+    state: MembershipState, rng: Random
+) -> tuple[MembershipState, InstanceId | None]:
+    """Take the next member that isn't dead; shuffle anew after each round."""
+    order = list(state.order)
+    for _ in range(2):
+        while order:
+            name = order.pop()
+            if usable(state, name):
+                return state._replace(order=tuple(order)), name
+        order = [name for name in state.members if usable(state, name)]
+        rng.shuffle(order)
+    return state._replace(order=()), None
+
+
+def probe_indirectly(
+    state: MembershipState, probe: Probe, rng: Random, effects: Effects
+) -> MembershipState:
+    """Ask a few members to ping the target."""
+    helpers = [name for name in alive(state) if name != probe.target]
+    for name in rng.sample(helpers, min(INDIRECT_PROBES, len(helpers))):
+        message = PingRequest(
+            probe.sequence, state.version, probe.target, state.me, news(state, name)
+        )
+        effects.append(Send(name, state.members[name].peer, message))
+    return state._replace(probe=probe._replace(indirect=True))
+
+
+def end_probe(
+    state: MembershipState, now: Seconds, effects: Effects
+) -> MembershipState:
+    """Suspect a target that answered nobody; a leaving one is gone."""
+    probe = state.probe
+    if probe is None or probe.target not in state.members:
+        return state._replace(probe=None)
+    known = state.members[probe.target]
+    if known.status is Status.ALIVE:
+        state = take(state, known._replace(status=Status.SUSPECT), now, effects)
+        # The suspect hears of it at once and can refute.
+        state = ping(state, probe.target, effects)
+    elif known.status is Status.LEAVING:
+        state = take(state, known._replace(status=Status.DEAD), now, effects)
+    return state._replace(probe=None)
+
+
+def excuse_own_pause(state: MembershipState, now: Seconds) -> MembershipState:
+    """Blame nobody for what this instance missed while it was paused."""
+    ticked_at = now if state.ticked_at is None else state.ticked_at
+    pause = now - ticked_at
+    state = state._replace(ticked_at=now)
+    if pause < PAUSE_SECONDS:
+        return state
+    for name in state.suspects:
+        state.suspects[name] += pause
+    return state._replace(probe=None)
--- /dev/null
+++ b/berylhinge/core/tests/test_membership.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from ...wire.membership import Ack, Ping, PingRequest, Status, Update
+from ..membership import Leave, Listed, Received, step, Tick
+from ..standings import (
+    alive,
+    Changed,
+    DEAD_KEPT_SECONDS,
+    MembershipState,
+    MESSAGE_UPDATES,
+    new_membership,
+    Send,
+    Superseded,
+    VersionSeen,
+)
+
+
+def update(
+    name: str,
+    status: Status = Status.ALIVE,
+    *,
+    incarnation: int = 1,
+    refutation: int = 0,
+) -> Update:
+    return Update(name, f"10.0.0.{len(name)}:1", incarnation, refutation, status)
+
+
+def run(state: MembershipState, *events: Any, now: float = 10.0) -> Any:
+    effects: list[Any] = []
+    for event in events:
+        state, effects = step(event, state, now, Random(1))
+    return state, effects
+
+
+def member(*names: str) -> MembershipState:
+    listed = Listed(tuple(update(name) for name in names))
+    state: MembershipState = run(new_membership("me", "10.0.0.9:1", 5), listed)[0]
+    return state
+
+
+def said(*updates: Update, sender: str = "a", version: int = 0) -> Received:
+    return Received(sender, Ping(1, version, update(sender), updates))
+
+
+@pytest.mark.parametrize(
+    "known, heard, taken",
+    [
+        (update("b"), update("b", Status.SUSPECT), True),
+        (update("b", Status.SUSPECT), update("b"), False),
+        (update("b", Status.SUSPECT), update("b", refutation=1), True),
+        (update("b", Status.SUSPECT), update("b", Status.LEAVING), True),
+        (update("b", Status.LEAVING), update("b", Status.SUSPECT), False),
+        (update("b", Status.DEAD), update("b", Status.SUSPECT), False),
+        (update("b", Status.DEAD), update("b", refutation=1), True),
+        (update("b", Status.DEAD), update("b", incarnation=2), True),
+        (update("b", incarnation=2), update("b", Status.DEAD), False),
+        (update("b", refutation=2), update("b", Status.DEAD, refutation=1), False),
+        (update("b"), update("b"), False),
+    ],
+)
+def test_news_supersede_by_rank(known: Update, heard: Update, taken: bool) -> None:
+    state, _ = run(member("a"), said(known))
+    state, effects = run(state, said(heard))
+    assert state.members["b"] == (heard if taken else known)
+    assert (Changed(heard) in effects) is taken
+
+
+@pytest.mark.parametrize(
+    "heard, refutation",
+    [
+        (update("me", Status.SUSPECT, incarnation=5), 1),
+        (update("me", Status.DEAD, incarnation=5, refutation=3), 4),
+        (update("me", Status.DEAD, incarnation=4), 0),
+        (update("me", incarnation=5), 0),
+    ],
+)
+def test_a_suspicion_of_oneself_is_refuted(heard: Update, refutation: int) -> None:
+    state, effects = run(member("a"), said(heard))
+    assert state.me.refutation == refutation
+    (answer,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert answer.message.sender == state.me
+
+
+def test_a_newer_start_supersedes_this_one() -> None:
+    _, effects = run(member("a"), said(update("me", incarnation=6)))
+    assert Superseded(6) in effects
+
+
+@pytest.mark.parametrize(
+    "listed, status",
+    [
+        (update("b"), Status.DEAD),
+        (update("b", Status.LEAVING), Status.DEAD),
+        (update("b", incarnation=2), Status.ALIVE),
+    ],
+)
+def test_the_lagging_list_revives_only_a_newer_start(
+    listed: Update, status: Status
+) -> None:
+    state, _ = run(member("a", "b"), said(update("b", Status.DEAD)))
+    state, _ = run(state, Listed((update("a"), listed)))
+    assert state.members["b"].status is status
+
+
+def test_the_lagging_list_tells_who_is_leaving() -> None:
+    state, _ = run(member("a", "b"), Listed((update("b", Status.LEAVING),)))
+    assert alive(state) == ("a",)
+
+
+@pytest.mark.parametrize(
+    "listed, later, kept",
+    [
+        ((update("a"),), DEAD_KEPT_SECONDS + 1, False),
+        ((update("a"),), DEAD_KEPT_SECONDS - 1, True),
+        ((update("a"), update("b")), DEAD_KEPT_SECONDS + 1, True),
+    ],
+)
+def test_the_dead_are_forgotten_once_unlisted(
+    listed: tuple[Update, ...], later: float, kept: bool
+) -> None:
+    state, _ = run(member("a", "b"), said(update("b", Status.DEAD)))
+    state, _ = run(state, Listed(listed), now=10.0 + later)
+    assert ("b" in state.members) is kept
+
+
+def test_a_ping_is_acknowledged_with_the_version() -> None:
+    state = member("a")._replace(version=7)
+    _, effects = run(state, said(version=4))
+    assert VersionSeen("a", 4) in effects
+    (answer,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert isinstance(answer.message, Ack)
+    assert (answer.message.sequence, answer.message.version) == (1, 7)
+
+
+def test_a_relayed_ping_is_acknowledged_to_whom_asked() -> None:
+    asked = Received("a", PingRequest(9, 0, "b", update("a"), ()))
+    state, effects = run(member("a", "b"), asked)
+    (relayed,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert relayed.to == "b"
+    ack = Ack(relayed.message.sequence, 0, "b", update("b"), ())
+    _, effects = run(state, Received("b", ack))
+    (answer,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert (answer.to, answer.message.sequence) == ("a", 9)
+    assert answer.message.subject == "b"
+
+
+def test_news_on_a_message_are_bounded() -> None:
+    heard = [update(f"i-{number}", Status.DEAD) for number in range(50)]
+    _, effects = run(member("a"), said(*heard))
+    (answer,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert len(answer.message.updates) == MESSAGE_UPDATES
+
+
+def test_leaving_is_told_at_once() -> None:
+    _, effects = run(member("a", "b"), Leave())
+    assert {effect.to for effect in effects} == {"a", "b"}
+    assert all(effect.message.sender.status is Status.LEAVING for effect in effects)
+
+
+def test_a_leaving_member_that_stops_answering_is_dead() -> None:
+    state = member("a")
+    state, _ = run(state, Listed((update("a", Status.LEAVING),)))
+    for tenth in range(40):
+        state, _ = run(state, Tick(), now=10.0 + tenth / 10)
+    assert state.members["a"].status is Status.DEAD
--- /dev/null
+++ b/berylhinge/wire/membership.py
@@ -0,0 +1,59 @@
+"""Define the messages by which instances probe each other."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from ..types import InstanceId
+
+
+class Status(IntEnum):
+    """Rank what is said of a member; the greater wins in one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class Update(NamedTuple):
+    """Tell a member's standing; ``refutation`` counts its answers to suspicions."""
+
+    instance: InstanceId
+    peer: str
+    incarnation: int
+    refutation: int
+    status: Status
+
+
+class Ping(NamedTuple):
+    """Ask whether the recipient is alive; ``version`` is the sender's configuration."""
+
+    sequence: int
+    version: int
+    sender: Update
+    updates: tuple[Update, ...]
+
+
+class Ack(NamedTuple):
+    """Answer a ping, or relay that the subject answered one."""
+
+    sequence: int
+    version: int
+    subject: InstanceId
+    sender: Update
+    updates: tuple[Update, ...]
+
+
+class PingRequest(NamedTuple):
+    """Ask the recipient to ping the subject on the sender's behalf."""
+
+    sequence: int
+    version: int
+    subject: InstanceId
+    sender: Update
+    updates: tuple[Update, ...]
+
+
+MembershipMessage = Ping | Ack | PingRequest
