--- a/berylhinge/core/tests/test_membership.py
+++ b/berylhinge/core/tests/test_membership.py
@@ -145,6 +145,7 @@
     ack = Ack(relayed.message.sequence, 0, "b", update("b"), ())
     _, effects = run(state, Received("b", ack))
     (answer,) = [effect for effect in effects if isinstance(effect, Send)]
+    assert isinstance(answer.message, Ack)
     assert (answer.to, answer.message.sequence) == ("a", 9)
     assert answer.message.subject == "b"
 
