--- a/berylhinge/core/adoption.py
+++ b/berylhinge/core/adoption.py
@@ -27,6 +27,7 @@
 FIRST_ASKS_PER_SECOND = 500.0
 REARM_SECONDS = 0.2
 REANNOUNCE_SECONDS = 1.0
+REANNOUNCE_LIMIT_SECONDS = 600.0
 
 
 class Tick(NamedTuple):
@@ -117,6 +118,7 @@
     withdrawals: frozenset[KeyId] = frozenset()
     settled: frozenset[KeyId] = frozenset()
     announce_at: Seconds = 0.0
+    announce_until: Seconds = 0.0
     heard_version: int = 0
     heard_from: InstanceId | None = None
     pulling_until: Seconds = 0.0
@@ -168,7 +170,7 @@
         wait = WATCH_SECONDS if state.watching and state.is_ready else 0.0
         effects.append(AskStore(state.version, wait))
         state = state._replace(asking_store=True)
-    if state.withdrawals and now >= state.announce_at:
+    if state.withdrawals and state.announce_at <= now < state.announce_until:
         effects.append(announce(state, rng))
         state = state._replace(announce_at=now + REANNOUNCE_SECONDS)
     state, pulls = pull_if_behind(state, now, rng)
@@ -200,7 +202,7 @@
     """Remember who is ahead, and take withdrawals at once."""
     if event.version > state.heard_version:
         state = state._replace(heard_version=event.version, heard_from=event.peer)
-    state, effects = add_withdrawals(state, frozenset(event.withdrawals), rng)
+    state, effects = add_withdrawals(state, frozenset(event.withdrawals), now, rng)
     state, pulls = pull_if_behind(state, now, rng)
     return state, [*effects, *pulls]
 
@@ -212,7 +214,7 @@
     """Adopt a peer's configuration if it is newer."""
     state = state._replace(pulling_until=now)
     state, effects = adopt(state, event.configuration, rng)
-    state, more = add_withdrawals(state, frozenset(event.withdrawals), rng)
+    state, more = add_withdrawals(state, frozenset(event.withdrawals), now, rng)
     return state, [*effects, *more]
 
 
@@ -267,7 +269,7 @@
     event: KeysWithdrawn, state: AdoptionState, now: Seconds, rng: Random
 ) -> AdoptionStep:
     """Withdraw keys and tell peers."""
-    return add_withdrawals(state, frozenset(event.keys), rng)
+    return add_withdrawals(state, frozenset(event.keys), now, rng)
 
 
 def watchers(instances: tuple[InstanceId, ...]) -> list[InstanceId]:
@@ -320,13 +322,14 @@
 
 
 def add_withdrawals(
-    state: AdoptionState, keys: frozenset[KeyId], rng: Random
+    state: AdoptionState, keys: frozenset[KeyId], now: Seconds, rng: Random
 ) -> AdoptionStep:
     """Withdraw keys ahead of the store and tell peers of what is new."""
     withdrawals = state.withdrawals | (keys - state.settled)
     if withdrawals == state.withdrawals:
         return state, []
-    state = state._replace(withdrawals=withdrawals)
+    until = now + REANNOUNCE_LIMIT_SECONDS
+    state = state._replace(withdrawals=withdrawals, announce_until=until)
     if state.configuration is None:
         return state, []
     return state, [Adopt(state.configuration, withdrawals), announce(state, rng)]
--- /dev/null
+++ b/berylhinge/tasks/inspection.py
@@ -0,0 +1,145 @@
+"""Ask every listed instance's operators' listener."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+from gevent.pool import Pool
+from geventhttpclient import HTTPClient
+from returns.result import Failure, Result, Success
+
+from ..wire.operators import (
+    DRAIN_PATH,
+    InstanceStatus,
+    STATUS_PATH,
+    WITHDRAWALS_PATH,
+    WithdrawalsRequest,
+)
+from .http import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from ..types import KeyId
+    from ..wire.platform import InstanceRecord
+    from .platform import PlatformClient, StoreError
+
+ASK_SECONDS = 1.0
+ASKED_AT_ONCE = 50
+POLL_SECONDS = 0.2
+
+
+class InstanceView(NamedTuple):
+    """Pair an instance's record with its status, or with why there is none."""
+
+    record: InstanceRecord
+    status: InstanceStatus | None
+    error: str | None
+
+
+class Delivery(NamedTuple):
+    """Tell whether an instance took an order."""
+
+    instance: str
+    error: str | None
+
+
+def list_instances(
+    client: PlatformClient,
+) -> Result[list[InstanceRecord], StoreError]:
+    """Return the platform's lagging list, sorted by identifier."""
+    found = client.instances()
+    if isinstance(found, Failure):
+        return found
+    records = found.unwrap()["instances"]
+    return Success(sorted(records, key=lambda record: record["instance"]))
+
+
+def view_instances(records: Sequence[InstanceRecord]) -> list[InstanceView]:
+    """Return every instance's status, asked in parallel."""
+    return list(Pool(ASKED_AT_ONCE).map(view_instance, records))
+
+
+def view_instance(record: InstanceRecord) -> InstanceView:
+    """Return one instance's status."""
+    try:
+        body = ask(record, lambda client: client.get(STATUS_PATH))
+        status = msgspec.json.decode(body, type=InstanceStatus)
+    except (OSError, ValueError, gevent.Timeout) as error:
+        return InstanceView(record, None, str(error) or type(error).__name__)
+    return InstanceView(record, status, None)
+
+
+def withdraw_keys(
+    records: Sequence[InstanceRecord], keys: Sequence[KeyId]
+) -> list[Delivery]:
+    """Withdraw keys at every instance, ahead of the store."""
+    body = msgspec.json.encode(WithdrawalsRequest(keys=list(keys)))
+
+    def deliver(record: InstanceRecord) -> Delivery:
+        return post(record, WITHDRAWALS_PATH, body)
+
+    return list(Pool(ASKED_AT_ONCE).map(deliver, records))
+
+
+def drain_instance(record: InstanceRecord) -> Delivery:
+    """Ask an instance for a planned stop."""
+    return post(record, DRAIN_PATH, b"{}")
+
+
+def post(record: InstanceRecord, path: str, body: bytes) -> Delivery:
+    """Send one order to one instance."""
+    headers = {"Content-Type": "application/json"}
+    try:
+        ask(record, lambda client: client.post(path, body, headers))
+    except (OSError, ValueError, gevent.Timeout) as error:
+        return Delivery(record["instance"], str(error) or type(error).__name__)
+    return Delivery(record["instance"], None)
+
+
+def ask(record: InstanceRecord, call: Callable[[HTTPClient], Any]) -> bytes:
+    """Make one call; raise OSError, ValueError or Timeout when it fails."""
+    address = parse_address(record["operators"])
+    client = HTTPClient(
+        address.host,
+        address.port,
+        connection_timeout=ASK_SECONDS,
+        network_timeout=ASK_SECONDS,
+    )
+    try:
+        with gevent.Timeout(2 * ASK_SECONDS):
+            response = call(client)
+            body = bytes(response.read())
+        if response.status_code != 200:
+            raise OSError(f"status {response.status_code}: {body[:200]!r}")
+        return body
+    finally:
+        client.close()
+
+
+def await_version(
+    client: PlatformClient, version: int, timeout_seconds: float
+) -> Result[list[InstanceView], StoreError]:
+    """Poll until every live instance holds a version; return those behind."""
+    ends_at = time.monotonic() + timeout_seconds
+    while True:
+        listed = list_instances(client)
+        if isinstance(listed, Failure):
+            return listed
+        behind = instances_behind(view_instances(listed.unwrap()), version)
+        if not behind or time.monotonic() >= ends_at:
+            return Success(behind)
+        gevent.sleep(POLL_SECONDS)
+
+
+def instances_behind(views: Sequence[InstanceView], version: int) -> list[InstanceView]:
+    """Return the instances that don't hold a version, silent ones included."""
+    return [view for view in views if held_version(view) < version]
+
+
+def held_version(view: InstanceView) -> int:
+    """Return the version an instance reported, -1 for a silent one."""
+    return view.status["config_version"] if view.status else -1
--- /dev/null
+++ b/berylhinge/tasks/store.py
@@ -0,0 +1,208 @@
+"""Read and change the configuration that the platform stores."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatch
+from typing import NamedTuple, TYPE_CHECKING
+
+import gevent
+from returns.result import Failure, Result, Success
+
+from ..core import applying
+from ..core.applying import (
+    ApplyOutcome,
+    ApplyState,
+    Begin,
+    Finish,
+    ReadStore,
+    StoreRead,
+    StoreReadFailed,
+    SwapAnswered,
+    SwapFailed,
+    SwapStore,
+)
+from ..core.configuration import Configuration, CONFIGURATION_KEY, empty_configuration
+from ..core.parts import (
+    assemble,
+    decode_head,
+    encode_for_store,
+    missing_parts,
+    part_configuration,
+    part_key,
+)
+from .platform import REMEDIES, StoreError, StoreErrorKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from ..core.applying import ApplyEvent
+    from ..core.configuration import Edit
+    from ..errors import FieldError
+    from ..wire.platform import SwapAnswer
+    from .platform import PlatformClient
+
+PART_ATTEMPTS = 5
+
+
+class StoredConfiguration(NamedTuple):
+    """Hold the stored configuration, its revision and its parts' names."""
+
+    configuration: Configuration
+    revision: int
+    digests: frozenset[str]
+
+
+class Session(NamedTuple):
+    """Hold what an edit needs to reach the store."""
+
+    client: PlatformClient
+    rng: Random
+    read: list[StoredConfiguration]
+
+
+def load_configuration(
+    client: PlatformClient,
+) -> Result[StoredConfiguration, StoreError]:
+    """Read the stored configuration with all its parts."""
+    found = client.get(CONFIGURATION_KEY)
+    if isinstance(found, Failure):
+        return found
+    stored = found.unwrap()
+    if stored["value"] is None:
+        empty = StoredConfiguration(
+            empty_configuration(), stored["revision"], frozenset()
+        )
+        return Success(empty)
+    decoded = decode_head(stored["value"])
+    if isinstance(decoded, Failure):
+        return malformed(decoded.failure())
+    head = decoded.unwrap()
+    parts: dict[str, bytes] = {}
+    for digest in missing_parts(head, parts):
+        part = client.get(part_key(digest))
+        if isinstance(part, Failure):
+            return part
+        parts[digest] = (part.unwrap()["value"] or "").encode()
+    built = assemble(head, parts)
+    if isinstance(built, Failure):
+        return malformed(built.failure())
+    configuration = built.unwrap().configuration
+    digests = frozenset(parts)
+    return Success(StoredConfiguration(configuration, stored["revision"], digests))
+
+
+def malformed(errors: Iterable[FieldError]) -> Failure[StoreError]:
+    """Report a stored configuration that can't be read."""
+    kind = StoreErrorKind.MALFORMED
+    detail = "; ".join(str(error) for error in errors)
+    return Failure(StoreError(kind, detail, "restore the stored configuration"))
+
+
+def save_configuration(
+    client: PlatformClient, configuration: Configuration, base: StoredConfiguration
+) -> Result[SwapAnswer, StoreError]:
+    """Store the parts that are new, then swap the head, then drop unused parts."""
+    head, parts = encode_for_store(part_configuration(configuration))
+    for digest in parts.keys() - base.digests:
+        saved = save_part(client, digest, parts[digest])
+        if isinstance(saved, Failure):
+            return saved
+    unused = unused_parts(client, base.digests - parts.keys())
+    answer = client.swap(
+        CONFIGURATION_KEY, head.decode(), expected_revision=base.revision
+    )
+    if isinstance(answer, Success) and answer.unwrap()["swapped"]:
+        for digest, revision in unused.items():
+            client.swap(part_key(digest), None, expected_revision=revision)
+    return answer
+
+
+def save_part(
+    client: PlatformClient, digest: str, part: bytes
+) -> Result[None, StoreError]:
+    """Store a part anew, so that whoever is about to drop it finds it changed."""
+    key = part_key(digest)
+    for _ in range(PART_ATTEMPTS):
+        found = client.get(key)
+        if isinstance(found, Failure):
+            return not_applied(found.failure())
+        revision = found.unwrap()["revision"]
+        answer = client.swap(key, part.decode(), expected_revision=revision)
+        if isinstance(answer, Success) and answer.unwrap()["swapped"]:
+            return Success(None)
+        if isinstance(answer, Failure) and is_final(answer.failure()):
+            return not_applied(answer.failure())
+    detail = f"the part {digest} changed each time"
+    kind = StoreErrorKind.NOT_APPLIED
+    return Failure(StoreError(kind, detail, REMEDIES[kind]))
+
+
+def is_final(error: StoreError) -> bool:
+    """Tell whether trying a part again at once is useless."""
+    return error.kind is not StoreErrorKind.UNKNOWN
+
+
+def not_applied(error: StoreError) -> Failure[StoreError]:
+    """Report that the head wasn't touched, whatever became of a part."""
+    kind = StoreErrorKind.NOT_APPLIED
+    return Failure(StoreError(kind, error.detail, REMEDIES[kind]))
+
+
+def unused_parts(client: PlatformClient, digests: Iterable[str]) -> dict[str, int]:
+    """Return the revisions of parts that the next head no longer names."""
+    found = {}
+    for digest in digests:
+        part = client.get(part_key(digest))
+        if isinstance(part, Success):
+            found[digest] = part.unwrap()["revision"]
+    return found
+
+
+def run_edit(
+    client: PlatformClient,
+    edit: Edit,
+    *,
+    change_id: str,
+    rng: Random,
+    floor_version: int = 0,
+    expected_version: int | None = None,
+) -> ApplyOutcome:
+    """Apply one edit to the stored configuration, at most once."""
+    session = Session(client, rng, [])
+    state = ApplyState(change_id, edit, floor_version, expected_version)
+    event: ApplyEvent = Begin()
+    while True:
+        state, effects = applying.step(event, state, time.monotonic(), rng)
+        (effect,) = effects
+        if isinstance(effect, Finish):
+            return effect.outcome
+        event = perform(effect, session)
+
+
+@singledispatch
+def perform(effect: ReadStore | SwapStore, session: Session) -> ApplyEvent:
+    """Refuse an effect of an unknown type."""
+    raise TypeError(f"got {type(effect).__name__}, expected an apply effect")
+
+
+@perform.register(ReadStore)
+def perform_read(effect: ReadStore, session: Session) -> ApplyEvent:
+    """Read the store after the pause asked for."""
+    gevent.sleep(effect.after_seconds)
+    loaded = load_configuration(session.client)
+    if isinstance(loaded, Failure):
+        return StoreReadFailed(loaded.failure().detail)
+    session.read[:] = [loaded.unwrap()]
+    return StoreRead(session.read[0].configuration, session.read[0].revision)
+
+
+@perform.register(SwapStore)
+def perform_swap(effect: SwapStore, session: Session) -> ApplyEvent:
+    """Swap the configuration in."""
+    answer = save_configuration(session.client, effect.configuration, session.read[0])
+    if isinstance(answer, Failure):
+        error = answer.failure()
+        return SwapFailed(error.kind is StoreErrorKind.UNKNOWN, error.detail)
+    return SwapAnswered(answer.unwrap()["swapped"])
--- /dev/null
+++ b/berylhinge/tasks/tests/test_store.py
@@ -0,0 +1,100 @@
+from __future__ import annotations
+
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import pytest
+
+from ...core.applying import Applied, Unreachable
+from ...core.configuration import MarkUpstream, ReplaceDeclaration
+from ...core.tests.samples import declared, upstream
+from ...standins.platform import Platform, start_platform
+from ..platform import PlatformClient
+from ..store import load_configuration, run_edit
+
+
+@pytest.fixture
+def platform() -> Iterator[Platform]:
+    found = start_platform()
+    yield found
+    found.stop()
+
+
+def large(slots: int = 2) -> Any:
+    upstreams = [
+        upstream(
+            number,
+            data=f"10.1.{number // 200}.1:{1 + number % 200}",
+            control=f"10.2.{number // 200}.1:{1 + number % 200}",
+            group=f"g{1 + number // 9}",
+            labels={"rack": f"rack-{number:050}"},
+            slots=slots if number == 7 else 2,
+        )
+        for number in range(2_400)
+    ]
+    groups = [
+        {"id": f"g{number + 1}", "labels": {"home": "north"} if number == 0 else {}}
+        for number in range(267)
+    ]
+    route = {"id": "r", "groups": {"match_labels": {"home": "north"}}, "open": True}
+    return declared(upstreams=upstreams, groups=groups, routes=[route])
+
+
+def apply(platform: Platform, edit: Any, change_id: str = "c") -> Any:
+    client = PlatformClient([platform.address], timeout_seconds=0.3)
+    try:
+        return run_edit(client, edit, change_id=change_id, rng=Random(1))
+    finally:
+        client.close()
+
+
+def stored(platform: Platform) -> Any:
+    client = PlatformClient([platform.address])
+    return load_configuration(client).unwrap()
+
+
+def part_keys(platform: Platform) -> set[str]:
+    return {
+        key.rpartition("/")[2]
+        for key, item in platform.store.items.items()
+        if "/" in key and item.value is not None
+    }
+
+
+def test_an_edit_is_stored(platform: Platform) -> None:
+    assert isinstance(apply(platform, ReplaceDeclaration(declared())), Applied)
+    assert stored(platform).configuration.version == 1
+
+
+def test_a_swap_whose_answer_is_lost_is_applied_once(platform: Platform) -> None:
+    apply(platform, ReplaceDeclaration(declared()), "first")
+    platform.faults.update({"drop_answers": 1})
+    outcome = apply(platform, MarkUpstream("db-0", "leaving"), "second")
+    assert platform.faults.report()["drop_answers"] == 0
+    assert isinstance(outcome, Applied)
+    found = stored(platform).configuration
+    assert [change["id"] for change in found.changes] == ["first", "second"]
+
+
+def test_a_store_that_is_down_gives_no_verdict(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("berylhinge.core.applying.ATTEMPTS_LIMIT", 2)
+    platform.stop()
+    outcome = apply(platform, MarkUpstream("db-0", "leaving"))
+    assert outcome == Unreachable(unknown=False, detail=outcome.detail)
+
+
+def test_large_configurations_share_parts_and_drop_unused_ones(
+    platform: Platform,
+) -> None:
+    apply(platform, ReplaceDeclaration(large()), "first")
+    before = stored(platform)
+    assert len(before.digests) > 1
+    assert part_keys(platform) == before.digests
+    assert isinstance(apply(platform, ReplaceDeclaration(large(slots=5)), "b"), Applied)
+    after = stored(platform)
+    assert len(after.digests - before.digests) == 1
+    assert part_keys(platform) == after.digests
+    assert after.configuration.version == 2
--- /dev/null
+++ b/berylhinge/wire/operators.py
@@ -0,0 +1,56 @@
+"""Define what an instance's operators' listener answers."""
+
+from __future__ import annotations
+
+from typing import NotRequired, TypedDict
+
+STATUS_PATH = "/v1/status"
+WITHDRAWALS_PATH = "/v1/withdrawals"
+DRAIN_PATH = "/v1/drain"
+
+
+class MemberStatus(TypedDict):
+    """Tell what an instance sees of one upstream."""
+
+    role: str | None
+    term: int | None
+    last: tuple[int, int] | None
+    reachable: bool
+    lag_entries: NotRequired[int | None]
+    lag_seconds: NotRequired[float | None]
+    leaving: NotRequired[bool]
+
+
+class GroupStatus(TypedDict):
+    """Tell what an instance sees of one group that it serves."""
+
+    term: int
+    primary: str | None
+    confirmed: tuple[int, int] | None
+    members: dict[str, MemberStatus]
+
+
+class ShareStatus(TypedDict):
+    """Tell an instance's share of one organisation's rate."""
+
+    units: float
+    tokens: float
+
+
+class InstanceStatus(TypedDict):
+    """Tell the state of one instance."""
+
+    instance: str
+    place: str
+    state: str
+    config_version: int
+    incarnation: int
+    groups: dict[str, GroupStatus]
+    shares: dict[str, ShareStatus]
+    ready: NotRequired[bool]
+
+
+class WithdrawalsRequest(TypedDict):
+    """Withdraw keys at once."""
+
+    keys: list[str]
