--- a/berylhinge/cli/output.py
+++ b/berylhinge/cli/output.py
@@ -87,6 +87,8 @@
 
 def cell(value: Any) -> str:
     """Return a value as the text of one cell."""
+    if isinstance(value, dict | list):
+        return msgspec.json.encode(value).decode()
     return ABSENT if value is None else str(value)
 
 
--- a/berylhinge/cli/status.py
+++ b/berylhinge/cli/status.py
@@ -116,7 +116,7 @@
         (
             organisation,
             sum(units for _, units in held),
-            ",".join(f"{name}={units:g}" for name, units in held),
+            ",".join(f"{name}={units:.0f}" for name, units in held),
         )
         for organisation, held in sorted(sums.items())
     ]
--- /dev/null
+++ b/berylhinge/core/tests/test_freshness.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import pytest
+from returns.result import Success
+
+from ...reasons import RefusalReason
+from ..freshness import (
+    check_fresh,
+    FRESH_SECONDS,
+    Freshness,
+    new_freshness,
+    store_confirmed,
+    voucher_confirmed,
+)
+
+CHOSEN = ("a", "b", "c", "d", "e")
+OWN_VERSION = 7
+
+
+def vouched(*proofs: tuple[str, int, float]) -> Freshness:
+    state = new_freshness()
+    for voucher, version, sent_at in proofs:
+        state = voucher_confirmed(state, voucher, version, sent_at)
+    return state
+
+
+def is_fresh(state: Freshness, now: float, chosen: tuple[str, ...] = CHOSEN) -> bool:
+    found = check_fresh(state, OWN_VERSION, chosen, now)
+    return isinstance(found, Success)
+
+
+@pytest.mark.parametrize(
+    ("version", "sent_at", "now", "fresh"),
+    [
+        (7, 10.0, 10.0, True),
+        (6, 10.0, 10.0, True),
+        (8, 10.0, 10.0, False),
+        (7, 10.0, 10.0 + FRESH_SECONDS * 0.98, True),
+        (7, 10.0, 10.0 + FRESH_SECONDS, False),
+    ],
+)
+def test_the_store_proves(
+    version: int, sent_at: float, now: float, fresh: bool
+) -> None:
+    state = store_confirmed(new_freshness(), version, sent_at)
+    assert is_fresh(state, now) is fresh
+
+
+@pytest.mark.parametrize(
+    ("proofs", "fresh"),
+    [
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("c", 7, 10.0)], True),
+        ([("a", 7, 10.0), ("b", 7, 10.0)], False),
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("c", 8, 10.0)], False),
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("c", 7, 6.0)], False),
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("z", 7, 10.0)], False),
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("c", 7, 10.0), ("c", 8, 9.0)], True),
+        ([("a", 7, 10.0), ("b", 7, 10.0), ("c", 7, 9.0), ("c", 8, 10.0)], False),
+        ([], False),
+    ],
+)
+def test_a_majority_of_the_vouchers_proves(
+    proofs: list[tuple[str, int, float]], fresh: bool
+) -> None:
+    assert is_fresh(vouched(*proofs), 10.5) is fresh
+
+
+def test_without_vouchers_only_the_store_proves() -> None:
+    assert not is_fresh(vouched(("a", 7, 10.0)), 10.0, chosen=())
+    assert is_fresh(store_confirmed(new_freshness(), 7, 10.0), 10.0, chosen=())
+
+
+def test_an_older_read_of_the_store_proves_no_less() -> None:
+    state = store_confirmed(new_freshness(), 7, 10.0)
+    state = store_confirmed(state, 7, 5.0)
+    assert is_fresh(state, 11.0)
+
+
+def test_the_refusal_is_named() -> None:
+    refusal = check_fresh(new_freshness(), OWN_VERSION, CHOSEN, 10.0).failure()
+    assert refusal.reason is RefusalReason.KEYS_UNPROVEN
--- /dev/null
+++ b/berylhinge/tasks/tls.py
@@ -0,0 +1,168 @@
+"""Load certificates for callers and upstreams, and reload them while serving."""
+
+from __future__ import annotations
+
+import os
+import ssl
+from collections.abc import Callable
+from typing import NamedTuple, TYPE_CHECKING
+
+import gevent
+import gevent.ssl
+
+from ..errors import DocumentError, FieldError
+
+if TYPE_CHECKING:
+    from ..settings import Tls
+
+RELOAD_SECONDS = 5.0
+CERTIFICATE_FIELD = "$.tls.callers_certificate"
+KEY_FIELD = "$.tls.callers_key"
+CA_FIELD = "$.tls.upstream_ca"
+
+
+class FileStamp(NamedTuple):
+    """Tell one state of a file from another."""
+
+    path: str
+    modified_ns: int
+    size: int
+    inode: int
+
+
+def callers_context(tls: Tls) -> ssl.SSLContext | None:
+    """Return the callers' context, none without files; raise DocumentError."""
+    if tls.callers_certificate is None:
+        return None
+    context = server_context()
+    errors = load_chain(context, tls)
+    if errors:
+        raise DocumentError(errors)
+    return context
+
+
+def upstream_context(tls: Tls) -> ssl.SSLContext | None:
+    """Return the context that trusts the upstreams' authorities; raise DocumentError.
+
+    Upstreams are named by IP number, so that the authority alone proves them.
+    """
+    if tls.upstream_ca is None:
+        return None
+    context: ssl.SSLContext = gevent.ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.check_hostname = False
+    try:
+        context.load_verify_locations(cafile=tls.upstream_ca)
+    except (OSError, ValueError) as error:
+        field = file_error(CA_FIELD, tls.upstream_ca, error, "PEM certificates")
+        raise DocumentError((field,)) from error
+    return context
+
+
+def server_context() -> ssl.SSLContext:
+    """Return an empty context for a listener."""
+    context: ssl.SSLContext = gevent.ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return context
+
+
+def load_chain(context: ssl.SSLContext, tls: Tls) -> tuple[FieldError, ...]:
+    """Load the callers' certificate and key; return why they can't be used."""
+    certificate, key = tls.callers_certificate, tls.callers_key
+    if certificate is None or key is None:
+        remedy = "name both files or neither"
+        return (FieldError("$.tls", "one file", "certificate and key", remedy),)
+    unreadable = [
+        file_error(field, path, error, "a readable file")
+        for field, path in ((CERTIFICATE_FIELD, certificate), (KEY_FIELD, key))
+        if (error := open_error(path)) is not None
+    ]
+    if unreadable:
+        return tuple(unreadable)
+    try:
+        # Without a password OpenSSL would ask for one on the terminal.
+        context.load_cert_chain(certificate, key, password=lambda: b"")
+    except (OSError, ValueError) as error:
+        expected = f"a PEM chain and the unencrypted key {key} that fits it"
+        return (file_error(CERTIFICATE_FIELD, certificate, error, expected),)
+    return ()
+
+
+def open_error(path: str) -> OSError | None:
+    """Return why a file can't be read, none if it can."""
+    try:
+        with open(path, "rb"):
+            return None
+    except OSError as error:
+        return error
+
+
+def file_error(path: str, file: str, error: Exception, expected: str) -> FieldError:
+    """Describe a file that can't be used."""
+    reason = getattr(error, "reason", None) or getattr(error, "strerror", None)
+    got = f"{file}: {reason or error}"
+    return FieldError(path, got, expected, "correct the file or its name")
+
+
+def reload_chain(context: ssl.SSLContext, tls: Tls) -> tuple[FieldError, ...]:
+    """Load changed files for new connections; bad ones leave the old in use."""
+    # A failed load may leave half of it behind, hence a trial beside.
+    errors = load_chain(server_context(), tls)
+    return errors or load_chain(context, tls)
+
+
+def stamps(tls: Tls) -> tuple[FileStamp | None, ...]:
+    """Return the states of the callers' files, none for a missing one."""
+    return tuple(map(stamp, (tls.callers_certificate, tls.callers_key)))
+
+
+def stamp(path: str | None) -> FileStamp | None:
+    """Return a file's state, none if it is missing."""
+    try:
+        found = os.stat(path or "")
+    except OSError:
+        return None
+    return FileStamp(path or "", found.st_mtime_ns, found.st_size, found.st_ino)
+
+
+class TlsReloader:
+    """Own the watch over the callers' files."""
+
+    def __init__(
+        self,
+        context: ssl.SSLContext,
+        tls: Tls,
+        *,
+        on_reload: Callable[[tuple[FieldError, ...]], None],
+        poll_seconds: float = RELOAD_SECONDS,
+    ) -> None:
+        """Take the files as they are now for loaded."""
+        self.context = context
+        self.tls = tls
+        self.on_reload = on_reload
+        self.poll_seconds = poll_seconds
+        self.loaded = stamps(tls)
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Watch in the background."""
+        self.greenlet = gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def run(self) -> None:
+        """Look at the files until killed."""
+        while True:
+            gevent.sleep(self.poll_seconds)
+            self.look()
+
+    def look(self) -> None:
+        """Reload the files if they changed, and report what came of it."""
+        seen = stamps(self.tls)
+        if seen == self.loaded:
+            return
+        self.loaded = seen
+        self.on_reload(reload_chain(self.context, self.tls))
--- /dev/null
+++ b/properties/test_control_decoders.py
@@ -0,0 +1,146 @@
+"""Random input at each decoder of the control plane gives a typed answer."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+from returns.result import Failure
+
+from berylhinge.core.configuration import Configuration
+from berylhinge.core.declarations import read_declaration
+from berylhinge.core.documents import parse_json
+from berylhinge.core.index import build_index
+from berylhinge.core.keys import authenticate, grant_key
+from berylhinge.core.parts import (
+    assemble,
+    decode_head,
+    encode_for_store,
+    part_configuration,
+)
+from berylhinge.core.routing import resolve
+from berylhinge.core.tests.samples import declared, sample
+from berylhinge.core.validation import validate
+from berylhinge.errors import DocumentError, FieldError, Refusal
+from berylhinge.settings import parse_settings, read_settings
+from berylhinge.tests.test_settings import document
+
+GRANTED = grant_key("ark", lambda count: bytes(range(count)))
+INDEX = build_index(declared(keys=[GRANTED.record]))
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+quick = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+def places(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the path of every value inside a document."""
+    found = [path] if path else []
+    if isinstance(value, dict):
+        inner = [places(item, (*path, name)) for name, item in value.items()]
+    elif isinstance(value, list):
+        inner = [places(item, (*path, place)) for place, item in enumerate(value)]
+    else:
+        inner = []
+    return found + [one for group in inner for one in group]
+
+
+def replaced(value: Any, path: tuple[Any, ...], other: Any) -> Any:
+    """Return a copy of a document with one value replaced."""
+    if not path:
+        return other
+    copy = value.copy()
+    copy[path[0]] = replaced(value[path[0]], path[1:], other)
+    return copy
+
+
+def is_typed(result: Any) -> bool:
+    """Tell whether a failure lists field errors."""
+    if not isinstance(result, Failure):
+        return True
+    errors = result.failure()
+    return bool(errors) and all(isinstance(error, FieldError) for error in errors)
+
+
+@quick
+@given(st.binary(max_size=200) | st.text(max_size=200))
+def test_any_text(text: bytes | str) -> None:
+    assert is_typed(parse_json(text))
+    assert is_typed(decode_head(text))
+    with pytest.raises(DocumentError):
+        parse_settings(text)
+
+
+@quick
+@given(VALUES)
+def test_any_value(value: Any) -> None:
+    assert is_typed(read_settings(value))
+    assert is_typed(read_declaration(value))
+
+
+DECLARATION_PLACES = places(sample())
+SETTINGS_PLACES = places(document())
+
+
+@quick
+@given(st.sampled_from(DECLARATION_PLACES), VALUES)
+def test_a_declaration_with_one_value_replaced(
+    path: tuple[Any, ...], value: Any
+) -> None:
+    result = read_declaration(replaced(sample(), path, value))
+    assert is_typed(result)
+    if isinstance(result, Failure):
+        return
+    findings = validate(result.unwrap())
+    if not findings.errors:
+        index = build_index(result.unwrap())
+        for route in index.routes:
+            for organisation in (None, *index.organisations):
+                found = resolve(index, route, organisation)
+                assert not isinstance(found, Failure) or isinstance(
+                    found.failure(), Refusal
+                )
+
+
+@quick
+@given(st.sampled_from(SETTINGS_PLACES), VALUES)
+def test_settings_with_one_value_replaced(path: tuple[Any, ...], value: Any) -> None:
+    assert is_typed(read_settings(replaced(document(), path, value)))
+
+
+@quick
+@given(st.text(max_size=120) | st.binary(max_size=120))
+def test_any_authorization_header(text: str | bytes) -> None:
+    header = text if isinstance(text, str) else text.decode("latin-1")
+    for presented in (header, f"Bearer {header}", f"Bearer bh_{header}"):
+        assert isinstance(authenticate(INDEX, presented).failure(), Refusal)
+
+
+STORED = json.loads(
+    encode_for_store(part_configuration(Configuration(3, (), {}, declared())))[0]
+)
+STORED_PLACES = places(STORED)
+
+
+@quick
+@given(st.sampled_from(STORED_PLACES), VALUES)
+def test_a_stored_value_with_one_value_replaced(
+    path: tuple[Any, ...], value: Any
+) -> None:
+    try:
+        changed = msgspec.json.encode(replaced(STORED, path, value))
+    except (msgspec.MsgspecError, OverflowError, UnicodeEncodeError):
+        return
+    decoded = decode_head(changed)
+    assert is_typed(decoded)
+    if not isinstance(decoded, Failure):
+        assert is_typed(assemble(decoded.unwrap(), {}))
