Name the reasons of benchmark failures and read idle callers' whole answers

Cause: the idle benchmark took a second segment of an answer for a failure (5,432 of 6,000 held), and failures of the throughput run had no reason. Change: workers count refusals by reason; idle callers read whole answers.

--- a/benchmarks/bench_idle.py
+++ b/benchmarks/bench_idle.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent import socket
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from .fleet import Fleet
 from .probes import print_figure, small_scenario
@@ -55,8 +56,8 @@
     """Tell whether the instance answers on a kept connection."""
     try:
         caller.sendall(REQUEST)
-        return caller.recv(65_536).startswith(b"HTTP/1.1 4")
-    except OSError:
+        return HTTPSocketResponse(caller).read().startswith(b"{")
+    except (OSError, HTTPParseError):
         return False
 
 
--- a/benchmarks/bench_throughput.py
+++ b/benchmarks/bench_throughput.py
@@ -116,8 +116,8 @@
 def report(name: str, sample: Sample) -> None:
     """Print a closed loop's throughput and its failures."""
     print_figure(name, sample.per_second, "statements/s")
-    if sample.failed:
-        print_figure(f"{name}_failed", sample.failed, "statements")
+    for reason, count in sorted(sample.failed.items()):
+        print_figure(f"{name}_failed_{reason}", count, "statements")
 
 
 if __name__ == "__main__":
--- a/benchmarks/probes.py
+++ b/benchmarks/probes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
 from typing import NamedTuple, TYPE_CHECKING
 
 import msgspec
@@ -28,7 +29,7 @@
     """Hold the answers of several workers together."""
 
     answered: int
-    failed: int
+    failed: Counter[str]
     per_second: float
     histogram: HdrHistogram
 
@@ -78,11 +79,13 @@
         msgspec.json.decode(child.communicate()[0], type=Outcome) for child in children
     ]
     histogram = new_histogram()
+    failed: Counter[str] = Counter()
     for outcome in outcomes:
+        failed.update(outcome["failed"])
         histogram.add(HdrHistogram.decode(outcome["histogram"]))
     return Sample(
         sum(outcome["answered"] for outcome in outcomes),
-        sum(outcome["failed"] for outcome in outcomes),
+        failed,
         sum(outcome["answered"] / outcome["seconds"] for outcome in outcomes),
         histogram,
     )
--- a/benchmarks/worker.py
+++ b/benchmarks/worker.py
@@ -7,6 +7,7 @@
 
 import sys
 import time
+from collections import Counter
 from typing import Any, TypedDict
 
 import gevent
@@ -34,7 +35,7 @@
     """Count the answers; latencies run from the intended sends."""
 
     answered: int
-    failed: int
+    failed: dict[str, int]
     seconds: float
     histogram: str
 
@@ -47,7 +48,7 @@
         self.task = task
         self.histogram = new_histogram()
         self.answered = 0
-        self.failed = 0
+        self.failed: Counter[str] = Counter()
         self.data = msgspec.json.encode(task["body"])
 
     def run(self) -> Outcome:
@@ -61,7 +62,7 @@
         gevent.joinall(loops, raise_error=True)
         return Outcome(
             answered=self.answered,
-            failed=self.failed,
+            failed=dict(self.failed),
             seconds=time.monotonic() - start,
             histogram=self.histogram.encode().decode(),
         )
@@ -78,12 +79,14 @@
             if ahead > 0:
                 gevent.sleep(ahead)
             response = client.request("POST", task["path"], self.data, task["headers"])
-            response.read()
+            data = response.read()
             if response.status_code == 200:
                 self.answered += 1
                 record_seconds(self.histogram, time.monotonic() - intended)
             else:
-                self.failed += 1
+                answer = msgspec.json.decode(data)
+                reason = answer.get("reason") or answer.get("error", "unnamed")
+                self.failed[reason] += 1
             intended = intended + pace if pace else time.monotonic()
 
 
