--- a/berylhinge/tasks/attempts.py
+++ b/berylhinge/tasks/attempts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..core.requests import Served
 from ..errors import Refusal, refuse
 from ..reasons import RefusalReason, RetryReason
 from ..types import Outcome
@@ -15,6 +16,7 @@
 from .pool import PoolBusy
 
 if TYPE_CHECKING:
+    from ..types import LogPoint, UpstreamId
     from .connection import Connection
     from .member import MemberLink
 
@@ -126,3 +128,17 @@
     outcome = Outcome.UNKNOWN if failure["ran"] else Outcome.NOT_RUN
     detail = f"{link.name}: {failure['message']}"
     return Failed(meaning.retry, refuse(meaning.reason, detail, outcome=outcome))
+
+
+def served(
+    answer: UpstreamAnswer, point: LogPoint, upstream: UpstreamId, role: str
+) -> Served:
+    """Build what the caller gets."""
+    return Served(
+        answer["columns"],
+        answer["rows"],
+        answer["row_count"],
+        point,
+        upstream,
+        role,
+    )
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import random
 import time
-from itertools import count
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
 
-from ..core import detection, promotion
+from ..core import detection
 from ..core.floors import advance_rounds, floor_for, NO_ROUNDS, want_floor
 from ..core.group_view import (
     lag_of,
@@ -20,32 +18,14 @@
     observe_answer,
     primary_of,
 )
-from ..core.promotion_messages import (
-    Announce,
-    AskStatus,
-    FenceAnswered,
-    FenceMembers,
-    PromoteAnswered,
-    PromoteMember,
-    QuiesceMember,
-    StatusSeen,
-    Tick,
-)
+from ..core.promotion_messages import StatusSeen, Tick
 from ..core.read_choice import UpstreamLoad
 from ..wire.peers import ReachReport
-from ..wire.upstream import (
-    EntryAnswer,
-    EntryRequest,
-    FenceAnswer,
-    FenceRequest,
-    GroupMember,
-    PromoteAnswer,
-    PromoteRequest,
-    QuiesceRequest,
-    UpstreamStatus,
-)
+from ..wire.upstream import EntryAnswer, EntryRequest, UpstreamStatus
 from .loops import spawn_loop
 from .member import MemberLink
+from .pending import PendingWrites
+from .promoter import Promoter
 from .signal import Broadcast
 
 if TYPE_CHECKING:
@@ -53,15 +33,13 @@
     from collections.abc import Callable, Mapping
 
     from ..core.declarations import Upstream
-    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, Term, UpstreamId
+    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, UpstreamId
     from ..wire.upstream import UpstreamAnswer
-    from .connection import Connection
     from .logs import Log
     from .metrics import Metrics
 
 TICK_SECONDS = 0.02
 REPORT_SECONDS = 0.5
-LATE_ANSWER_SECONDS = 1.0
 
 
 class GroupOptions(NamedTuple):
@@ -85,18 +63,6 @@
     control: str
 
 
-class PendingWrite:
-    """Hold a write that waits for its answer or acknowledgement."""
-
-    def __init__(self, term: Term, *, idempotent: bool) -> None:
-        """Start without a connection."""
-        self.term = term
-        self.idempotent = idempotent
-        self.started_at = time.monotonic()
-        self.superseded_at: float | None = None
-        self.connection: Connection | None = None
-
-
 class GroupTask:
     """Watch the members, share confirmation rounds and promote when needed."""
 
@@ -124,14 +90,10 @@
         names = tuple(upstream["id"] for upstream in upstreams)
         self.view = new_view(group, names)
         self.rounds = NO_ROUNDS
-        self.promotion = promotion.Promotion(
-            group, options.promoter, names, options.rank
-        )
+        self.promoter = Promoter(self, options.promoter, options.rank)
         self.detection = detection.new_detection()
         self.asked_at = float("-inf")
-        self.writes: dict[int, PendingWrite] = {}
-        self.write_ids = count(1)
-        self.rng = random.Random(options.promoter + group)
+        self.writes = PendingWrites()
         self.changed = Broadcast()
         self.links = {
             upstream["id"]: MemberLink(
@@ -167,7 +129,7 @@
 
     def adjust(self, rank: int, allowances: dict[UpstreamId, int]) -> None:
         """Take a new rank and a new division of the connections."""
-        self.promotion = self.promotion._replace(rank=rank)
+        self.promoter.set_rank(rank)
         for name, allowance in allowances.items():
             if self.links[name].data.allowance != allowance:
                 self.links[name].resize(allowance)
@@ -179,7 +141,7 @@
 
     def is_interested(self) -> bool:
         """Tell whether anyone waits for the view to change."""
-        return self.changed.waiters > 0 or self.promotion.stage != "idle"
+        return self.changed.waiters > 0 or not self.promoter.is_idle
 
     def loads(self) -> dict[UpstreamId, UpstreamLoad]:
         """Return this instance's use of every member."""
@@ -213,7 +175,7 @@
         if observe(self.view, link.name, status, asked_at, now):
             self.changed.notify()
         self.advance_rounds(now)
-        self.promote(StatusSeen(link.name, status), now)
+        self.promoter.step(StatusSeen(link.name, status), now)
 
     def on_answer(
         self, upstream: UpstreamId, answer: UpstreamAnswer, asked_at: float
@@ -272,19 +234,21 @@
         self.advance_rounds(now)
         self.poll_if_due(now)
         self.report_if_due(now)
-        self.abort_superseded(now)
+        primary = primary_of(self.view)
+        if primary is not None:
+            self.writes.abort_superseded(primary.term, now)
         self.detection, verdict = detection.judge(
             self.detection, self.view, self.live_peers(), now
         )
         if not isinstance(verdict, detection.Undecided):
-            self.promote(verdict, now)
-        self.promote(Tick(detection.answering(self.view, now)), now)
+            self.promoter.step(verdict, now)
+        self.promoter.step(Tick(detection.answering(self.view, now)), now)
 
     def poll_if_due(self, now: float) -> None:
         """Ask every member for its status, more often while in doubt."""
-        oldest = next(iter(self.writes.values()), None)
-        since = oldest.started_at if oldest else None
-        pause = detection.poll_seconds(self.detection, self.view, now, since)
+        pause = detection.poll_seconds(
+            self.detection, self.view, now, self.writes.oldest_at
+        )
         if now - self.asked_at < pause:
             return
         self.asked_at = now
@@ -309,98 +273,6 @@
             self.detection, sender, report.unreachable, time.monotonic()
         )
 
-    def begin_write(self, write: PendingWrite) -> int:
-        """Note that a write waits for its answer or acknowledgement."""
-        number = next(self.write_ids)
-        self.writes[number] = write
-        return number
-
-    def end_write(self, number: int) -> None:
-        """Note that a write has ended."""
-        del self.writes[number]
-
-    def abort_superseded(self, now: float) -> None:
-        """Stop waiting for answers of primaries that a newer one replaced.
-
-        Only an idempotent write gains by leaving at once; any other may still be
-        answered with the truth by a primary that was merely paused.
-        """
-        primary = primary_of(self.view)
-        if primary is None or not self.writes:
-            return
-        for write in list(self.writes.values()):
-            if write.connection is None or write.term >= primary.term:
-                continue
-            write.superseded_at = write.superseded_at or now
-            if write.idempotent or now - write.superseded_at >= LATE_ANSWER_SECONDS:
-                write.connection.close()
-
-    def promote(self, event: Any, now: float) -> None:
-        """Step the promoter and carry out its effects."""
-        before = self.promotion.stage
-        self.promotion, effects = promotion.step(self.promotion, event, now, self.rng)
-        if self.promotion.stage != before:
-            self.log.info(
-                f"Promotion is {self.promotion.stage}.",
-                group=self.group,
-                term=self.promotion.term,
-                cause=self.promotion.cause,
-            )
-            self.metrics.count("promotions_total", self.promotion.stage)
-        for effect in effects:
-            self.carry_out(effect)
-
-    def carry_out(self, effect: Any) -> None:
-        """Send one effect of the promoter in the background."""
-        match effect:
-            case AskStatus(upstreams):
-                for name in upstreams:
-                    gevent.spawn(self.ask_status, self.links[name])
-            case FenceMembers(upstreams, term):
-                for name in upstreams:
-                    gevent.spawn(self.fence, self.links[name], term)
-            case PromoteMember(upstream, term):
-                gevent.spawn(self.make_primary, self.links[upstream], term)
-            case QuiesceMember(upstream, term, seconds):
-                request = QuiesceRequest(term=term, seconds=seconds)
-                link = self.links[upstream]
-                gevent.spawn(link.ask, "/v1/quiesce", request, dict[str, Any])
-            case Announce(upstream, term):
-                self.log.info(
-                    "A primary was promoted.",
-                    group=self.group,
-                    upstream=upstream,
-                    term=term,
-                )
-
-    def fence(self, link: MemberLink, term: int) -> None:
-        """Ask one member for its vote."""
-        request = FenceRequest(term=term, promoter=self.options.promoter)
-        asked_at = time.monotonic()
-        answer = link.ask("/v1/fence", request, FenceAnswer)
-        if answer is None:
-            return
-        self.on_status(link, answer["status"], asked_at)
-        event = FenceAnswered(link.name, term, answer["granted"], answer["status"])
-        self.promote(event, time.monotonic())
-
-    def make_primary(self, link: MemberLink, term: int) -> None:
-        """Promote one member in a term that a majority granted."""
-        members = [
-            GroupMember(upstream=upstream["id"], control=upstream["control"])
-            for upstream in self.upstreams
-        ]
-        request = PromoteRequest(
-            term=term, promoter=self.options.promoter, members=members
-        )
-        asked_at = time.monotonic()
-        answer = link.ask("/v1/promote", request, PromoteAnswer)
-        if answer is None:
-            return
-        event = PromoteAnswered(link.name, term, answer["promoted"], answer["status"])
-        self.promote(event, time.monotonic())
-        self.on_status(link, answer["status"], asked_at)
-
     def report(self) -> dict[str, Any]:
         """Return the group's status for operators."""
         primary = primary_of(self.view)
@@ -408,7 +280,7 @@
             "term": max_term(self.view),
             "primary": primary.upstream if primary else None,
             "confirmed": list(newest_confirmed(self.view)),
-            "promotion": self.promotion.stage,
+            "promotion": self.promoter.state.stage,
             "members": {
                 name: self.report_member(name, link)
                 for name, link in self.links.items()
--- /dev/null
+++ b/berylhinge/tasks/pending.py
@@ -0,0 +1,63 @@
+"""Keep the writes that wait for their answer or acknowledgement."""
+
+from __future__ import annotations
+
+import time
+from itertools import count
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..types import Term
+    from .connection import Connection
+
+LATE_ANSWER_SECONDS = 1.0
+
+
+class PendingWrite:
+    """Hold a write that waits for its answer or acknowledgement."""
+
+    def __init__(self, term: Term, *, idempotent: bool) -> None:
+        """Start without a connection."""
+        self.term = term
+        self.idempotent = idempotent
+        self.started_at = time.monotonic()
+        self.superseded_at: float | None = None
+        self.connection: Connection | None = None
+
+
+class PendingWrites:
+    """Hold a group's pending writes, oldest first."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.writes: dict[int, PendingWrite] = {}
+        self.numbers = count(1)
+
+    @property
+    def oldest_at(self) -> float | None:
+        """Return when the oldest pending write began."""
+        oldest = next(iter(self.writes.values()), None)
+        return oldest.started_at if oldest else None
+
+    def begin(self, write: PendingWrite) -> int:
+        """Note that a write waits for its answer or acknowledgement."""
+        number = next(self.numbers)
+        self.writes[number] = write
+        return number
+
+    def end(self, number: int) -> None:
+        """Note that a write has ended."""
+        del self.writes[number]
+
+    def abort_superseded(self, term: Term, now: float) -> None:
+        """Stop waiting for answers of primaries that a newer term replaced.
+
+        Only an idempotent write gains by leaving at once; any other may still be
+        answered with the truth by a primary that was merely paused.
+        """
+        for write in list(self.writes.values()):
+            if write.connection is None or write.term >= term:
+                continue
+            write.superseded_at = write.superseded_at or now
+            if write.idempotent or now - write.superseded_at >= LATE_ANSWER_SECONDS:
+                write.connection.close()
--- /dev/null
+++ b/berylhinge/tasks/reading.py
@@ -0,0 +1,161 @@
+"""Read on any member that is at or past a proven floor."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..core.group_view import primary_of
+from ..core.read_choice import (
+    choose_read,
+    judge_read,
+    Need,
+    ReadAt,
+    RetryRead,
+    ReturnAnswer,
+    WaitForReplica,
+)
+from ..core.requests import Served
+from ..errors import refuse, RefusedError
+from ..reasons import RefusalReason, RetryReason
+from ..types import LogPoint
+from ..wire.upstream import StatementRequest
+from .attempts import Exchanged, Failed, served
+
+if TYPE_CHECKING:
+    import random
+
+    from ..core.requests import StatementCall
+    from ..types import OrganisationId, UpstreamId
+    from .group import GroupTask
+    from .metrics import Metrics
+    from .turns import Turns
+
+PROOF_PAUSE_SECONDS = 0.05
+
+
+class Reader:
+    """Choose where to read and prove what was read."""
+
+    def __init__(
+        self, group: GroupTask, turns: Turns, metrics: Metrics, rng: random.Random
+    ) -> None:
+        """Keep the group, its slots and the counters."""
+        self.group = group
+        self.turns = turns
+        self.metrics = metrics
+        self.rng = rng
+
+    def read_floor(
+        self, call: StatementCall, arrived_at: float, max_age: float, deadline: float
+    ) -> tuple[LogPoint, Need]:
+        """Return the entry that a read must not be behind; raise RefusedError."""
+        age = call.max_age_seconds
+        if age is None:
+            age = max_age if call.floor is not None else 0.0
+        proven = self.group.floor(arrived_at, age, deadline)
+        if proven is None:
+            detail = f"no majority of {self.group.group} answered in time"
+            raise RefusedError(refuse(RefusalReason.NO_PRIMARY, detail))
+        if call.floor is not None and call.floor > proven:
+            return call.floor, Need.TOKEN
+        return proven, Need.TOKEN if call.floor is not None else Need.ROUND
+
+    def choose(
+        self,
+        floor: LogPoint,
+        need: Need,
+        deadline: float,
+        excluded: set[UpstreamId],
+    ) -> UpstreamId | Failed:
+        """Choose where to read, waiting while a member may catch up."""
+        asked_at = time.monotonic()
+        while True:
+            now = time.monotonic()
+            choice = choose_read(
+                self.group.view,
+                self.group.loads(),
+                floor=floor,
+                need=need,
+                place=self.group.options.place,
+                asked_at=asked_at,
+                now=now,
+                rng=self.rng,
+                excluded=frozenset(excluded),
+            )
+            if isinstance(choice, ReadAt):
+                return choice.upstream
+            if now >= deadline:
+                detail = "no member reached the session's position in time"
+                refusal = refuse(RefusalReason.SESSION_UNREACHABLE, detail)
+                if not isinstance(choice, WaitForReplica):
+                    refusal = choice
+                return Failed(None, refusal)
+            until = deadline
+            if isinstance(choice, WaitForReplica):
+                until = min(deadline, choice.until)
+            else:
+                excluded.clear()
+            pause = min(until - now, PROOF_PAUSE_SECONDS)
+            self.group.wait_change(pause)
+
+    def try_read(
+        self,
+        call: StatementCall,
+        floor: LogPoint,
+        need: Need,
+        deadline: float,
+        excluded: set[UpstreamId],
+        organisation: OrganisationId,
+    ) -> Served | Failed:
+        """Read once and return only confirmed data at or past the floor."""
+        chosen = self.choose(floor, need, deadline, excluded)
+        if isinstance(chosen, Failed):
+            return chosen
+        link = self.group.links[chosen]
+        request = StatementRequest(
+            request_id=call.request_id,
+            access="read",
+            statement=call.statement,
+            parameters=call.parameters,
+        )
+        result = self.turns.take(link, request, organisation, deadline)
+        if isinstance(result, Failed):
+            excluded.add(chosen)
+            return result
+        judged = self.judge(chosen, result, floor, deadline)
+        if isinstance(judged, Served):
+            self.metrics.count("reads_total", judged.role)
+        return judged
+
+    def judge(
+        self,
+        upstream: UpstreamId,
+        result: Exchanged,
+        floor: LogPoint,
+        deadline: float,
+    ) -> Served | Failed:
+        """Hold a read's answer until it is proven, or drop it."""
+        answer = result.answer
+        self.group.on_answer(upstream, answer, result.asked_at)
+        while True:
+            verdict = judge_read(self.group.view, floor, answer)
+            if isinstance(verdict, ReturnAnswer):
+                role = self.role_of(upstream)
+                return served(answer, verdict.point, upstream, role)
+            remaining = deadline - time.monotonic()
+            if isinstance(verdict, RetryRead) or remaining <= 0:
+                reason = (
+                    verdict.reason
+                    if isinstance(verdict, RetryRead)
+                    else RetryReason.READ_UNCONFIRMED
+                )
+                detail = f"{upstream} could not prove its answer"
+                return Failed(reason, refuse(RefusalReason.NO_PRIMARY, detail))
+            self.group.wait_change(min(remaining, PROOF_PAUSE_SECONDS))
+
+    def role_of(self, upstream: UpstreamId) -> str:
+        """Tell whether an upstream is the confirmed primary."""
+        primary = primary_of(self.group.view)
+        lead = primary is not None and primary.upstream == upstream
+        return "primary" if lead else "replica"
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -16,7 +16,7 @@
 from ..types import Access, LogPoint, Outcome
 from ..wire.upstream import StatementRequest, TransactionRequest
 from .attempts import exchange, Exchanged, Failed, lease
-from .group import PendingWrite
+from .pending import PendingWrite
 from .signal import Broadcast
 
 if TYPE_CHECKING:
@@ -191,7 +191,7 @@
         try:
             result = exchange(link, connection, "/v1/begin", request, deadline)
             if isinstance(result, Exchanged):
-                result = executor.judge(name, result, floor, deadline)
+                result = executor.reader.judge(name, result, floor, deadline)
         except BaseException:
             self.forget(transaction)
             transaction.abandon()
@@ -207,7 +207,7 @@
     ) -> tuple[Primary | None, str]:
         """Choose the upstream; raise RefusedError."""
         if call.access is Access.WRITE:
-            target = executor.await_target(deadline)
+            target = executor.writer.await_target(deadline)
             if isinstance(target, Failed):
                 raise RefusedError(target.refusal)
             return target, target.upstream
@@ -217,7 +217,7 @@
         if floor is None:
             detail = f"no majority of {executor.group.group} answered in time"
             raise RefusedError(refuse(RefusalReason.NO_PRIMARY, detail))
-        chosen = executor.choose(floor, Need.TOKEN, deadline, set())
+        chosen = executor.reader.choose(floor, Need.TOKEN, deadline, set())
         if isinstance(chosen, Failed):
             raise RefusedError(chosen.refusal)
         return None, chosen
@@ -268,7 +268,9 @@
         if isinstance(result, Exchanged):
             floor = call.floor or LogPoint(0, 0)
             executor = transaction.executor
-            result = executor.judge(transaction.link.name, result, floor, deadline)
+            result = executor.reader.judge(
+                transaction.link.name, result, floor, deadline
+            )
         if isinstance(result, Served):
             return result
         if result.retry is None and transaction.connection.is_open:
@@ -290,20 +292,20 @@
         executor = transaction.executor
         write = PendingWrite(target.term if target else 0, idempotent=False)
         write.connection = transaction.connection
-        number = executor.group.begin_write(write)
+        number = executor.group.writes.begin(write)
         try:
             result: Any = self.send(transaction, "/v1/commit", request, deadline)
             write.connection = None
             transaction.release()
             if isinstance(result, Exchanged) and target is not None:
-                result = executor.acknowledge(target, result, deadline)
+                result = executor.writer.acknowledge(target, result, deadline)
             elif isinstance(result, Exchanged):
                 floor = call.floor or LogPoint(0, 0)
                 name = transaction.link.name
-                result = executor.judge(name, result, floor, deadline)
+                result = executor.reader.judge(name, result, floor, deadline)
         finally:
             transaction.abandon()
-            executor.group.end_write(number)
+            executor.group.writes.end(number)
         if isinstance(result, Served):
             return result
         if result.refusal.outcome is Outcome.NOT_RUN:
--- /dev/null
+++ b/berylhinge/tasks/turns.py
@@ -0,0 +1,55 @@
+"""Give each statement a slot and a connection of its own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+
+from ..types import Access, Outcome
+from .attempts import exchange, Exchanged, Failed, lease
+
+if TYPE_CHECKING:
+    from ..types import OrganisationId
+    from ..wire.upstream import StatementRequest
+    from .member import MemberLink
+    from .pending import PendingWrite
+
+SLOT_HOLD_SECONDS = 0.5
+
+
+class Turns:
+    """Exchange statements with the members of one group."""
+
+    def take(
+        self,
+        link: MemberLink,
+        request: StatementRequest,
+        organisation: OrganisationId,
+        deadline: float,
+        write: PendingWrite | None = None,
+    ) -> Exchanged | Failed:
+        """Exchange one statement on a slot and a connection of its own."""
+        hold = 0.0
+        ticket = link.gate.enter(organisation, Access(request["access"]), deadline)
+        try:
+            connection = lease(link, deadline)
+            if isinstance(connection, Failed):
+                return connection
+            if write is not None:
+                write.connection = connection
+            try:
+                result = exchange(link, connection, "/v1/statement", request, deadline)
+            finally:
+                if write is not None:
+                    write.connection = None
+                link.data.give_back(connection)
+            if isinstance(result, Failed) and result.refusal.outcome is Outcome.UNKNOWN:
+                hold = SLOT_HOLD_SECONDS
+            return result
+        finally:
+            # A statement whose answer was lost may still hold the upstream's slot.
+            if hold:
+                gevent.spawn_later(hold, link.gate.leave, ticket)
+            else:
+                link.gate.leave(ticket)
--- /dev/null
+++ b/berylhinge/tasks/writing.py
@@ -0,0 +1,152 @@
+"""Write on a group's primary and acknowledge what a majority holds."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, TYPE_CHECKING
+
+import gevent
+
+from ..core.group_view import (
+    is_acknowledged,
+    is_superseded,
+    last_is_confirmed,
+    primary_of,
+    write_target,
+)
+from ..core.outcomes import outcome_by_entry, WriteOutcome
+from ..errors import refuse
+from ..reasons import RefusalReason, RetryReason
+from ..types import LogPoint, Outcome
+from ..wire.upstream import StatementRequest
+from .attempts import Exchanged, Failed, served
+from .pending import PendingWrite
+
+if TYPE_CHECKING:
+    from ..core.group_view import Primary
+    from ..core.requests import Served, StatementCall
+    from ..types import OrganisationId
+    from ..wire.upstream import UpstreamAnswer
+    from .group import GroupTask
+    from .turns import Turns
+
+SETTLE_PAUSE_SECONDS = 0.05
+
+
+class Writer:
+    """Send writes and decide what became of them."""
+
+    def __init__(self, group: GroupTask, turns: Turns) -> None:
+        """Keep the group and its slots."""
+        self.group = group
+        self.turns = turns
+
+    def await_target(self, deadline: float) -> Primary | Failed:
+        """Wait for a primary that answers and that no majority has superseded."""
+        while True:
+            target = write_target(self.group.view)
+            if target is not None and self.group.links[target.upstream].reachable:
+                return target
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                detail = f"no reachable primary of {self.group.group} has a majority"
+                return Failed(None, refuse(RefusalReason.NO_PRIMARY, detail))
+            self.group.wait_change(min(remaining, SETTLE_PAUSE_SECONDS))
+
+    def try_write(
+        self, call: StatementCall, deadline: float, organisation: OrganisationId
+    ) -> Served | Failed:
+        """Send a write once and wait until it is on a majority."""
+        target = self.await_target(deadline)
+        if isinstance(target, Failed):
+            return target
+        link = self.group.links[target.upstream]
+        request = StatementRequest(
+            request_id=call.request_id,
+            access="write",
+            statement=call.statement,
+            parameters=call.parameters,
+            term=target.term,
+        )
+        write = PendingWrite(target.term, idempotent=call.idempotent)
+        number = self.group.writes.begin(write)
+        try:
+            result = self.turns.take(link, request, organisation, deadline, write)
+            if isinstance(result, Failed):
+                return result
+            return self.acknowledge(target, result, deadline)
+        finally:
+            self.group.writes.end(number)
+
+    def acknowledge(
+        self, target: Primary, result: Exchanged, deadline: float
+    ) -> Served | Failed:
+        """Return a write's answer once its entry is on a majority in its term."""
+        answer = result.answer
+        self.group.on_answer(target.upstream, answer, result.asked_at)
+        written = answer.get("written")
+        if not written:
+            return self.confirm_unwritten(target, answer, deadline)
+        point = LogPoint(*written)
+        view = self.group.view
+        while not is_acknowledged(view, target.term, point):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                return acknowledgement_lost(target, point)
+            if is_superseded(view, target.term):
+                return self.settle(target, answer, point, deadline)
+            self.group.wait_change(min(remaining, SETTLE_PAUSE_SECONDS))
+        return served(answer, point, target.upstream, "primary")
+
+    def confirm_unwritten(
+        self, target: Primary, answer: UpstreamAnswer, deadline: float
+    ) -> Served | Failed:
+        """Return a write that changed nothing once what it saw is confirmed."""
+        last = LogPoint(*answer["last"])
+        view = self.group.view
+        while not last_is_confirmed(view, answer["log_term"], last):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or is_superseded(view, target.term):
+                detail = f"{target.upstream} was superseded before its answer"
+                refusal = refuse(RefusalReason.PRIMARY_SUPERSEDED, detail)
+                return Failed(RetryReason.PRIMARY_SUPERSEDED, refusal)
+            self.group.wait_change(min(remaining, SETTLE_PAUSE_SECONDS))
+        return served(answer, last, target.upstream, "primary")
+
+    def settle(
+        self,
+        target: Primary,
+        answer: UpstreamAnswer,
+        point: LogPoint,
+        deadline: float,
+    ) -> Served | Failed:
+        """Ask the next confirmed primary what became of a superseded write."""
+        view = self.group.view
+        while (remaining := deadline - time.monotonic()) > 0:
+            primary = primary_of(view)
+            if primary is not None and primary.term > target.term:
+                entry = self.group.entry_term(primary.upstream, point.position)
+                outcome = (
+                    outcome_by_entry(view, point, entry)
+                    if entry is not None
+                    else WriteOutcome.PENDING
+                )
+                if outcome is WriteOutcome.ACKNOWLEDGED:
+                    return served(answer, point, target.upstream, "primary")
+                if outcome is WriteOutcome.NOT_RUN:
+                    detail = f"{target.upstream} was superseded before a majority"
+                    refusal = refuse(RefusalReason.PRIMARY_SUPERSEDED, detail)
+                    return Failed(RetryReason.PRIMARY_SUPERSEDED, refusal)
+                gevent.sleep(min(remaining, SETTLE_PAUSE_SECONDS))
+                continue
+            self.group.wait_change(min(remaining, SETTLE_PAUSE_SECONDS))
+        return acknowledgement_lost(target, point)
+
+
+def acknowledgement_lost(target: Any, point: LogPoint) -> Failed:
+    """Report a write that ran on one member and was never confirmed."""
+    detail = f"entry {point.term}.{point.position} of {target.upstream} is unconfirmed"
+    refusal = refuse(
+        RefusalReason.ACKNOWLEDGEMENT_LOST, detail, outcome=Outcome.UNKNOWN
+    )
+    return Failed(RetryReason.PRIMARY_SUPERSEDED, refusal)
