--- a/berylhinge/cli/dev.py
+++ b/berylhinge/cli/dev.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import secrets
 import signal
+import socket
 import sys
 import time
 from typing import Any, NamedTuple
@@ -23,8 +25,8 @@
     next_configuration,
     ReplaceDeclaration,
 )
-from ..core.declarations import Declaration
-from ..core.keys import grant_key
+from ..core.declarations import Declaration, Key
+from ..core.keys import hash_secret, parse_authorization, SALT_BYTES
 from ..core.parts import encode_for_store, part_configuration
 from ..settings import read_settings
 from ..standins.group import start_group
@@ -33,7 +35,9 @@
 from ..tasks.proxy import Proxy
 from .proxy import new_incarnation
 
-LOOPBACK = "127.0.0.1:0"
+LOOPBACK = "127.0.0.1"
+CALLERS_PORTS = (8101, 8102)
+DEMO_KEY = "bh_demo_not-a-secret"
 PLACES = ("north-a", "north-b", "north-c")
 UPSTREAMS = ("orders-1", "orders-2", "orders-3")
 ROUTE = "orders"
@@ -104,34 +108,64 @@
     }
 
 
-def start_demo(instances: int = 2) -> Demo:
+def start_demo(ports: tuple[int, ...] = (0, 0)) -> Demo:
     """Start the platform, the group and the instances, and wait until ready."""
     platform = start_platform(list_lag_seconds=0.2)
     group = start_group(list(UPSTREAMS), places=list(PLACES))
-    granted = grant_key(ORGANISATION, secrets.token_bytes)
-    declaration = sample_declaration(group, granted.record)
+    declaration = sample_declaration(group, demo_key_record())
     proxies = [
-        start_instance(f"instance-{number + 1}", PLACES[number], str(platform.address))
-        for number in range(instances)
+        start_instance(
+            f"instance-{number + 1}",
+            PLACES[number % len(PLACES)],
+            str(platform.address),
+            port,
+        )
+        for number, port in enumerate(ports)
     ]
     store_declaration(proxies[0], declaration)
-    demo = Demo(proxies, [platform, group], granted.text.reveal())
+    demo = Demo(proxies, [platform, group], DEMO_KEY)
     await_ready(demo)
     return demo
 
 
+def demo_key_record() -> Key:
+    """Return the stored record of the demo's well-known key."""
+    presented = parse_authorization(f"Bearer {DEMO_KEY}")
+    assert presented is not None
+    salt = secrets.token_bytes(SALT_BYTES)
+    hashed = hash_secret(presented.secret.reveal(), salt)
+    return {
+        "id": presented.id,
+        "organisation": ORGANISATION,
+        "salt": base64.b64encode(salt).decode(),
+        "hash": base64.b64encode(hashed).decode(),
+        "state": "granted",
+    }
+
+
+def free_or_any(port: int) -> int:
+    """Return the port, or 0 for any when it is taken."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return 0
+    return port
+
+
 SECRET = base64.b64encode(secrets.token_bytes(32)).decode()
 
 
-def start_instance(name: str, place: str, platform: str) -> Proxy:
-    """Start one instance on free ports."""
+def start_instance(name: str, place: str, platform: str, port: int) -> Proxy:
+    """Start one instance; port 0 picks a free one for callers."""
     settings = read_settings(
         {
             "instance": name,
             "place": place,
-            "callers": LOOPBACK,
-            "operators": LOOPBACK,
-            "peers": LOOPBACK,
+            "callers": f"{LOOPBACK}:{port}",
+            "operators": f"{LOOPBACK}:0",
+            "peers": f"{LOOPBACK}:0",
             "platform": [platform],
             "peer_secrets": [SECRET],
         }
@@ -246,7 +280,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     try:
-        demo = start_demo()
+        demo = start_demo(tuple(map(free_or_any, CALLERS_PORTS)))
     except (OSError, TimeoutError) as error:
         click.echo(f"the demo did not start: {error}", err=True)
         sys.exit(1)
--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -29,6 +29,7 @@
 )
 from .links import PeerLost
 from .loops import spawn_loop
+from .signal import Broadcast
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -43,6 +44,7 @@
 
 TICK_SECONDS = 0.1
 PROOF_SECONDS = 0.8
+PROOF_WAIT_SECONDS = 0.5
 PULL_TIMEOUT_SECONDS = 0.5
 LONE_WATCH_SECONDS = 1.0
 
@@ -108,6 +110,7 @@
         self.parted: PartedConfiguration | None = None
         self.revision = 0
         self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
+        self.proven = Broadcast()
         self.greenlets: list[gevent.Greenlet] = []
         links.register(VersionNews, self.on_news)
         links.register(ProofRequest, self.on_proof_request)
@@ -138,6 +141,18 @@
         )
         return isinstance(proof, Success)
 
+    def await_fresh(self) -> bool:
+        """Ask again and wait briefly, as after a pause; tell whether keys are proven."""
+        if self.is_fresh():
+            return True
+        self.ask_proofs()
+        deadline = time.monotonic() + PROOF_WAIT_SECONDS
+        while not self.is_fresh():
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or not self.proven.wait(remaining):
+                return self.is_fresh()
+        return True
+
     def set_peers(self, peers: tuple[InstanceId, ...]) -> None:
         """Replace the live peers."""
         if peers != self.state.peers:
@@ -208,6 +223,7 @@
             self.step(adoption.StoreFailed())
             return
         self.freshness = store_confirmed(self.freshness, configuration.version, sent_at)
+        self.proven.notify()
         self.step(adoption.StoreSent(configuration, sent_at))
 
     def read_store(self, wait_seconds: float) -> Configuration | None:
@@ -300,6 +316,7 @@
         self.freshness = voucher_confirmed(
             self.freshness, sender, message.version, message.sent_at
         )
+        self.proven.notify()
         if message.version > self.version or message.withdrawals:
             self.step(
                 adoption.VersionHeard(sender, message.version, message.withdrawals)
--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -17,6 +17,8 @@
 from .transactions import owner_of, Transactions
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..core.index import DeclarationIndex
     from ..core.requests import Served, StatementCall, TransactionCall
     from ..errors import Refusal
@@ -50,9 +52,6 @@
     def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
         """Return the live instances that serve a group, best first."""
 
-    def keys_proven(self) -> bool:
-        """Tell whether the keys in force are proven to be current."""
-
 
 class Dispatcher:
     """Authenticate, admit, and run locally or on a peer."""
@@ -62,6 +61,7 @@
         instance: InstanceId,
         *,
         fleet: Fleet,
+        prove_keys: Callable[[], bool],
         links: Links,
         transactions: Transactions,
         metrics: Metrics,
@@ -70,6 +70,7 @@
         """Keep the collaborators; nothing is served before a configuration."""
         self.instance = instance
         self.fleet = fleet
+        self.prove_keys = prove_keys
         self.links = links
         self.transactions = transactions
         self.metrics = metrics
@@ -111,7 +112,7 @@
         result = authenticate(index, authorization)
         if isinstance(result, Failure):
             raise RefusedError(result.failure())
-        if not self.fleet.keys_proven():
+        if not self.prove_keys():
             detail = "neither the store nor enough peers confirm the keys"
             raise RefusedError(refuse(RefusalReason.KEYS_UNPROVEN, detail))
         return result.unwrap()
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -15,8 +15,7 @@
 from ..core.capacity import Adopted, FetchRoster, ReadRoster, RosterRead, Send, Tick
 from ..core.connections import serving_instances
 from ..core.minting import Settle
-from ..core.permits import is_held
-from ..core.rates import Admitted, Refused
+from ..core.rates import Admitted, Refused, Wait
 from ..core.roster import Member, proposal_delay, propose, Roster, ROSTER_KEY, settle
 from ..errors import refuse, RefusedError
 from ..reasons import RefusalReason
@@ -36,6 +35,8 @@
 ROSTER_TIMEOUT_SECONDS = 1.0
 PROPOSE_PAUSE_SECONDS = 0.5
 ABSENT_SECONDS = 3.0
+RENEW_WAIT_SECONDS = 0.5
+RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
     capacity.VouchRequest,
     capacity.VouchAnswer,
@@ -119,6 +120,8 @@
             self.send_all(capacity.drain(self.state))
             if isinstance(verdict, Admitted):
                 return
+            if isinstance(verdict, Refused) and self.may_renew(verdict, waited):
+                verdict = Wait(RENEW_PAUSE_SECONDS)
             if isinstance(verdict, Refused):
                 raise RefusedError(self.refusal(organisation, verdict))
             if now + verdict.seconds >= deadline:
@@ -127,6 +130,14 @@
             gevent.sleep(verdict.seconds)
             waited = time.monotonic() - started
 
+    def may_renew(self, verdict: Refused, waited: float) -> bool:
+        """Tell whether a permit that lapsed in a pause may soon be held again."""
+        if verdict.reason is not RefusalReason.RATE_UNPROVEN:
+            return False
+        if not waited:
+            self.step(Tick())
+        return waited < RENEW_WAIT_SECONDS
+
     def refusal(self, organisation: OrganisationId, verdict: Refused) -> Any:
         """Say which organisation is over its rate."""
         return refuse(
@@ -135,10 +146,6 @@
             retry_after_seconds=verdict.retry_after_seconds,
         )
 
-    def keys_proven(self) -> bool:
-        """Tell whether the permit, and so the keys in force, are current."""
-        return is_held(self.state.permit, time.monotonic())
-
     def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
         """Return the live instances that serve a group, best first."""
         live = sorted(member.instance for member in self.live())
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -97,10 +97,10 @@
             on_adopt=self.on_adopt,
             log=Log("configuration", settings.instance),
         )
-        self.fleet.keys_proven = self.configuration.is_fresh
         self.dispatcher = Dispatcher(
             settings.instance,
             fleet=self.fleet,
+            prove_keys=self.configuration.await_fresh,
             links=self.links,
             transactions=self.transactions,
             metrics=self.metrics,
@@ -295,9 +295,8 @@
         """Tell whether requests can be served."""
         if self.index is None or self.callers_app.leaving:
             return False
-        return self.me in self.fleet.state.permit.roster.members and (
-            self.fleet.keys_proven()
-        )
+        member = self.me in self.fleet.state.permit.roster.members
+        return member and self.configuration.is_fresh()
 
     def watch_hub(self) -> None:
         """Measure how long the hub stalls."""
@@ -345,7 +344,7 @@
             "ready": self.is_ready(),
             "config_version": self.configuration.version,
             "roster_epoch": self.fleet.state.permit.roster.epoch,
-            "permit_held": self.fleet.keys_proven(),
+            "keys_proven": self.configuration.is_fresh(),
             "groups": {name: group.report() for name, group in self.groups.items()},
             "shares": {
                 name: {"units": bucket.units, "tokens": bucket.tokens}
