--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -106,6 +106,8 @@
         self.state = AdoptionState(me)
         self.freshness = new_freshness()
         self.parted: PartedConfiguration | None = None
+        self.decoded: PartedConfiguration | None = None
+        self.index: DeclarationIndex | None = None
         self.revision = 0
         self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
         self.greenlets: list[gevent.Greenlet] = []
@@ -186,11 +188,15 @@
         self, configuration: Configuration, withdrawals: frozenset[KeyId]
     ) -> None:
         """Put a configuration in force, its withdrawn keys included."""
-        index = build_index(configuration.declaration)
+        index = build_index(configuration.declaration, previous=self.index)
+        self.index = index
         for key in withdrawals & index.keys.keys():
             index.keys[key] = index.keys[key]._replace(withdrawn=True)
-        if self.parted is None or self.parted.configuration != configuration:
-            self.parted = part_configuration(configuration)
+        if self.parted is None or self.parted.configuration is not configuration:
+            decoded = self.decoded
+            if decoded is None or decoded.configuration is not configuration:
+                decoded = part_configuration(configuration)
+            self.parted = decoded
         self.log.info("A configuration is in force.", version=configuration.version)
         self.on_adopt(configuration, index)
 
@@ -240,11 +246,12 @@
             if part is None:
                 return None
             known[digest] = part
-        built = assemble(head, known)
+        built = assemble(head, known, previous=self.parted)
         if isinstance(built, Failure):
             self.log.info("A configuration was refused.", errors=str(built.failure()))
             return None
-        return built.unwrap().configuration
+        self.decoded = built.unwrap()
+        return self.decoded.configuration
 
     def fetch_from_store(self, digest: str) -> bytes | None:
         """Read one part from the store."""
