Use every setting: TLS, timeouts, idle callers, connect timeout, drain

Cause: settings without effect. Change: certificates on the callers' listener with reload, upstream CA, timeouts from the settings, idle connections closed before a request line is read, drain through the operators' listener ends the process gracefully.

--- a/berylhinge/cli/proxy.py
+++ b/berylhinge/cli/proxy.py
@@ -8,7 +8,6 @@
 
 import click
 import gevent
-from gevent.event import Event
 
 from .. import __version__
 from ..errors import DocumentError
@@ -44,16 +43,19 @@
             click.echo(f"{path}: {field}", err=True)
         sys.exit(EXIT_MISUSE)
     start_logging()
-    stopped = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopped.set)
     try:
         proxy = Proxy(settings, incarnation=new_incarnation())
+    except DocumentError as error:
+        for field in error.fields:
+            click.echo(f"{path}: {field}", err=True)
+        sys.exit(EXIT_MISUSE)
     except OSError as error:
         click.echo(f"{path}: cannot listen: {error}; free the address", err=True)
         sys.exit(EXIT_FAILED)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, proxy.stopping.set)
     proxy.start()
-    stopped.wait()
+    proxy.stopping.wait()
     proxy.shut_down()
 
 
--- a/berylhinge/core/requests.py
+++ b/berylhinge/core/requests.py
@@ -11,13 +11,11 @@
 from ..reasons import RefusalReason
 from ..types import Access, JsonValue, LogPoint, RequestId, RouteId, Seconds
 
-DEFAULT_TIMEOUT_SECONDS = 5.0
-MAX_TIMEOUT_SECONDS = 60.0
 MAX_AGE_SECONDS = 86_400.0
 MAX_STATEMENT_CHARACTERS = 200_000
 MAX_PARAMETERS = 10_000
 
-Timeout = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_SECONDS)]
+Timeout = Annotated[float, msgspec.Meta(gt=0)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_SECONDS)]
 Sql = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_STATEMENT_CHARACTERS)]
 Parameter = str | int | float | bool | None
@@ -56,6 +54,16 @@
     timeout_seconds: NotRequired[Timeout]
 
 
+class Timeouts(NamedTuple):
+    """Bound a call's time: what it gets unasked, and the most it may ask."""
+
+    default_seconds: Seconds = 5.0
+    limit_seconds: Seconds = 60.0
+
+
+DEFAULT_TIMEOUTS = Timeouts()
+
+
 class StatementCall(NamedTuple):
     """Ask for one statement; ``floor`` is the session's confirmed entry."""
 
@@ -96,8 +104,10 @@
     transaction: str | None = None
 
 
-def decode_body(body: bytes, kind: type) -> Result[Any, Refusal]:
-    """Decode a JSON object and refuse unknown fields, naming them."""
+def decode_body(
+    body: bytes, kind: type, timeouts: Timeouts = DEFAULT_TIMEOUTS
+) -> Result[Any, Refusal]:
+    """Decode a JSON object; refuse unknown fields and timeouts over the limit."""
     try:
         value = msgspec.json.decode(body or b"{}", type=dict[str, Any])
         unknown = value.keys() - kind.__annotations__.keys()
@@ -109,13 +119,24 @@
                     f"got unknown fields {sorted(unknown)}, expected only {expected}",
                 )
             )
-        return Success(msgspec.convert(value, type=kind, strict=True))
+        fields = msgspec.convert(value, type=kind, strict=True)
+        fields.setdefault("timeout_seconds", timeouts.default_seconds)
+        if fields["timeout_seconds"] > timeouts.limit_seconds:
+            got = fields["timeout_seconds"]
+            detail = f"got timeout_seconds {got}, expected {timeouts.limit_seconds}"
+            return Failure(refuse(RefusalReason.MALFORMED_BODY, f"{detail} at most"))
+        return Success(fields)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Failure(refuse(RefusalReason.MALFORMED_BODY, str(error)))
 
 
 def parse_statement(
-    body: bytes, *, request_id: RequestId, route: RouteId, floor: LogPoint | None
+    body: bytes,
+    *,
+    request_id: RequestId,
+    route: RouteId,
+    floor: LogPoint | None,
+    timeouts: Timeouts = DEFAULT_TIMEOUTS,
 ) -> Result[StatementCall, Refusal]:
     """Parse the body of a statement outside a transaction."""
 
@@ -129,11 +150,11 @@
             access=access,
             idempotent=fields.get("idempotent", access is Access.READ),
             max_age_seconds=fields.get("max_age_seconds"),
-            timeout_seconds=fields.get("timeout_seconds", DEFAULT_TIMEOUT_SECONDS),
+            timeout_seconds=fields["timeout_seconds"],
             floor=floor,
         )
 
-    return decode_body(body, StatementBody).map(build)
+    return decode_body(body, StatementBody, timeouts).map(build)
 
 
 _ACTION_BODIES = {
@@ -152,6 +173,7 @@
     request_id: RequestId,
     route: RouteId,
     floor: LogPoint | None,
+    timeouts: Timeouts = DEFAULT_TIMEOUTS,
 ) -> Result[TransactionCall, Refusal]:
     """Parse the body of a transaction's begin, statement, commit or rollback."""
 
@@ -164,8 +186,8 @@
             access=Access(fields.get("access", "write")),
             statement=fields.get("statement", ""),
             parameters=list(fields.get("parameters", ())),
-            timeout_seconds=fields.get("timeout_seconds", DEFAULT_TIMEOUT_SECONDS),
+            timeout_seconds=fields["timeout_seconds"],
             floor=floor,
         )
 
-    return decode_body(body, _ACTION_BODIES[action]).map(build)
+    return decode_body(body, _ACTION_BODIES[action], timeouts).map(build)
--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -10,7 +10,12 @@
 import msgspec
 from returns.pipeline import is_successful
 
-from ..core.requests import parse_statement, parse_transaction
+from ..core.requests import (
+    DEFAULT_TIMEOUTS,
+    parse_statement,
+    parse_transaction,
+    Timeouts,
+)
 from ..core.sessions import decode_session, encode_session, SessionToken
 from ..errors import Refusal, refuse, RefusedError
 from ..reasons import REFUSAL_KINDS, RefusalReason
@@ -102,12 +107,14 @@
         *,
         body_limit_bytes: int,
         body_timeout_seconds: float,
+        timeouts: Timeouts = DEFAULT_TIMEOUTS,
     ) -> None:
         """Keep the collaborators and limits."""
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.body_limit_bytes = body_limit_bytes
         self.body_timeout_seconds = body_timeout_seconds
+        self.timeouts = timeouts
         self.leaving = False
         self.refusing = False
         self.active = 0
@@ -152,7 +159,11 @@
         if segments[3:] == ["statements"]:
             call = unwrap(
                 parse_statement(
-                    body, request_id=request_id, route=segments[2], floor=floor
+                    body,
+                    request_id=request_id,
+                    route=segments[2],
+                    floor=floor,
+                    timeouts=self.timeouts,
                 )
             )
             served = self.dispatcher.run_statement(caller, call)
@@ -166,6 +177,7 @@
                     request_id=request_id,
                     route=segments[2],
                     floor=floor,
+                    timeouts=self.timeouts,
                 )
             )
             served = self.dispatcher.run_transaction(caller, inner)
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -51,6 +51,7 @@
     rank: int
     allowances: dict[UpstreamId, int]
     queue: int
+    connect_seconds: float
     weights: Mapping[OrganisationId, float]
     ssl_context: ssl.SSLContext | None = None
 
@@ -101,6 +102,7 @@
                 instance=options.instance,
                 allowance=options.allowances.get(upstream["id"], 1),
                 queue=options.queue,
+                connect_seconds=options.connect_seconds,
                 weights=options.weights,
                 ssl_context=options.ssl_context,
             )
--- a/berylhinge/tasks/http.py
+++ b/berylhinge/tasks/http.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+import gevent
 import msgspec
 from gevent import pywsgi
 from gevent.pool import Pool
@@ -51,6 +52,12 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def read_requestline(self) -> str:
+        """Read the next request line, or end a connection that was idle too long."""
+        with gevent.Timeout(self.server.idle_seconds, False):
+            return str(super().read_requestline())
+        return ""
+
     def log_request(self) -> None:
         """Write nothing; metrics count requests."""
 
@@ -65,6 +72,7 @@
     handler_class: type[pywsgi.WSGIHandler] = QuickHandler,
     ssl_context: ssl.SSLContext | None = None,
     max_connections: int = MAX_CONNECTIONS,
+    idle_seconds: float | None = None,
 ) -> pywsgi.WSGIServer:
     """Listen and serve in the background; port 0 picks a free port."""
     options = {"ssl_context": ssl_context} if ssl_context else {}
@@ -77,6 +85,7 @@
         error_log=None,
         **options,
     )
+    server.idle_seconds = idle_seconds
     server.start()
     return server
 
--- a/berylhinge/tasks/member.py
+++ b/berylhinge/tasks/member.py
@@ -44,6 +44,7 @@
         instance: str,
         allowance: int,
         queue: int,
+        connect_seconds: float,
         weights: Mapping[OrganisationId, float],
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
@@ -55,6 +56,7 @@
             parse_address(upstream["data"]),
             allowance=allowance,
             headers=headers,
+            connect_seconds=connect_seconds,
             ssl_context=ssl_context,
         )
         self.gate = Gate(min(allowance, upstream["slots"]), queue, weights)
--- a/berylhinge/tasks/pool.py
+++ b/berylhinge/tasks/pool.py
@@ -15,7 +15,7 @@
 
     from .http import Address
 
-CONNECT_TIMEOUT_SECONDS = 1.0
+CONNECT_SECONDS = 1.0
 
 
 class PoolBusy(Exception):
@@ -31,12 +31,14 @@
         *,
         allowance: int,
         headers: dict[str, str],
+        connect_seconds: float = CONNECT_SECONDS,
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         """Prepare without connecting."""
         self.address = address
         self.allowance = allowance
         self.headers = headers
+        self.connect_seconds = connect_seconds
         self.ssl_context = ssl_context
         self.idle: deque[Connection] = deque()
         self.leased = 0
@@ -59,7 +61,7 @@
             self.address, headers=self.headers, ssl_context=self.ssl_context
         )
         try:
-            connection.open(min(timeout_seconds, CONNECT_TIMEOUT_SECONDS))
+            connection.open(min(timeout_seconds, self.connect_seconds))
         except BaseException:
             self.pass_turn()
             raise
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -7,10 +7,13 @@
 from typing import Any, TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 
 from ..core.connections import connection_allowance
 from ..core.envelopes import new_envelopes
+from ..core.requests import Timeouts
 from ..core.roster import Member, vouchers
+from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from ..wire.peers import ReachReport
 from . import shutdown
 from .callers import CallersApp
@@ -26,12 +29,14 @@
 from .metrics import Metrics
 from .operators import OperatorsApp
 from .platform import PlatformClient
+from .tls import callers_context, TlsReloader, upstream_context
 from .transactions import Transactions
 
 if TYPE_CHECKING:
     from ..core.configuration import Configuration
     from ..core.declarations import Upstream
     from ..core.index import DeclarationIndex
+    from ..errors import FieldError
     from ..settings import Settings
     from ..types import GroupId, InstanceId
     from ..wire.platform import InstanceRecord
@@ -53,6 +58,9 @@
         self.index: DeclarationIndex | None = None
         self.groups: dict[GroupId, GroupTask] = {}
         self.hub_lag = 0.0
+        self.stopping = Event()
+        self.reloader: TlsReloader | None = None
+        self.upstream_context = upstream_context(settings.tls)
         self.platform = PlatformClient(
             [parse_address(text) for text in settings.platform],
             timeout_seconds=settings.limits.store_seconds,
@@ -115,18 +123,26 @@
             self.metrics,
             body_limit_bytes=limits.body_bytes,
             body_timeout_seconds=limits.body_seconds,
+            timeouts=Timeouts(limits.statement_seconds, limits.statement_limit_seconds),
         )
+        context = callers_context(self.settings.tls)
         self.callers = start_server(
             parse_address(self.settings.callers),
             self.callers_app,
+            ssl_context=context,
             max_connections=limits.connections,
+            idle_seconds=limits.idle_seconds,
         )
+        if context is not None:
+            self.reloader = TlsReloader(
+                context, self.settings.tls, on_reload=self.on_reload
+            )
         operators = OperatorsApp(
             self.metrics,
             is_ready=self.is_ready,
             status=self.status,
             refresh=self.refresh_gauges,
-            actions={"/v1/withdrawals": self.withdraw, "/v1/drain": self.drain},
+            actions={WITHDRAWALS_PATH: self.withdraw, DRAIN_PATH: self.drain},
         )
         self.operators = start_server(parse_address(self.settings.operators), operators)
 
@@ -161,6 +177,8 @@
         self.fleet.start()
         self.configuration.start()
         gevent.spawn(self.watch_hub)
+        if self.reloader is not None:
+            self.reloader.start()
         self.log.info("The instance started.", callers=self.settings.callers)
 
     def shut_down(self) -> None:
@@ -170,6 +188,8 @@
 
     def stop(self) -> None:
         """Stop at once."""
+        if self.reloader is not None:
+            self.reloader.stop()
         self.callers.stop(timeout=0)
         self.operators.stop(timeout=0)
         self.configuration.stop()
@@ -246,6 +266,8 @@
             rank=rank,
             allowances=allowances,
             queue=self.settings.limits.queue,
+            connect_seconds=self.settings.limits.connect_seconds,
+            ssl_context=self.upstream_context,
             weights={
                 name: one.get("weight", 1.0)
                 for name, one in self.index.organisations.items()
@@ -298,6 +320,14 @@
         member = self.me in self.fleet.state.permit.roster.members
         return member and self.configuration.is_fresh()
 
+    def on_reload(self, errors: tuple[FieldError, ...]) -> None:
+        """Log what came of changed certificate files."""
+        if errors:
+            text = "; ".join(map(str, errors))
+            self.log.info("The old certificate stays in use.", errors=text)
+        else:
+            self.log.info("A new certificate is in use.")
+
     def watch_hub(self) -> None:
         """Measure how long the hub stalls."""
         while True:
@@ -312,8 +342,8 @@
         return {"version": self.configuration.version}
 
     def drain(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Begin a planned stop in the background."""
-        gevent.spawn(shutdown.leave, self)
+        """Begin a planned stop."""
+        self.stopping.set()
         return {"draining": self.settings.instance}
 
     def refresh_gauges(self) -> None:
