--- a/berylhinge/core/buckets.py
+++ b/berylhinge/core/buckets.py
@@ -25,6 +25,7 @@
 FLOOR_REQUESTS = 3.0
 LOW_SECONDS = 0.05
 TARGET_SECONDS = 0.25
+SCARCE_REQUESTS = 4.0
 
 
 class Terms(NamedTuple):
@@ -129,6 +130,14 @@
     return min(UNITS, ceil(UNITS * max(by_rate, by_burst)))
 
 
+def is_scarce(terms: Terms, cost: float, members: int) -> bool:
+    """Tell whether the burst is too small to leave a few requests' worth on each.
+
+    Such units stay with the hub and are lent for a request at a time.
+    """
+    return terms.burst < SCARCE_REQUESTS * cost * members
+
+
 def low_water(bucket: Bucket) -> float:
     """Return the tokens under which more are asked for."""
     return bucket.cost + bucket.demand * LOW_SECONDS
--- a/berylhinge/core/capacity.py
+++ b/berylhinge/core/capacity.py
@@ -74,13 +74,15 @@
     )
 
 
-def drain(state: CapacityState) -> list[Send]:
+def drain(state: CapacityState, now: Seconds) -> tuple[CapacityState, list[Send]]:
     """Return and forget the messages that ``admit`` wants sent."""
-    if not state.rates.outbox:
-        return []
-    effects = list(state.rates.outbox)
-    state.rates.outbox.clear()
-    return effects
+    units = state.rates
+    if not units.outbox and not units.spent:
+        return state, []
+    units = transfers.return_spent(units, now)
+    effects = list(units.outbox)
+    units.outbox.clear()
+    return state._replace(rates=units), effects
 
 
 def configure(
--- a/berylhinge/core/minting.py
+++ b/berylhinge/core/minting.py
@@ -112,7 +112,7 @@
         return state, [FetchRoster(event.keeper, event.epoch)]
     if event.epoch < epoch or rates.me not in rates.roster.members:
         return state, []
-    return state, [Send(event.keeper, Holdings(epoch, rates.me, rates.snapshot))]
+    return state, [Send(event.keeper, Holdings(epoch, rates.me, snapshot(rates)))]
 
 
 @handle.register(Holdings)
@@ -145,6 +145,17 @@
     return state._replace(settled=True), [Settle(state.epoch)]
 
 
+def missing(state: MintState, rates: RatesState) -> list[Member]:
+    """Return the members that have not been counted yet."""
+    counted = state.counted or {}
+    return [member for member in rates.roster.members if member not in counted]
+
+
+def snapshot(rates: RatesState) -> tuple[Holding, ...]:
+    """Return what was held when the epoch was adopted, whatever moved since."""
+    return rates.snapshot
+
+
 def count(
     state: MintState, member: Member, holdings: tuple[Holding, ...], now: Seconds
 ) -> MintState:
@@ -170,11 +181,11 @@
     assert state.units is not None
     fresh = [name for name in rates.terms if name not in state.minted]
     for organisation in fresh:
-        missing = UNITS - state.units.get(organisation, 0)
+        lost = UNITS - state.units.get(organisation, 0)
         bucket = rates.buckets.get(organisation)
         if bucket is None:
             bucket = rates.buckets[organisation] = Bucket(now)
-        bucket.units += max(0, missing)
+        bucket.units += max(0, lost)
     return state._replace(minted=state.minted | set(fresh)) if fresh else state
 
 
@@ -195,12 +206,12 @@
 
 
 def _collect(
-    state: MintState, rates: RatesState, missing: list[Member], now: Seconds
+    state: MintState, rates: RatesState, absent: list[Member], now: Seconds
 ) -> MintStep:
     """Repeat the question at growing intervals."""
     if now < state.collect_at:
         return state, []
     message = Collect(state.epoch, rates.me, rates.roster.changes)
-    effects: list[MintEffect] = [Send(member, message) for member in missing]
+    effects: list[MintEffect] = [Send(member, message) for member in absent]
     pause = min(COLLECT_LIMIT_SECONDS, 2 * state.pause)
     return state._replace(collect_at=now + state.pause, pause=pause), effects
--- a/berylhinge/core/permits.py
+++ b/berylhinge/core/permits.py
@@ -166,12 +166,8 @@
     """Vouch for a member of the very epoch that this instance has adopted."""
     if event.voucher != state.me:
         return state, []
-    epoch = state.roster.epoch
-    vouched = event.epoch == epoch and event.asker in state.roster.members
-    vouched = vouched and state.me in state.roster.members
-    answer = VouchAnswer(state.me, event.asker, epoch, event.sequence, vouched)
-    effects: list[PermitEffect] = [Send(event.asker, answer)]
-    if event.epoch > epoch:
+    effects: list[PermitEffect] = [Send(event.asker, vouch(state, event))]
+    if event.epoch > state.roster.epoch:
         effects.append(FetchRoster(event.asker, event.epoch))
     return state, effects
 
@@ -238,6 +234,14 @@
     return state, effects
 
 
+def vouch(state: PermitState, event: VouchRequest) -> VouchAnswer:
+    """Confirm the asker only if both are members of the epoch that both adopted."""
+    roster = state.roster
+    vouched = event.epoch == roster.epoch and event.asker in roster.members
+    vouched = vouched and state.me in roster.members
+    return VouchAnswer(state.me, event.asker, roster.epoch, event.sequence, vouched)
+
+
 def adopt(state: PermitState, roster: Roster) -> PermitState:
     """Move to a newer epoch; what was confirmed runs on, no answer is still due."""
     if roster.epoch < state.roster.epoch:
--- a/berylhinge/core/rates.py
+++ b/berylhinge/core/rates.py
@@ -12,6 +12,7 @@
 from ..reasons import RefusalReason
 from .buckets import (
     Bucket,
+    is_scarce,
     low_water,
     needed,
     refill,
@@ -58,7 +59,7 @@
 
 
 class Ask(NamedTuple):
-    """Ask for units and tokens; ``held`` and ``demand`` are the asker's own."""
+    """Ask for units and tokens; ``held``, ``demand`` and ``cost`` are the asker's."""
 
     epoch: int
     organisation: OrganisationId
@@ -67,6 +68,7 @@
     tokens: float
     held: int
     demand: float
+    cost: float
     hop: int
 
 
@@ -147,6 +149,7 @@
     seen: dict[Member, Seen]
     suspects: dict[Member, Seconds]
     outbox: list[Send]
+    spent: set[OrganisationId]
     snapshot: tuple[Holding, ...] = ()
     sequence: int = 0
     reviewed_at: Seconds = float("-inf")
@@ -155,7 +158,7 @@
 
 def new_rates(me: Member) -> RatesState:
     """Return a state that holds nothing."""
-    return RatesState(me, Roster(), {}, {}, {}, {}, {}, {}, [])
+    return RatesState(me, Roster(), {}, {}, {}, {}, {}, {}, [], set())
 
 
 def admit(
@@ -185,12 +188,27 @@
     refill(bucket, terms, now)
     if bucket.tokens >= cost:
         bucket.tokens -= cost
-        if bucket.tokens < low_water(bucket) and now >= bucket.ask_after:
-            ask(state, organisation, bucket, terms, now)
+        if bucket.tokens < low_water(bucket):
+            _run_low(state, organisation, bucket, terms, now)
         return ADMITTED
     return _short(state, organisation, bucket, terms, cost, now, waited)
 
 
+def _run_low(
+    state: RatesState,
+    organisation: OrganisationId,
+    bucket: Bucket,
+    terms: Terms,
+    now: Seconds,
+) -> None:
+    """Ask early, or return scarce units as soon as they are spent."""
+    if is_scarce(terms, bucket.cost, len(state.roster.members)):
+        if bucket.tokens < bucket.cost:
+            state.spent.add(organisation)
+    elif now >= bucket.ask_after:
+        ask(state, organisation, bucket, terms, now)
+
+
 def _short(
     state: RatesState,
     organisation: OrganisationId,
@@ -228,6 +246,8 @@
         return
     units = max(0, needed(bucket, terms, now) - bucket.units)
     tokens = max(0.0, target(bucket) - bucket.tokens)
+    if is_scarce(terms, bucket.cost, len(state.roster.members)):
+        units, tokens = 0, max(0.0, bucket.cost - bucket.tokens)
     hop = 0 if hub(state, organisation, now) == to else 1
     message = Ask(
         state.roster.epoch,
@@ -237,6 +257,7 @@
         tokens,
         bucket.units,
         bucket.demand,
+        bucket.cost,
         hop,
     )
     state.outbox.append(Send(to, message))
@@ -306,6 +327,8 @@
         review(bucket, now)
         if terms is None or now < bucket.ask_after:
             continue
+        if is_scarce(terms, bucket.cost, len(state.roster.members)):
+            continue
         refill(bucket, terms, now)
         short = needed(bucket, terms, now) - bucket.units
         if short * 8 > bucket.units:
--- a/berylhinge/core/roster.py
+++ b/berylhinge/core/roster.py
@@ -41,11 +41,16 @@
 
 
 class Roster(NamedTuple):
-    """Name the members, and the changes after the settled epoch."""
+    """Name the members, and the changes after the settled epoch.
+
+    ``joined`` gives each member's epoch of joining: a member that was removed and
+    added again, perhaps unawares, finds another epoch there and drops its units.
+    """
 
     epoch: int = 0
     settled: int = 0
     members: tuple[Member, ...] = ()
+    joined: tuple[int, ...] = ()
     changes: tuple[Change, ...] = ()
 
 
@@ -86,10 +91,23 @@
             f"got epoch {change.epoch}, expected {roster.epoch + 1}; fetch the roster"
         )
     gone = {*change.removed, *change.resigned}
-    members = sorted((set(roster.members) - gone) | set(change.added))
-    return Roster(
-        change.epoch, roster.settled, tuple(members), (*roster.changes, change)
-    )
+    seats = {
+        member: epoch
+        for member, epoch in zip(roster.members, roster.joined, strict=True)
+        if member not in gone
+    }
+    seats.update(dict.fromkeys(change.added, change.epoch))
+    members = tuple(sorted(seats))
+    joined = tuple(seats[member] for member in members)
+    changes = (*roster.changes, change)
+    return Roster(change.epoch, roster.settled, members, joined, changes)
+
+
+def joined_at(roster: Roster, member: Member) -> int | None:
+    """Return the epoch in which the member last joined, or none."""
+    if member not in roster.members:
+        return None
+    return roster.joined[roster.members.index(member)]
 
 
 def catch_up(roster: Roster, changes: Iterable[Change]) -> Roster:
--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from math import ceil
 from typing import TYPE_CHECKING, TypeAlias
 
 from .buckets import (
     Bucket,
+    is_scarce,
     low_water,
     needed,
     put,
@@ -33,6 +35,7 @@
     Seen,
     Taken,
 )
+from .roster import joined_at
 
 if TYPE_CHECKING:
     from random import Random
@@ -76,7 +79,8 @@
     note(state, event.organisation, event.asker, event.held, event.demand)
     bucket = state.buckets.get(event.organisation)
     terms = state.terms.get(event.organisation)
-    units = spare(bucket, terms, event, now) if bucket and terms else 0
+    members = len(state.roster.members)
+    units = spare(bucket, terms, event, now, members) if bucket and terms else 0
     tokens = 0.0
     if bucket and terms and units:
         tokens = bucket.tokens * units / bucket.units
@@ -101,12 +105,8 @@
         return state, _behind(state, event.epoch, event.giver)
     taken = Taken(event.epoch, event.giver, state.me, event.sequence)
     state.outbox.append(Send(event.giver, taken))
-    seen = state.seen.get(event.giver, NOTHING_SEEN)
-    floor = max(seen.floor, event.floor)
-    if event.sequence < seen.floor or event.sequence in seen.above:
+    if not is_first(state, event):
         return state, []
-    above = {number for number in seen.above if number >= floor} | {event.sequence}
-    state.seen[event.giver] = Seen(floor, frozenset(above))
     terms = state.terms.get(event.organisation)
     bucket = state.buckets.get(event.organisation)
     if bucket is None:
@@ -172,7 +172,8 @@
     """Move to a newer epoch, with a snapshot of the units for its keeper."""
     if roster.epoch <= state.roster.epoch:
         return state._replace(roster=max(roster, state.roster))
-    if state.me not in roster.members:
+    if joined_at(roster, state.me) != joined_at(state.roster, state.me):
+        # Removed in between: whoever kept count has written these units off.
         state.buckets.clear()
     snapshot = tuple(
         Holding(organisation, bucket.units)
@@ -219,11 +220,13 @@
     return state._replace(sequence=sequence)
 
 
-def spare(bucket: Bucket, terms: Terms, wish: Ask, now: Seconds) -> int:
+def spare(bucket: Bucket, terms: Terms, wish: Ask, now: Seconds, members: int) -> int:
     """Return the units to part with: what demand leaves, or a share of the tokens."""
     refill(bucket, terms, now)
     if bucket.units == 0:
         return 0
+    if is_scarce(terms, max(bucket.cost, wish.cost), members):
+        return _lend(bucket, wish)
     both = bucket.demand + wish.demand
     fair = (bucket.units + wish.held) * bucket.demand / both if both else 0.0
     own = min(float(needed(bucket, terms, now)), fair * 1.05)
@@ -236,9 +239,17 @@
     return units
 
 
+def _lend(bucket: Bucket, wish: Ask) -> int:
+    """Return the units that carry the tokens of one request, or none."""
+    if bucket.tokens <= wish.tokens * (1 + 1e-9):
+        return bucket.units if bucket.tokens >= wish.tokens > 0.0 else 0
+    return min(bucket.units, ceil(wish.tokens * bucket.units / bucket.tokens))
+
+
 def hand_back(state: RatesState, now: Seconds) -> RatesState:
     """Return to the hub what the demand no longer calls for; all when leaving."""
     busy = {pending.message.organisation for pending in state.pending.values()}
+    state.spent.clear()
     for organisation, bucket in state.buckets.items():
         first = hub(state, organisation, now)
         if first == state.me and state.leaving:
@@ -249,19 +260,33 @@
         terms = state.terms.get(organisation)
         surplus = bucket.units if state.leaving else 0
         if not state.leaving and terms is not None:
-            surplus = _surplus(bucket, terms, now)
+            surplus = _surplus(bucket, terms, now, len(state.roster.members))
         if surplus > 0:
             state = give(state, organisation, first, surplus, now)
     return state
 
 
-def _surplus(bucket: Bucket, terms: Terms, now: Seconds) -> int:
+def _surplus(bucket: Bucket, terms: Terms, now: Seconds, members: int) -> int:
     """Return the units above demand with slack, when worth a message."""
+    if is_scarce(terms, bucket.cost, members):
+        return bucket.units
     need = needed(bucket, terms, now)
     surplus = bucket.units - need
     return surplus if surplus > need * (SLACK - 1.0) + UNITS // 4096 else 0
 
 
+def return_spent(state: RatesState, now: Seconds) -> RatesState:
+    """Return scarce units that a request has just spent."""
+    for organisation in sorted(state.spent):
+        first = hub(state, organisation, now)
+        units = state.buckets[organisation].units
+        if units and first not in (None, state.me):
+            assert first is not None
+            state = give(state, organisation, first, units, now)
+    state.spent.clear()
+    return state
+
+
 def note(
     state: RatesState,
     organisation: OrganisationId,
@@ -273,6 +298,17 @@
     state.reports.setdefault(organisation, {})[member] = Report(units, demand)
 
 
+def is_first(state: RatesState, event: Give) -> bool:
+    """Remember a transfer, and tell whether it came for the first time."""
+    seen = state.seen.get(event.giver, NOTHING_SEEN)
+    if event.sequence < seen.floor or event.sequence in seen.above:
+        return False
+    floor = max(seen.floor, event.floor)
+    above = {number for number in seen.above if number >= floor} | {event.sequence}
+    state.seen[event.giver] = Seen(floor, frozenset(above))
+    return True
+
+
 def _two(found: list[Member], rng: Random) -> list[Member]:
     """Return the holder of most units, and one other by chance."""
     if len(found) <= FORWARDS:
--- /dev/null
+++ b/properties/broken_rules.py
@@ -0,0 +1,100 @@
+"""Break one rule of the rates each, to show that the checks would notice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylhinge.core import minting, permits, transfers
+from berylhinge.core.buckets import Bucket, capacity
+from berylhinge.core.minting import MintState
+from berylhinge.core.permits import PermitState, VouchAnswer, VouchRequest
+from berylhinge.core.rates import Give, Holding, RatesState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pytest
+
+take, mint, adopt, safe_at = (
+    transfers.take,
+    minting.mint,
+    transfers.adopt,
+    minting.safe_at,
+)
+
+
+def no_permit_check(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(permits, "expires_at", lambda state: float("inf"))
+
+
+def mint_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(minting, "safe_at", lambda state: float("-inf"))
+
+
+def give_without_deducting(patch: pytest.MonkeyPatch) -> None:
+    def keep(bucket: Bucket, units: int) -> float:
+        held, tokens = bucket.units, bucket.tokens
+        part = take(bucket, units)
+        bucket.units, bucket.tokens = held, tokens
+        return part
+
+    patch.setattr(transfers, "take", keep)
+
+
+def take_repeats(patch: pytest.MonkeyPatch) -> None:
+    def always(state: RatesState, event: Give) -> bool:
+        return True
+
+    patch.setattr(transfers, "is_first", always)
+
+
+def vouch_for_anyone(patch: pytest.MonkeyPatch) -> None:
+    def vouch(state: PermitState, event: VouchRequest) -> VouchAnswer:
+        return VouchAnswer(state.me, event.asker, event.epoch, event.sequence, True)
+
+    patch.setattr(permits, "vouch", vouch)
+
+
+def mint_full_buckets(patch: pytest.MonkeyPatch) -> None:
+    def full(state: MintState, rates: RatesState, now: float) -> MintState:
+        held = {name: bucket.units for name, bucket in rates.buckets.items()}
+        state = mint(state, rates, now)
+        for name, bucket in rates.buckets.items():
+            fresh = bucket.units - held.get(name, 0)
+            bucket.tokens += capacity(fresh, rates.terms[name])
+        return state
+
+    patch.setattr(minting, "mint", full)
+
+
+def report_later_holdings(patch: pytest.MonkeyPatch) -> None:
+    def current(rates: RatesState) -> tuple[Holding, ...]:
+        return tuple(
+            Holding(name, bucket.units) for name, bucket in rates.buckets.items()
+        )
+
+    patch.setattr(minting, "snapshot", current)
+
+
+def mint_before_all_answered(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(minting, "missing", lambda state, rates: [])
+
+
+def keep_units_over_a_removal(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(transfers, "joined_at", lambda roster, member: 0)
+
+
+RULES: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
+    rule.__name__: rule
+    for rule in (
+        no_permit_check,
+        mint_at_once,
+        give_without_deducting,
+        take_repeats,
+        vouch_for_anyone,
+        mint_full_buckets,
+        report_later_holdings,
+        mint_before_all_answered,
+        keep_units_over_a_removal,
+    )
+}
--- a/properties/fleet_world.py
+++ b/properties/fleet_world.py
@@ -245,7 +245,8 @@
         answer = capacity.admit(
             node.state, organisation, cost, node.clock(self.now), waited=waited
         )
-        self.perform(node, capacity.drain(node.state))
+        node.state, sends = capacity.drain(node.state, node.clock(self.now))
+        self.perform(node, list(sends))
         if isinstance(answer, Wait):
             waited += answer.seconds
             self.at(
