--- a/berylhinge/cli/dev.py
+++ b/berylhinge/cli/dev.py
@@ -25,7 +25,7 @@
     next_configuration,
     ReplaceDeclaration,
 )
-from ..core.declarations import Declaration, Key
+from ..core.declarations import Declaration, Key, Upstream
 from ..core.keys import hash_secret, parse_authorization, SALT_BYTES
 from ..core.parts import encode_for_store, part_configuration
 from ..settings import read_settings
@@ -74,7 +74,7 @@
 
 def sample_declaration(group: Any, record: Any) -> Declaration:
     """Declare one organisation, one group of three databases and one route."""
-    upstreams = [
+    upstreams: list[Upstream] = [
         {
             "id": database.upstream,
             "group": "orders",
@@ -226,7 +226,8 @@
         payload = msgspec.json.encode(body)
         response = self.http.post(path, payload, headers)
         answer = msgspec.json.decode(response.read())
-        return response.status_code, answer, response.get("Berylhinge-Session")
+        token = response.get("Berylhinge-Session")
+        return response.status_code, answer, str(token) if token else None
 
 
 def check_demo(demo: Demo) -> bool:
--- a/berylhinge/cli/standin.py
+++ b/berylhinge/cli/standin.py
@@ -33,7 +33,12 @@
 
     name = "ip:port"
 
-    def convert(self, value: object, param: object, ctx: object) -> Address:
+    def convert(
+        self,
+        value: object,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
         """Parse an address or end with the misuse message."""
         if isinstance(value, Address):
             return value
--- a/berylhinge/core/requests.py
+++ b/berylhinge/core/requests.py
@@ -119,7 +119,7 @@
                     f"got unknown fields {sorted(unknown)}, expected only {expected}",
                 )
             )
-        fields = msgspec.convert(value, type=kind, strict=True)
+        fields: dict[str, Any] = msgspec.convert(value, type=kind, strict=True)
         fields.setdefault("timeout_seconds", timeouts.default_seconds)
         if fields["timeout_seconds"] > timeouts.limit_seconds:
             got = fields["timeout_seconds"]
--- a/berylhinge/settings.py
+++ b/berylhinge/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, NamedTuple, TypeAlias
+from typing import Annotated, Any, NamedTuple, TypeAlias
 
 import msgspec
 from returns.result import Failure, Result
@@ -159,6 +159,12 @@
     ] = Limits()
 
 
+def reveal_secrets(settings: Settings) -> tuple[bytes, ...]:
+    """Return the peer secrets, the signing one first."""
+    concealed: tuple[Any, ...] = settings.peer_secrets
+    return tuple(secret.reveal() for secret in concealed)
+
+
 def read_settings(value: JsonValue) -> Result[Settings, tuple[FieldError, ...]]:
     """Convert a JSON value to settings, or return every bad field."""
     result = read(value, Settings)
--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -42,7 +42,7 @@
 
 def request_id_of(environ: Environ) -> str:
     """Return the caller's request id where it is usable, or a new one."""
-    given = environ.get("HTTP_BERYLHINGE_REQUEST_ID", "")
+    given = str(environ.get("HTTP_BERYLHINGE_REQUEST_ID", ""))
     if 0 < len(given) <= MAX_REQUEST_ID_CHARACTERS and given.isprintable():
         return given
     return uuid.uuid4().hex
@@ -58,7 +58,7 @@
 
 def split_path(environ: Environ) -> list[str]:
     """Split /v1/routes/ROUTE/...; raise RefusedError for other paths."""
-    segments = environ.get("PATH_INFO", "").strip("/").split("/")
+    segments = str(environ.get("PATH_INFO", "")).strip("/").split("/")
     if len(segments) < 4 or segments[:2] != ["v1", "routes"]:
         detail = "expected /v1/routes/ROUTE/statements or .../transactions"
         raise RefusedError(refuse(RefusalReason.UNKNOWN_PATH, detail))
@@ -201,7 +201,7 @@
         timeout = gevent.Timeout(self.body_timeout_seconds)
         timeout.start()
         try:
-            body = environ["wsgi.input"].read(length)
+            body: bytes = environ["wsgi.input"].read(length)
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -249,7 +249,9 @@
             self.revision = stored["revision"]
         return configuration
 
-    def decode(self, value: Any, fetch: Callable[[str], bytes | None]) -> Any:
+    def decode(
+        self, value: Any, fetch: Callable[[str], bytes | None]
+    ) -> Configuration | None:
         """Build the configuration of a head, fetching what is missing."""
         decoded = decode_head(value)
         if isinstance(decoded, Failure):
--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import singledispatch
 from typing import Any, NamedTuple, Protocol, TYPE_CHECKING
 
 from returns.result import Failure
@@ -205,8 +206,7 @@
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 break
-            call = message.call._replace(timeout_seconds=remaining)
-            answer = self.ask_peer(peer, message._replace(call=call), remaining)
+            answer = self.ask_peer(peer, within(message, remaining), remaining)
             if answer.served is not None:
                 return answer.served
             refusal = answer.refusal or refusal
@@ -218,7 +218,9 @@
     def ask_peer(self, peer: InstanceId, message: Any, timeout: float) -> ForwardAnswer:
         """Ask one peer; a lost answer is unknown once the call has left."""
         try:
-            return self.links.call(peer, message, timeout + FORWARD_GRACE_SECONDS)
+            wait = timeout + FORWARD_GRACE_SECONDS
+            answer: ForwardAnswer = self.links.call(peer, message, wait)
+            return answer
         except PeerLost as error:
             outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
             refusal = refuse(RefusalReason.PEER_LOST, str(error), outcome=outcome)
@@ -241,6 +243,22 @@
         return answer_of(lambda: self.act_here(message, time.monotonic()))
 
 
+@singledispatch
+def within(message: Any, seconds: float) -> Any:
+    """Return the message with the time that is left for its call."""
+    raise TypeError(f"got {type(message).__name__}, expected a forwarded call")
+
+
+@within.register
+def _(message: ForwardStatement, seconds: float) -> ForwardStatement:
+    return message._replace(call=message.call._replace(timeout_seconds=seconds))
+
+
+@within.register
+def _(message: ForwardTransaction, seconds: float) -> ForwardTransaction:
+    return message._replace(call=message.call._replace(timeout_seconds=seconds))
+
+
 def is_open(index: DeclarationIndex, route: RouteId) -> bool:
     """Tell whether a route exists and needs no key."""
     known = index.routes.get(route)
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -12,9 +12,19 @@
 
 from ..core import capacity, minting, rates
 from ..core.buckets import Terms
-from ..core.capacity import Adopted, FetchRoster, ReadRoster, RosterRead, Send, Tick
 from ..core.connections import serving_instances
 from ..core.minting import Settle
+from ..core.permits import (
+    Adopted,
+    FetchRoster,
+    ReadRoster,
+    RosterRead,
+    Send,
+    Tick,
+    VouchAnswer,
+    VouchRequest,
+    Withdrawn,
+)
 from ..core.rates import Admitted, Refused, Wait
 from ..core.roster import Member, proposal_delay, propose, Roster, ROSTER_KEY, settle
 from ..errors import refuse, RefusedError
@@ -23,7 +33,7 @@
 from .loops import spawn_loop
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ..core.index import DeclarationIndex
     from ..types import GroupId, InstanceId, OrganisationId
@@ -38,8 +48,8 @@
 RENEW_WAIT_SECONDS = 0.5
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
-    capacity.VouchRequest,
-    capacity.VouchAnswer,
+    VouchRequest,
+    VouchAnswer,
     rates.Ask,
     rates.Give,
     rates.Taken,
@@ -117,7 +127,8 @@
         while True:
             now = time.monotonic()
             verdict = capacity.admit(self.state, organisation, 1.0, now, waited=waited)
-            self.send_all(capacity.drain(self.state))
+            self.state, sends = capacity.drain(self.state, now)
+            self.send_all(sends)
             if isinstance(verdict, Admitted):
                 return
             if isinstance(verdict, Refused) and self.may_renew(verdict, waited):
@@ -162,7 +173,7 @@
         )
         self.send_all(effects)
 
-    def send_all(self, effects: list[Any]) -> None:
+    def send_all(self, effects: Sequence[Any]) -> None:
         """Carry out effects."""
         for effect in effects:
             match effect:
@@ -237,7 +248,7 @@
             gevent.sleep(TICK_SECONDS)
         if not capacity.is_empty(self.state):
             return
-        self.step(capacity.Withdrawn())
+        self.step(Withdrawn())
         self.resigned = frozenset({self.me})
         self.propose_roster()
 
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -225,7 +225,7 @@
         request = EntryRequest(position=position)
         link = self.links[upstream]
         asked_at = time.monotonic()
-        answer = link.ask("/v1/entry", request, EntryAnswer)
+        answer: EntryAnswer | None = link.ask("/v1/entry", request, EntryAnswer)
         if answer is not None:
             self.on_status(link, answer["status"], asked_at)
         return answer
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -204,7 +204,7 @@
         try:
             frame = self.decoder.decode(envelope.body)
             kind = self.kinds[frame.kind]
-            message = msgspec.msgpack.decode(frame.body, type=kind)
+            message: Any = msgspec.msgpack.decode(frame.body, type=kind)
         except (msgspec.MsgspecError, KeyError):
             self.on_count("malformed", len(data))
             return
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -13,6 +13,7 @@
 from ..core.envelopes import new_envelopes
 from ..core.requests import Timeouts
 from ..core.roster import Member, vouchers
+from ..settings import reveal_secrets
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from ..wire.peers import ReachReport
 from . import shutdown
@@ -66,7 +67,7 @@
             timeout_seconds=settings.limits.store_seconds,
             on_call=lambda result: self.metrics.count("store_calls_total", result),
         )
-        secrets = [secret.reveal() for secret in settings.peer_secrets]
+        secrets = reveal_secrets(settings)
         self.links = Links(
             parse_address(settings.peers),
             envelopes=new_envelopes(settings.instance, incarnation, secrets),
@@ -78,7 +79,7 @@
         self.links.register(ReachReport, self.on_reach)
         self.build_tasks()
         self.open_listeners()
-        self.live.record.update(self.bound_addresses())
+        self.take_bound_addresses()
 
     def build_tasks(self) -> None:
         """Create the tasks that share this instance's links and platform."""
@@ -159,15 +160,14 @@
             "operators": settings.operators,
         }
 
-    def bound_addresses(self) -> dict[str, str]:
-        """Return the addresses that others use, with the ports really bound."""
-        settings = self.settings
+    def take_bound_addresses(self) -> None:
+        """Announce the addresses that others use, with the ports really bound."""
+        settings, record = self.settings, self.live.record
+        callers = str(server_address(self.callers))
         operators = str(server_address(self.operators))
-        return {
-            "peer": settings.advertised_peers or str(self.links.address),
-            "callers": settings.advertised_callers or str(server_address(self.callers)),
-            "operators": settings.advertised_operators or operators,
-        }
+        record["peer"] = settings.advertised_peers or str(self.links.address)
+        record["callers"] = settings.advertised_callers or callers
+        record["operators"] = settings.advertised_operators or operators
 
     def start(self) -> None:
         """Start every task."""
@@ -268,10 +268,7 @@
             queue=self.settings.limits.queue,
             connect_seconds=self.settings.limits.connect_seconds,
             ssl_context=self.upstream_context,
-            weights={
-                name: one.get("weight", 1.0)
-                for name, one in self.index.organisations.items()
-            },
+            weights=self.weights(),
         )
         task = GroupTask(
             group,
@@ -287,6 +284,11 @@
         rng = random.Random(f"{self.me}/{group}")
         self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
 
+    def weights(self) -> dict[str, float]:
+        """Return the organisations' weights."""
+        organisations = self.index.organisations if self.index else {}
+        return {name: one.get("weight", 1.0) for name, one in organisations.items()}
+
     def on_reach(self, sender: InstanceId, message: ReachReport) -> None:
         """Hand a peer's evidence to the group's task."""
         if message.group in self.groups:
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -189,7 +189,7 @@
         )
         floor = call.floor or LogPoint(0, 0)
         try:
-            result = exchange(link, connection, "/v1/begin", request, deadline)
+            result: Any = exchange(link, connection, "/v1/begin", request, deadline)
             if isinstance(result, Exchanged):
                 result = executor.reader.judge(name, result, floor, deadline)
         except BaseException:
@@ -264,7 +264,7 @@
             parameters=call.parameters,
             term=transaction.target.term if transaction.target else None,
         )
-        result = self.send(transaction, "/v1/statement", request, deadline)
+        result: Any = self.send(transaction, "/v1/statement", request, deadline)
         if isinstance(result, Exchanged):
             floor = call.floor or LogPoint(0, 0)
             executor = transaction.executor
