Pass the time when draining the fleet's outbox

Cause: drain takes the time and returns the state since it hands back spent units; the caller still passed the state alone, so every request failed. Change: pass now and keep the state that drain returns.

--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -117,7 +117,8 @@
         while True:
             now = time.monotonic()
             verdict = capacity.admit(self.state, organisation, 1.0, now, waited=waited)
-            self.send_all(capacity.drain(self.state))
+            self.state, effects = capacity.drain(self.state, now)
+            self.send_all(effects)
             if isinstance(verdict, Admitted):
                 return
             if isinstance(verdict, Refused) and self.may_renew(verdict, waited):
