--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -48,6 +48,7 @@
     return uuid.uuid4().hex
 
 
+LOGGED_REASONS = {RefusalReason.TRANSACTION_LOST, RefusalReason.NO_PRIMARY}
 UNREAD_BODY = {
     RefusalReason.BODY_TOO_LARGE,
     RefusalReason.BODY_TOO_SLOW,
@@ -249,6 +250,8 @@
     ) -> Iterable[bytes]:
         """Send and count one refusal."""
         self.metrics.count_refusal(refusal.reason, refusal.outcome)
+        if refusal.outcome is Outcome.UNKNOWN or refusal.reason in LOGGED_REASONS:
+            self.dispatcher.log.refusal(request_id, refusal)
         kind = REFUSAL_KINDS[refusal.reason]
         problem = {
             "type": PROBLEM_BASE + refusal.reason.value,
