--- a/benchmarks/bench_decisions_control.py
+++ b/benchmarks/bench_decisions_control.py
@@ -9,7 +9,7 @@
 from time import perf_counter
 from typing import Any, TYPE_CHECKING
 
-from berylhinge.core.configuration import Configuration
+from berylhinge.core.configuration import Change, CHANGES_KEPT, Configuration
 from berylhinge.core.declarations import read_declaration
 from berylhinge.core.envelopes import new_envelopes, seal, unseal
 from berylhinge.core.index import build_index
@@ -17,8 +17,8 @@
 from berylhinge.core.parts import (
     assemble,
     decode_head,
+    encode_for_peer,
     encode_for_store,
-    encode_head,
     missing_parts,
     part_configuration,
 )
@@ -33,6 +33,9 @@
 ROUNDS = 20_000
 REPEATS = 5
 BODY_BYTES = 200
+CHANGES = tuple(
+    Change(id=f"{number:016x}", version=number) for number in range(CHANGES_KEPT)
+)
 SIZES = ((8, 3, 8), (2_000, 800, 20_000))
 
 
@@ -153,9 +156,9 @@
     changed = list(declaration["keys"])
     changed[0] = {**changed[0], "state": "withdrawn"}
     later = part_configuration(
-        Configuration(2, (), {}, {**declaration, "keys": changed})
+        Configuration(2, CHANGES, {}, {**declaration, "keys": changed})
     )
-    pulled = encode_head(later, inline=False)
+    pulled = encode_for_peer(later)
     moved = missing_parts(decode_head(pulled).unwrap(), parted.parts)
     size = len(pulled) + sum(len(later.parts[digest]) for digest in moved)
     report(f"{prefix}pull_of_one_change", size / 1e3, "kB")
--- a/berylhinge/core/parts.py
+++ b/berylhinge/core/parts.py
@@ -25,7 +25,7 @@
 
 PART_BYTES = 16_384
 INLINE_LIMIT_BYTES = VALUE_LIMIT_BYTES // 2
-DIGEST_BYTES = 16
+DIGEST_BYTES = 12
 
 
 class Head(TypedDict):
@@ -114,6 +114,12 @@
     return msgspec.json.encode(head)
 
 
+def encode_for_peer(parted: PartedConfiguration) -> bytes:
+    """Encode the head without what only a change of the store needs."""
+    configuration = parted.configuration._replace(changes=(), membership_versions={})
+    return encode_head(parted._replace(configuration=configuration), inline=False)
+
+
 def encode_for_store(parted: PartedConfiguration) -> tuple[bytes, dict[str, bytes]]:
     """Return the head's value and the parts that need values of their own."""
     head = encode_head(parted, inline=True)
--- a/berylhinge/core/tests/test_parts.py
+++ b/berylhinge/core/tests/test_parts.py
@@ -10,6 +10,7 @@
 from ..parts import (
     assemble,
     decode_head,
+    encode_for_peer,
     encode_for_store,
     encode_head,
     missing_parts,
@@ -59,6 +60,14 @@
     assert found.configuration.version == 7
 
 
+def test_a_peer_needs_no_changes() -> None:
+    parted = part_configuration(configuration(600))
+    head = decode_head(encode_for_peer(parted)).unwrap()
+    found = assemble(head, parted.parts).unwrap()
+    assert found.digests == parted.digests
+    assert found.configuration[:3] == (7, (), {})
+
+
 def test_one_change_moves_one_part() -> None:
     before = part_configuration(configuration(4_000))
     after = part_configuration(configuration(4_000, version=8, slots=9))
--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -22,7 +22,7 @@
 from ..core.parts import (
     assemble,
     decode_head,
-    encode_head,
+    encode_for_peer,
     missing_parts,
     part_configuration,
     part_key,
@@ -288,7 +288,7 @@
             for digest, part in self.parted.parts.items()
             if digest not in known
         }
-        return PullAnswer(encode_head(self.parted, inline=False), parts, withdrawals)
+        return PullAnswer(encode_for_peer(self.parted), parts, withdrawals)
 
     def on_news(self, sender: InstanceId, message: VersionNews) -> None:
         """Take a peer's version and withdrawals."""
--- /dev/null
+++ b/properties/adoption_fleet.py
@@ -0,0 +1,158 @@
+"""Run adopting instances on a virtual clock over lossy links and a store."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from itertools import count
+from random import Random
+from typing import Any
+
+from berylhinge.core import adoption
+from berylhinge.core.adoption import (
+    Adopt,
+    AdoptionState,
+    Announce,
+    AskStore,
+    PeersChanged,
+    PeerSent,
+    Pull,
+    StoreFailed,
+    StoreSent,
+    Tick,
+    VersionHeard,
+)
+from berylhinge.core.configuration import Configuration
+from berylhinge.core.declarations import empty_declaration
+
+TICK_SECONDS = 0.25
+PROBE_SECONDS = 1.0
+DELAY_SECONDS = (0.001, 0.02)
+
+
+def configuration(version: int) -> Configuration:
+    return Configuration(version, (), {}, empty_declaration())
+
+
+class Fleet:
+    """Hold the instances of one run and count what they cost."""
+
+    def __init__(self, size: int, *, seed: int, lost: float, version: int) -> None:
+        self.rng = Random(seed)
+        self.lost = lost
+        self.now = 0.0
+        self.names = [f"i-{number}" for number in range(size)]
+        # One tuple for all, with oneself in it, keeps 2,000 states small.
+        self.peers = tuple(self.names)
+        self.watchers = adoption.watchers(self.peers)
+        self.stored = configuration(1)
+        self.store_up = True
+        self.queue: list[tuple[float, int, Any, Any]] = []
+        self.order = count()
+        self.waiting: list[tuple[str, int, float]] = []
+        self.store_calls: Counter[int] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.announced = 0
+        self.reverted: list[str] = []
+        self.withdrawn: set[str] = set()
+        self.states = {name: self.member(name, version) for name in self.names}
+        for name in self.names:
+            self.at(self.rng.uniform(0.0, TICK_SECONDS), self.tick, name)
+            self.at(self.rng.uniform(0.0, PROBE_SECONDS), self.probe, name)
+
+    def member(self, name: str, version: int) -> AdoptionState:
+        return AdoptionState(
+            name,
+            peers=self.peers,
+            watching=name in self.watchers,
+            configuration=configuration(version),
+            store_at=0.0 if name in self.watchers else 1e6,
+        )
+
+    def restart(self, name: str) -> None:
+        self.states[name] = AdoptionState(name)
+        self.deliver(name, PeersChanged(self.peers))
+
+    def at(self, when: float, action: Any, argument: Any) -> None:
+        heapq.heappush(self.queue, (when, next(self.order), action, argument))
+
+    def run(self, until: float) -> None:
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, action, argument = heapq.heappop(self.queue)
+            action(argument)
+        self.now = until
+
+    def deliver(self, name: str, event: Any) -> None:
+        before = self.states[name]
+        state, effects = adoption.step(event, before, self.now, self.rng)
+        if state.version < before.version:
+            self.reverted.append(name)
+        self.states[name] = state
+        for effect in effects:
+            self.perform(name, effect)
+
+    def tick(self, name: str) -> None:
+        self.deliver(name, Tick())
+        self.at(self.now + TICK_SECONDS, self.tick, name)
+
+    def probe(self, name: str) -> None:
+        peer = self.rng.choice(self.names)
+        self.send(peer, VersionHeard(name, self.states[name].version))
+        self.send(name, VersionHeard(peer, self.states[peer].version))
+        self.at(self.now + PROBE_SECONDS, self.probe, name)
+
+    def send(self, name: str, event: Any) -> None:
+        self.sent[type(event).__name__] += 1
+        if self.rng.random() >= self.lost:
+            delay = self.rng.uniform(*DELAY_SECONDS)
+            self.at(self.now + delay, lambda _: self.deliver(name, event), None)
+
+    def perform(self, name: str, effect: Any) -> None:
+        if isinstance(effect, Pull):
+            self.answer_pull(name, effect)
+        elif isinstance(effect, Announce):
+            heard = VersionHeard(name, effect.version, effect.withdrawals)
+            self.announced += len(effect.peers)
+            for peer in effect.peers:
+                self.send(peer, heard)
+        elif isinstance(effect, AskStore):
+            self.ask_store(name, effect)
+        else:
+            assert isinstance(effect, Adopt)
+            if "k" in effect.withdrawals:
+                self.withdrawn.add(name)
+
+    def answer_pull(self, name: str, effect: Pull) -> None:
+        state = self.states[effect.peer]
+        if state.configuration and self.rng.random() >= self.lost:
+            known = tuple(state.withdrawals)
+            self.send(name, PeerSent(effect.peer, state.configuration, known))
+
+    def ask_store(self, name: str, effect: AskStore) -> None:
+        self.store_calls[int(self.now)] += 1
+        if not self.store_up or self.rng.random() < self.lost:
+            self.at(self.now + 0.5, lambda _: self.deliver(name, StoreFailed()), None)
+        elif self.stored.version > effect.version or not effect.wait_seconds:
+            sent = StoreSent(self.stored, self.now)
+            self.at(self.now + 0.005, lambda _: self.deliver(name, sent), None)
+        else:
+            ends = self.now + effect.wait_seconds
+            self.waiting.append((name, effect.version, ends))
+            self.at(ends, self.end_watches, None)
+
+    def end_watches(self, _: None) -> None:
+        ready = [one for one in self.waiting if self.ends_now(one)]
+        self.waiting = [one for one in self.waiting if not self.ends_now(one)]
+        for name, _, _ in ready:
+            self.deliver(name, StoreSent(self.stored, self.now))
+
+    def ends_now(self, watch: tuple[str, int, float]) -> bool:
+        _, version, ends = watch
+        return self.stored.version > version or self.now >= ends
+
+    def store(self, version: int) -> None:
+        self.stored = configuration(version)
+        self.at(self.now, self.end_watches, None)
+
+    def behind(self, version: int) -> int:
+        return sum(state.version < version for state in self.states.values())
