--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -29,6 +29,7 @@
 )
 from .links import PeerLost
 from .loops import spawn_loop
+from .signal import Broadcast
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -43,6 +44,7 @@
 
 TICK_SECONDS = 0.1
 PROOF_SECONDS = 0.8
+PROOF_WAIT_SECONDS = 0.5
 PULL_TIMEOUT_SECONDS = 0.5
 LONE_WATCH_SECONDS = 1.0
 
@@ -110,6 +112,7 @@
         self.index: DeclarationIndex | None = None
         self.revision = 0
         self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
+        self.proven = Broadcast()
         self.greenlets: list[gevent.Greenlet] = []
         links.register(VersionNews, self.on_news)
         links.register(ProofRequest, self.on_proof_request)
@@ -140,6 +143,18 @@
         )
         return isinstance(proof, Success)
 
+    def await_fresh(self) -> bool:
+        """Ask again and wait briefly, as after a pause; tell whether keys are proven."""
+        if self.is_fresh():
+            return True
+        self.ask_proofs()
+        deadline = time.monotonic() + PROOF_WAIT_SECONDS
+        while not self.is_fresh():
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or not self.proven.wait(remaining):
+                return self.is_fresh()
+        return True
+
     def set_peers(self, peers: tuple[InstanceId, ...]) -> None:
         """Replace the live peers."""
         if peers != self.state.peers:
@@ -214,6 +229,7 @@
             self.step(adoption.StoreFailed())
             return
         self.freshness = store_confirmed(self.freshness, configuration.version, sent_at)
+        self.proven.notify()
         self.step(adoption.StoreSent(configuration, sent_at))
 
     def read_store(self, wait_seconds: float) -> Configuration | None:
@@ -307,6 +323,7 @@
         self.freshness = voucher_confirmed(
             self.freshness, sender, message.version, message.sent_at
         )
+        self.proven.notify()
         if message.version > self.version or message.withdrawals:
             self.step(
                 adoption.VersionHeard(sender, message.version, message.withdrawals)
