--- a/berylhinge/core/envelopes.py
+++ b/berylhinge/core/envelopes.py
@@ -23,7 +23,8 @@
 
 TAG_BYTES = 32
 WINDOW_MESSAGES = 1_024
-KEY_PURPOSE = b"berylhinge peer envelope 1"
+LINK_PURPOSE = b"berylhinge peer link 1"
+PROBE_PURPOSE = b"berylhinge peer probe 1"
 SECRETS_LIMIT = 2
 
 
@@ -73,22 +74,33 @@
 
 
 def new_envelopes(
-    me: InstanceId, incarnation: int, secrets: Sequence[bytes]
+    me: InstanceId,
+    incarnation: int,
+    secrets: Sequence[bytes],
+    *,
+    purpose: bytes = LINK_PURPOSE,
 ) -> EnvelopeState:
-    """Start without sequences; the first secret signs and all of them verify."""
-    if not 1 <= len(secrets) <= SECRETS_LIMIT:
-        raise ValueError(f"got {len(secrets)} secrets, expected 1 or {SECRETS_LIMIT}")
-    return EnvelopeState(me, incarnation, tuple(map(derive_key, secrets)), {}, {})
+    """Start without sequences; the first secret signs and all of them verify.
+
+    Channels of other purposes have keys of their own, so that a message of one is
+    never accepted on another.
+    """
+    keys = derive_keys(secrets, purpose)
+    return EnvelopeState(me, incarnation, keys, {}, {})
 
 
-def with_secrets(state: EnvelopeState, secrets: Sequence[bytes]) -> EnvelopeState:
+def with_secrets(
+    state: EnvelopeState, secrets: Sequence[bytes], *, purpose: bytes = LINK_PURPOSE
+) -> EnvelopeState:
     """Replace the secrets and keep sequences and windows."""
-    return state._replace(keys=tuple(map(derive_key, secrets)))
+    return state._replace(keys=derive_keys(secrets, purpose))
 
 
-def derive_key(secret: bytes) -> bytes:
-    """Return the signing key of a shared secret."""
-    return hmac.digest(secret, KEY_PURPOSE, hashlib.sha256)
+def derive_keys(secrets: Sequence[bytes], purpose: bytes) -> tuple[bytes, ...]:
+    """Return the signing keys of the shared secrets for one purpose."""
+    if not 1 <= len(secrets) <= SECRETS_LIMIT:
+        raise ValueError(f"got {len(secrets)} secrets, expected 1 or {SECRETS_LIMIT}")
+    return tuple(hmac.digest(secret, purpose, hashlib.sha256) for secret in secrets)
 
 
 def seal(
--- a/berylhinge/core/tests/test_envelopes.py
+++ b/berylhinge/core/tests/test_envelopes.py
@@ -11,6 +11,7 @@
     DropReason,
     EnvelopeState,
     new_envelopes,
+    PROBE_PURPOSE,
     seal,
     TAG_BYTES,
     unseal,
@@ -60,6 +61,12 @@
         assert result.failure() is DropReason.UNAUTHENTICATED
 
 
+def test_a_message_of_one_channel_is_dropped_on_another() -> None:
+    receiver = new_envelopes("b", 1, (OLD,), purpose=PROBE_PURPOSE)
+    dropped = unseal(receiver, sealed(instance("a"))).failure()
+    assert dropped is DropReason.UNAUTHENTICATED
+
+
 def test_rotation_keeps_the_windows() -> None:
     receiver = instance("b")
     data = sealed(instance("a"))
