--- a/berylhinge/tasks/membership.py
+++ b/berylhinge/tasks/membership.py
@@ -14,6 +14,7 @@
 from ..core import membership
 from ..core.envelopes import new_envelopes, PROBE_PURPOSE, seal, unseal
 from ..core.membership import Leave, Listed, Received, Tick
+from ..core.roster import Member
 from ..core.standings import (
     Changed,
     MembershipState,
@@ -24,6 +25,7 @@
 )
 from ..wire.membership import Ack, Ping, PingRequest, Status, Update
 from .http import parse_address
+from .logs import Log
 from .loops import spawn_loop
 
 if TYPE_CHECKING:
@@ -33,7 +35,6 @@
     from ..types import InstanceId
     from ..wire.platform import InstanceRecord
     from .http import Address
-    from .logs import Log
 
 TICK_SECONDS = 0.1
 DATAGRAM_BYTES = 8_192
@@ -57,23 +58,22 @@
 
     def __init__(
         self,
-        instance: InstanceId,
-        incarnation: int,
+        me: Member,
         *,
         listen: Address,
         secrets: Sequence[bytes],
         version: Callable[[], int],
-        on_change: Callable[[Update], None],
+        on_change: Callable[[], None],
         on_version: Callable[[InstanceId, int], None],
         on_count: Callable[[str, int], None],
-        log: Log,
     ) -> None:
         """Bind the socket; raise OSError when the port is taken."""
+        instance, incarnation = me
         self.version = version
         self.on_change = on_change
         self.on_version = on_version
         self.on_count = on_count
-        self.log = log
+        self.log = Log("membership", instance)
         self.envelopes = new_envelopes(
             instance, incarnation, secrets, purpose=PROBE_PURPOSE
         )
@@ -104,20 +104,21 @@
         self.step(Leave())
 
     def set_listed(self, records: Iterable[InstanceRecord]) -> None:
-        """Take the platform's lagging list."""
+        """Take the platform's changed list."""
         self.step(Listed(tuple(map(listed_update, records))))
+        self.on_change()
 
-    def is_gone(self, instance: InstanceId, incarnation: int) -> bool:
-        """Tell whether that start of an instance is dead or superseded."""
-        known = self.state.members.get(instance)
-        if known is None or known.incarnation < incarnation:
+    def is_absent(self, member: Member) -> bool:
+        """Tell whether that start of an instance is dead, leaving or superseded."""
+        known = self.state.members.get(member.instance)
+        if known is None or known.incarnation < member.incarnation:
             return False
-        return known.incarnation > incarnation or known.status is Status.DEAD
+        ending = known.status in (Status.LEAVING, Status.DEAD)
+        return ending or known.incarnation > member.incarnation
 
-    def is_leaving(self, instance: InstanceId) -> bool:
-        """Tell whether an instance said that it is leaving."""
-        known = self.state.members.get(instance)
-        return known is not None and known.status is Status.LEAVING
+    def newest_start(self, instance: InstanceId) -> Update | None:
+        """Return what is known of an instance."""
+        return self.state.members.get(instance)
 
     def tick(self) -> None:
         """Let time pass."""
@@ -129,14 +130,15 @@
         self.state, effects = membership.step(event, state, time.monotonic(), self.rng)
         for effect in effects:
             self.carry_out(effect)
+        listed = isinstance(event, Listed)
+        if not listed and any(isinstance(effect, Changed) for effect in effects):
+            self.on_change()
 
     def carry_out(self, effect: MembershipEffect) -> None:
         """Carry out one effect."""
         match effect:
             case Send():
                 self.send(effect)
-            case Changed(update):
-                self.on_change(update)
             case VersionSeen(peer, version):
                 self.on_version(peer, version)
             case Superseded(incarnation):
