--- a/berylhinge/cli/ctl.py
+++ b/berylhinge/cli/ctl.py
@@ -56,14 +56,19 @@
 
     name = "ip:port"
 
-    def convert(self, value: object, param: object, ctx: object) -> Address:
+    def convert(
+        self,
+        value: object,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
         """Parse an address or end with the misuse message."""
         if isinstance(value, Address):
             return value
         try:
             return parse_address(str(value))
         except ValueError as error:
-            self.fail(str(error), param, ctx)  # type: ignore[arg-type]
+            self.fail(str(error), param, ctx)
 
 
 class Context(NamedTuple):
--- a/berylhinge/tasks/membership.py
+++ b/berylhinge/tasks/membership.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 import gevent
 import msgspec
@@ -23,7 +23,14 @@
     Superseded,
     VersionSeen,
 )
-from ..wire.membership import Ack, Ping, PingRequest, Status, Update
+from ..wire.membership import (
+    Ack,
+    MembershipMessage,
+    Ping,
+    PingRequest,
+    Status,
+    Update,
+)
 from .http import parse_address
 from .logs import Log
 from .loops import spawn_loop
@@ -181,17 +188,25 @@
             self.on_count(opened.failure().value, len(data))
             return
         envelope = opened.unwrap()
-        try:
-            datagram = DECODER.decode(envelope.body)
-            kind = KINDS[datagram.kind]
-            message: Any = msgspec.msgpack.decode(datagram.body, type=kind)
-        except (msgspec.MsgspecError, KeyError):
+        message = decode_message(envelope.body)
+        if message is None:
             self.on_count("malformed", len(data))
             return
         self.on_count("probe-received", len(data))
         self.step(Received(envelope.sender, message))
 
 
+def decode_message(body: bytes) -> MembershipMessage | None:
+    """Decode one message, none for anything else."""
+    try:
+        datagram = DECODER.decode(body)
+        kind = KINDS[datagram.kind]
+        found: MembershipMessage = msgspec.msgpack.decode(datagram.body, type=kind)
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError, RecursionError):
+        return None
+    return found
+
+
 def listed_update(record: InstanceRecord) -> Update:
     """Return what the platform's list says of an instance."""
     leaving = record["state"] == "leaving"
--- a/properties/test_control_decoders.py
+++ b/properties/test_control_decoders.py
@@ -26,6 +26,7 @@
 from berylhinge.core.validation import validate
 from berylhinge.errors import DocumentError, FieldError, Refusal
 from berylhinge.settings import parse_settings, read_settings
+from berylhinge.tasks.membership import decode_message
 from berylhinge.tests.test_settings import document
 
 GRANTED = grant_key("ark", lambda count: bytes(range(count)))
@@ -39,6 +40,16 @@
     ),
     max_leaves=8,
 )
+
+
+def encoded(value: Any) -> bytes:
+    """Encode a value as a membership message would be, as far as it can be."""
+    try:
+        return msgspec.msgpack.encode(("Ping", value))
+    except (msgspec.MsgspecError, OverflowError, UnicodeEncodeError):
+        return b""
+
+
 quick = settings(derandomize=True, deadline=None, max_examples=150)
 
 
@@ -125,6 +136,12 @@
         assert isinstance(authenticate(INDEX, presented).failure(), Refusal)
 
 
+@quick
+@given(st.binary(max_size=200) | VALUES.map(encoded))
+def test_any_membership_message(body: bytes) -> None:
+    assert decode_message(body) is None
+
+
 STORED = json.loads(
     encode_for_store(part_configuration(Configuration(3, (), {}, declared())))[0]
 )
