--- a/berylhinge/tasks/membership.py
+++ b/berylhinge/tasks/membership.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
 import msgspec
@@ -201,10 +201,11 @@
     try:
         datagram = DECODER.decode(body)
         kind = KINDS[datagram.kind]
-        found: MembershipMessage = msgspec.msgpack.decode(datagram.body, type=kind)
+        found: Any = msgspec.msgpack.decode(datagram.body, type=kind)
     except (msgspec.MsgspecError, KeyError, UnicodeDecodeError, RecursionError):
         return None
-    return found
+    message: MembershipMessage = found
+    return message
 
 
 def listed_update(record: InstanceRecord) -> Update:
