Probe members by SWIM and fail fast when a peer's connection breaks

Cause: the live set came from the platform's lagging list alone, and a call to a killed peer waited its whole timeout.

--- a/berylhinge/cli/dev.py
+++ b/berylhinge/cli/dev.py
@@ -198,7 +198,7 @@
     """Tell whether all instances know each other, a primary and the whole rate."""
     units = 0
     for proxy in demo.proxies:
-        if not proxy.is_ready() or len(proxy.live.records) < len(demo.proxies):
+        if not proxy.is_ready() or len(proxy.members.members()) < len(demo.proxies):
             return False
         if not all(group.report()["primary"] for group in proxy.groups.values()):
             return False
--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -160,6 +160,10 @@
         if peers != self.state.peers:
             self.step(adoption.PeersChanged(peers))
 
+    def hear(self, peer: InstanceId, version: int) -> None:
+        """Take a version that a peer said it holds."""
+        self.step(adoption.VersionHeard(peer, version))
+
     def withdraw(self, keys: tuple[KeyId, ...]) -> None:
         """Withdraw keys at once, ahead of the store."""
         self.step(adoption.KeysWithdrawn(keys))
--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -50,8 +50,8 @@
     def admit(self, organisation: OrganisationId, deadline: float) -> None:
         """Charge one request; raise RefusedError."""
 
-    def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
-        """Return the live instances that serve a group, best first."""
+    def targets(self, group: GroupId) -> tuple[InstanceId, ...]:
+        """Return the instances to forward a group's calls to, best first."""
 
 
 class Dispatcher:
@@ -125,7 +125,7 @@
         message = ForwardStatement(caller.group, caller.organisation, caller.key, call)
         if caller.group in self.executors:
             return self.run_here(message, arrived_at)
-        return self.forward(message, arrived_at, self.fleet.serving(caller.group))
+        return self.forward(message, arrived_at, self.fleet.targets(caller.group))
 
     def run_transaction(self, caller: Caller, call: TransactionCall) -> Served:
         """Admit and run one step of a transaction; raise RefusedError."""
@@ -142,7 +142,7 @@
             return self.act_here(message, arrived_at)
         if caller.group in self.executors:
             return self.act_here(message, arrived_at)
-        return self.forward(message, arrived_at, self.fleet.serving(caller.group))
+        return self.forward(message, arrived_at, self.fleet.targets(caller.group))
 
     def charge(self, caller: Caller, deadline: float) -> None:
         """Charge the organisation once; raise RefusedError."""
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -12,7 +12,7 @@
 
 from ..core import capacity, minting, rates
 from ..core.buckets import Terms
-from ..core.connections import serving_instances
+from ..core.connections import forward_targets, serving_instances
 from ..core.minting import Settle
 from ..core.permits import (
     Adopted,
@@ -44,7 +44,6 @@
 TICK_SECONDS = 0.1
 ROSTER_TIMEOUT_SECONDS = 1.0
 PROPOSE_PAUSE_SECONDS = 0.5
-ABSENT_SECONDS = 3.0
 RENEW_WAIT_SECONDS = 0.5
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
@@ -81,6 +80,7 @@
         links: Links,
         platform: PlatformClient,
         live: Callable[[], frozenset[Member]],
+        is_suspect: Callable[[InstanceId], bool],
         serving_count: int,
         log: Log,
     ) -> None:
@@ -89,12 +89,12 @@
         self.links = links
         self.platform = platform
         self.live = live
+        self.is_suspect = is_suspect
         self.serving_count = serving_count
         self.log = log
         self.state = capacity.new_capacity(me)
         self.rng = random.Random(f"{me.instance}/{me.incarnation}")
         self.resigned: frozenset[Member] = frozenset()
-        self.absent_since: dict[Member, float] = {}
         self.greenlets: list[gevent.Greenlet] = []
         for kind in CAPACITY_MESSAGES:
             links.register(kind, self.on_message)
@@ -162,6 +162,12 @@
         live = sorted(member.instance for member in self.live())
         return tuple(serving_instances(live, group, self.serving_count))
 
+    def targets(self, group: GroupId) -> tuple[InstanceId, ...]:
+        """Return whom to forward to, suspects last."""
+        live = sorted(member.instance for member in self.live())
+        found = forward_targets(live, group, self.me.instance, self.serving_count)
+        return tuple(sorted(found, key=self.is_suspect))
+
     def on_message(self, sender: InstanceId, message: Any) -> None:
         """Take one message of the capacity protocol."""
         self.step(message)
@@ -273,24 +279,7 @@
         live = self.live()
         if self.me not in live and self.me not in self.resigned:
             return None
-        present = live | self.lately_absent(roster, live)
-        return propose(roster, present, resigned=self.resigned)
-
-    def lately_absent(
-        self, roster: Roster, live: frozenset[Member]
-    ) -> frozenset[Member]:
-        """Return members missing from the lagging list for too short a time."""
-        now = time.monotonic()
-        missing = frozenset(roster.members) - live - self.resigned
-        self.absent_since = {
-            member: self.absent_since.get(member, now) for member in missing
-        }
-        restarted = {member.instance for member in live}
-        return frozenset(
-            member
-            for member, since in self.absent_since.items()
-            if now - since < ABSENT_SECONDS and member.instance not in restarted
-        )
+        return propose(roster, live, resigned=self.resigned)
 
     def propose_roster(self) -> None:
         """Swap a new roster in from the store's newest one."""
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from itertools import count
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -26,6 +27,9 @@
 RECONNECT_MAX_MS = 1_000
 MAX_MESSAGE_BYTES = 8_000_000
 BATCH_MESSAGES = 64
+CONNECT_SECONDS = 0.25
+CONNECT_POLL_SECONDS = 0.002
+LOOK_SECONDS = 0.1
 
 
 class Frame(NamedTuple):
@@ -167,19 +171,49 @@
         self.on_count("sent", len(data))
         return True
 
+    def is_connected(self, instance: InstanceId) -> bool:
+        """Tell whether a connection to the peer's inbox is open."""
+        outbox = self.outboxes.get(instance)
+        return outbox is not None and bool(outbox.socket.pipes)
+
+    def connect(self, instance: InstanceId) -> bool:
+        """Dial a peer and wait briefly until connected."""
+        peer = self.peers.get(instance)
+        if peer is None:
+            return False
+        self.outbox_for(instance, peer)
+        deadline = time.monotonic() + CONNECT_SECONDS
+        while not self.is_connected(instance):
+            if time.monotonic() >= deadline:
+                return False
+            gevent.sleep(CONNECT_POLL_SECONDS)
+        return True
+
     def call(self, instance: InstanceId, message: Any, timeout_seconds: float) -> Any:
         """Send and wait for the answer; raise PeerLost."""
+        deadline = time.monotonic() + timeout_seconds
+        if not self.connect(instance):
+            raise PeerLost(instance, sent=False)
         number = next(self.call_ids)
         waiting = self.calls[number] = AsyncResult()
         try:
             if not self.send(instance, message, call=number):
                 raise PeerLost(instance, sent=False)
-            return waiting.get(timeout=timeout_seconds)
-        except gevent.Timeout as error:
-            raise PeerLost(instance, sent=True) from error
+            return self.await_answer(instance, waiting, deadline)
         finally:
             del self.calls[number]
 
+    def await_answer(
+        self, instance: InstanceId, waiting: AsyncResult, deadline: float
+    ) -> Any:
+        """Wait for an answer while the peer stays connected; raise PeerLost."""
+        while (remaining := deadline - time.monotonic()) > 0:
+            if waiting.wait(min(remaining, LOOK_SECONDS)) or waiting.ready():
+                return waiting.get()
+            if not self.is_connected(instance):
+                break
+        raise PeerLost(instance, sent=True)
+
     def read_messages(self) -> None:
         """Read until killed, yielding to the hub after each batch."""
         watcher = get_hub().loop.io(self.inbox.recv_fd, 1)
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -27,6 +27,7 @@
 from .links import Links
 from .live import LiveList
 from .logs import Log
+from .members import MembershipCallbacks, MembershipTask
 from .metrics import Metrics
 from .operators import OperatorsApp
 from .platform import PlatformClient
@@ -84,17 +85,27 @@
     def build_tasks(self) -> None:
         """Create the tasks that share this instance's links and platform."""
         settings = self.settings
+        self.members = MembershipTask(
+            self.me,
+            links=self.links,
+            version=lambda: self.configuration.version,
+            callbacks=MembershipCallbacks(
+                self.on_live, self.on_version, self.on_superseded
+            ),
+            log=Log("members", settings.instance),
+        )
         self.live = LiveList(
             self.record(),
             self.platform,
-            on_change=self.on_live,
+            on_list=self.members.take_list,
             log=Log("live", settings.instance),
         )
         self.fleet = FleetTask(
             self.me,
             links=self.links,
             platform=self.platform,
-            live=self.live.members,
+            live=self.members.members,
+            is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
             log=Log("fleet", settings.instance),
         )
@@ -168,11 +179,13 @@
         record["peer"] = settings.advertised_peers or str(self.links.address)
         record["callers"] = settings.advertised_callers or callers
         record["operators"] = settings.advertised_operators or operators
+        self.members.advertise(record["peer"])
 
     def start(self) -> None:
         """Start every task."""
         self.links.start()
         self.transactions.start()
+        self.members.start()
         self.live.start()
         self.fleet.start()
         self.configuration.start()
@@ -195,6 +208,7 @@
         self.configuration.stop()
         self.fleet.stop()
         self.live.stop()
+        self.members.stop()
         self.transactions.stop()
         for group in self.groups.values():
             group.stop()
@@ -208,11 +222,21 @@
 
     def on_live(self) -> None:
         """Follow a changed list of instances."""
-        peers = self.live.peers()
+        peers = self.members.peers()
         self.links.set_peers(peers)
         self.configuration.set_peers(tuple(sorted(peers)))
         self.serve_groups()
 
+    def on_version(self, peer: InstanceId, version: int) -> None:
+        """Hear a peer's configuration version."""
+        if version > self.configuration.version:
+            self.configuration.hear(peer, version)
+
+    def on_superseded(self) -> None:
+        """Stop: a newer start of this instance runs elsewhere."""
+        self.log.info("Another process runs as this instance; stopping.")
+        self.stopping.set()
+
     def on_adopt(self, configuration: Configuration, index: DeclarationIndex) -> None:
         """Put a configuration in force on every task."""
         self.index = index
--- a/berylhinge/tasks/shutdown.py
+++ b/berylhinge/tasks/shutdown.py
@@ -22,6 +22,7 @@
     proxy.log.info("The instance is leaving.")
     proxy.callers_app.leaving = True
     proxy.live.leave()
+    proxy.members.leave()
     proxy.on_live()
 
 
