--- a/berylhinge/cli/dev.py
+++ b/berylhinge/cli/dev.py
@@ -200,7 +200,7 @@
     for proxy in demo.proxies:
         if not proxy.is_ready() or len(proxy.members.members()) < len(demo.proxies):
             return False
-        if not all(group.report()["primary"] for group in proxy.groups.values()):
+        if not all(group.report()["primary"] for group in proxy.groups.tasks.values()):
             return False
         bucket = proxy.fleet.state.rates.buckets.get(ORGANISATION)
         units += bucket.units if bucket else 0
--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -62,6 +62,7 @@
         instance: InstanceId,
         *,
         fleet: Fleet,
+        executors: dict[GroupId, Executor],
         prove_keys: Callable[[], bool],
         links: Links,
         transactions: Transactions,
@@ -77,7 +78,7 @@
         self.metrics = metrics
         self.log = log
         self.index: DeclarationIndex | None = None
-        self.executors: dict[GroupId, Executor] = {}
+        self.executors = executors
         links.register(ForwardAnswer)
         links.register_call(ForwardStatement, self.on_statement)
         links.register_call(ForwardTransaction, self.on_transaction)
--- /dev/null
+++ b/berylhinge/tasks/groups.py
@@ -0,0 +1,149 @@
+"""Serve the groups for which this instance ranks high enough."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple, TYPE_CHECKING
+
+import gevent
+
+from ..core.connections import connection_allowance
+from ..wire.peers import ReachReport
+from .execution import Executor
+from .group import GroupOptions, GroupTask
+from .logs import Log
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+    from ..core.declarations import Upstream
+    from ..core.index import DeclarationIndex
+    from ..core.roster import Member
+    from ..settings import Settings
+    from ..types import GroupId, InstanceId
+    from .links import Links
+    from .metrics import Metrics
+    from .transactions import Transactions
+
+RETIRE_PAUSE_SECONDS = 0.05
+
+
+class GroupsOptions(NamedTuple):
+    """Hold what every group's task shares."""
+
+    me: Member
+    settings: Settings
+    serving: Callable[[GroupId], tuple[InstanceId, ...]]
+    links: Links
+    transactions: Transactions
+    metrics: Metrics
+    ssl_context: ssl.SSLContext | None
+
+
+class Groups:
+    """Own the tasks of the groups that this instance serves."""
+
+    def __init__(self, options: GroupsOptions) -> None:
+        """Serve nothing before a configuration."""
+        self.options = options
+        self.instance = options.me.instance
+        self.index: DeclarationIndex | None = None
+        self.tasks: dict[GroupId, GroupTask] = {}
+        self.executors: dict[GroupId, Executor] = {}
+        options.links.register(ReachReport, self.on_reach)
+
+    def stop(self) -> None:
+        """Stop every task at once."""
+        for task in self.tasks.values():
+            task.stop()
+
+    def serve_all(self) -> None:
+        """Start and stop group tasks as rendezvous hashing says."""
+        if self.index is None:
+            return
+        wanted = {}
+        for group, upstreams in self.index.members.items():
+            serving = self.options.serving(group)
+            if self.instance in serving and upstreams:
+                wanted[group] = (serving.index(self.instance), len(serving))
+        for group in list(self.tasks):
+            if group not in wanted:
+                self.retire_group(group)
+        for group, (rank, count) in wanted.items():
+            self.serve(group, self.index.members[group], rank, count)
+
+    def serve(
+        self,
+        group: GroupId,
+        upstreams: tuple[Upstream, ...],
+        rank: int,
+        count: int,
+    ) -> None:
+        """Start a group's task, or adjust a running one."""
+        allowances = {
+            upstream["id"]: connection_allowance(upstream["connections"], count, rank)
+            for upstream in upstreams
+        }
+        running = self.tasks.get(group)
+        if running is not None and running.serves(upstreams):
+            running.adjust(rank, allowances)
+            return
+        if running is not None:
+            self.retire_group(group)
+        options = GroupOptions(
+            instance=self.instance,
+            promoter=f"{self.instance}#{self.options.me.incarnation}",
+            place=self.options.settings.place,
+            rank=rank,
+            allowances=allowances,
+            queue=self.options.settings.limits.queue,
+            connect_seconds=self.options.settings.limits.connect_seconds,
+            ssl_context=self.options.ssl_context,
+            weights=self.weights(),
+        )
+        task = GroupTask(
+            group,
+            upstreams,
+            options,
+            live_peers=lambda: self.serving_peers(group),
+            send=self.options.links.send,
+            metrics=self.options.metrics,
+            log=Log("group", self.instance),
+        )
+        task.start()
+        self.tasks[group] = task
+        rng = random.Random(f"{self.options.me}/{group}")
+        self.executors[group] = Executor(task, self.options.metrics, rng)
+
+    def weights(self) -> dict[str, float]:
+        """Return the organisations' weights."""
+        organisations = self.index.organisations if self.index else {}
+        return {name: one.get("weight", 1.0) for name, one in organisations.items()}
+
+    def on_reach(self, sender: InstanceId, message: ReachReport) -> None:
+        """Hand a peer's evidence to the group's task."""
+        if message.group in self.tasks:
+            self.tasks[message.group].on_report(sender, message)
+
+    def retire_group(self, group: GroupId) -> None:
+        """Give a group to others and let what runs here end."""
+        executor = self.executors.pop(group)
+        gevent.spawn(self.retire, self.tasks.pop(group), executor)
+
+    def retire(self, task: GroupTask, executor: Executor) -> None:
+        """Stop a group's task once nothing runs on it, or at the limit."""
+        ends_at = time.monotonic() + self.options.settings.limits.transaction_seconds
+        while time.monotonic() < ends_at and self.is_busy(executor):
+            task.close_idle()
+            gevent.sleep(RETIRE_PAUSE_SECONDS)
+        task.stop()
+
+    def is_busy(self, executor: Executor) -> bool:
+        """Tell whether statements or transactions still use a group here."""
+        return executor.active > 0 or self.options.transactions.count(executor) > 0
+
+    def serving_peers(self, group: GroupId) -> frozenset[InstanceId]:
+        """Return the other live instances that serve a group."""
+        return frozenset(self.options.serving(group)) - {self.instance}
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -180,6 +180,7 @@
         """Dial a peer and wait briefly until connected."""
         peer = self.peers.get(instance)
         if peer is None:
+            self.on_count("unknown-peer", 0)
             return False
         self.outbox_for(instance, peer)
         deadline = time.monotonic() + CONNECT_SECONDS
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import Any, TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
 
-from ..core.connections import connection_allowance
 from ..core.envelopes import new_envelopes
 from ..core.requests import Timeouts
 from ..core.roster import Member, vouchers
 from ..settings import reveal_secrets
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
-from ..wire.peers import ReachReport
 from . import shutdown
 from .callers import CallersApp
 from .configuration import ConfigurationTask
 from .dispatch import Dispatcher
-from .execution import Executor
 from .fleet import FleetTask
-from .group import GroupOptions, GroupTask
+from .groups import Groups, GroupsOptions
 from .http import parse_address, server_address, start_server
 from .links import Links
 from .live import LiveList
@@ -36,11 +32,10 @@
 
 if TYPE_CHECKING:
     from ..core.configuration import Configuration
-    from ..core.declarations import Upstream
     from ..core.index import DeclarationIndex
     from ..errors import FieldError
     from ..settings import Settings
-    from ..types import GroupId, InstanceId
+    from ..types import InstanceId
     from ..wire.platform import InstanceRecord
 
 LAG_SAMPLE_SECONDS = 0.05
@@ -58,7 +53,6 @@
         self.metrics = Metrics()
         self.log = Log("proxy", settings.instance)
         self.index: DeclarationIndex | None = None
-        self.groups: dict[GroupId, GroupTask] = {}
         self.hub_lag = 0.0
         self.stopping = Event()
         self.reloader: TlsReloader | None = None
@@ -77,7 +71,6 @@
         self.transactions = Transactions(
             settings.instance, limit_seconds=settings.limits.transaction_seconds
         )
-        self.links.register(ReachReport, self.on_reach)
         self.build_tasks()
         self.open_listeners()
         self.take_bound_addresses()
@@ -117,9 +110,21 @@
             on_adopt=self.on_adopt,
             log=Log("configuration", settings.instance),
         )
+        self.groups = Groups(
+            GroupsOptions(
+                me=self.me,
+                settings=settings,
+                serving=self.fleet.serving,
+                links=self.links,
+                transactions=self.transactions,
+                metrics=self.metrics,
+                ssl_context=self.upstream_context,
+            )
+        )
         self.dispatcher = Dispatcher(
             settings.instance,
             fleet=self.fleet,
+            executors=self.groups.executors,
             prove_keys=self.configuration.await_fresh,
             links=self.links,
             transactions=self.transactions,
@@ -210,8 +215,7 @@
         self.live.stop()
         self.members.stop()
         self.transactions.stop()
-        for group in self.groups.values():
-            group.stop()
+        self.groups.stop()
         self.links.stop()
         self.platform.close()
 
@@ -225,7 +229,7 @@
         peers = self.members.peers()
         self.links.set_peers(peers)
         self.configuration.set_peers(tuple(sorted(peers)))
-        self.serve_groups()
+        self.groups.serve_all()
 
     def on_version(self, peer: InstanceId, version: int) -> None:
         """Hear a peer's configuration version."""
@@ -241,104 +245,16 @@
         """Put a configuration in force on every task."""
         self.index = index
         self.dispatcher.index = index
+        self.groups.index = index
         self.fleet.configure(index)
         self.transactions.abandon_keys(self.is_withdrawn)
-        self.serve_groups()
+        self.groups.serve_all()
 
     def is_withdrawn(self, key: str) -> bool:
         """Tell whether a key no longer works."""
         known = self.index.keys.get(key) if self.index else None
         return bool(key) and (known is None or known.withdrawn)
 
-    def serve_groups(self) -> None:
-        """Start and stop group tasks as rendezvous hashing says."""
-        if self.index is None:
-            return
-        wanted = {}
-        for group, upstreams in self.index.members.items():
-            serving = self.fleet.serving(group)
-            if self.settings.instance in serving and upstreams:
-                wanted[group] = (serving.index(self.settings.instance), len(serving))
-        for group in list(self.groups):
-            if group not in wanted:
-                self.stop_group(group)
-        for group, (rank, count) in wanted.items():
-            self.serve_group(group, self.index.members[group], rank, count)
-
-    def serve_group(
-        self,
-        group: GroupId,
-        upstreams: tuple[Upstream, ...],
-        rank: int,
-        count: int,
-    ) -> None:
-        """Start a group's task, or adjust a running one."""
-        allowances = {
-            upstream["id"]: connection_allowance(upstream["connections"], count, rank)
-            for upstream in upstreams
-        }
-        running = self.groups.get(group)
-        if running is not None and running.serves(upstreams):
-            running.adjust(rank, allowances)
-            return
-        if running is not None:
-            self.stop_group(group)
-        options = GroupOptions(
-            instance=self.settings.instance,
-            promoter=f"{self.settings.instance}#{self.incarnation}",
-            place=self.settings.place,
-            rank=rank,
-            allowances=allowances,
-            queue=self.settings.limits.queue,
-            connect_seconds=self.settings.limits.connect_seconds,
-            ssl_context=self.upstream_context,
-            weights=self.weights(),
-        )
-        task = GroupTask(
-            group,
-            upstreams,
-            options,
-            live_peers=lambda: self.serving_peers(group),
-            send=self.links.send,
-            metrics=self.metrics,
-            log=Log("group", self.settings.instance),
-        )
-        task.start()
-        self.groups[group] = task
-        rng = random.Random(f"{self.me}/{group}")
-        self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
-
-    def weights(self) -> dict[str, float]:
-        """Return the organisations' weights."""
-        organisations = self.index.organisations if self.index else {}
-        return {name: one.get("weight", 1.0) for name, one in organisations.items()}
-
-    def on_reach(self, sender: InstanceId, message: ReachReport) -> None:
-        """Hand a peer's evidence to the group's task."""
-        if message.group in self.groups:
-            self.groups[message.group].on_report(sender, message)
-
-    def stop_group(self, group: GroupId) -> None:
-        """Give a group to others and let what runs here end."""
-        executor = self.dispatcher.executors.pop(group)
-        gevent.spawn(self.retire, self.groups.pop(group), executor)
-
-    def retire(self, task: GroupTask, executor: Executor) -> None:
-        """Stop a group's task once nothing runs on it, or at the limit."""
-        ends_at = time.monotonic() + self.settings.limits.transaction_seconds
-        while time.monotonic() < ends_at and self.is_busy(executor):
-            task.close_idle()
-            gevent.sleep(RETIRE_PAUSE_SECONDS)
-        task.stop()
-
-    def is_busy(self, executor: Executor) -> bool:
-        """Tell whether statements or transactions still use a group here."""
-        return executor.active > 0 or self.transactions.count(executor) > 0
-
-    def serving_peers(self, group: GroupId) -> frozenset[InstanceId]:
-        """Return the other live instances that serve a group."""
-        return frozenset(self.fleet.serving(group)) - {self.settings.instance}
-
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
         if self.index is None or self.callers_app.leaving:
@@ -377,7 +293,7 @@
         gauge = self.metrics.gauge
         gauge("configuration_version", self.configuration.version)
         gauge("hub_lag_seconds", self.hub_lag)
-        for name, group in self.groups.items():
+        for name, group in self.groups.tasks.items():
             report = group.report()
             gauge("group_term", report["term"], group=name)
             for upstream, member in report["members"].items():
@@ -401,7 +317,9 @@
             "config_version": self.configuration.version,
             "roster_epoch": self.fleet.state.permit.roster.epoch,
             "keys_proven": self.configuration.is_fresh(),
-            "groups": {name: group.report() for name, group in self.groups.items()},
+            "groups": {
+                name: group.report() for name, group in self.groups.tasks.items()
+            },
             "shares": {
                 name: {"units": bucket.units, "tokens": bucket.tokens}
                 for name, bucket in self.fleet.state.rates.buckets.items()
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -70,9 +70,13 @@
             self.link.data.give_back(self.connection)
 
     def abandon(self) -> None:
-        """Close the connection, so that the upstream rolls back."""
-        self.connection.close()
-        self.release()
+        """Close the connection, so that the upstream rolls back.
+
+        A connection that was given back already belongs to someone else.
+        """
+        if not self.closed:
+            self.connection.close()
+            self.release()
 
 
 class Transactions:
--- a/berylhinge/tests/steps/faults.py
+++ b/berylhinge/tests/steps/faults.py
@@ -127,7 +127,7 @@
 @given("every instance promotes without waiting its turn")
 def promote_at_once(system: System) -> None:
     for proxy in system.proxies.values():
-        for group in proxy.groups.values():
+        for group in proxy.groups.tasks.values():
             group.promotion = group.promotion._replace(rank=0)
 
 
--- a/berylhinge/tests/steps/system.py
+++ b/berylhinge/tests/steps/system.py
@@ -136,9 +136,9 @@
         for proxy in self.proxies.values():
             if not proxy.is_ready() or not proxy.configuration.is_fresh():
                 return False
-            if len(proxy.live.records) != len(self.proxies):
+            if len(proxy.members.members()) != len(self.proxies):
                 return False
-            reports = [group.report() for group in proxy.groups.values()]
+            reports = [group.report() for group in proxy.groups.tasks.values()]
             if not reports or not all(report["primary"] for report in reports):
                 return False
         return self.is_converged() and all(self.has_whole_rate(name) for name in RATES)
