Replace idle connections that were closed before using them

Cause: after a database's restart a pooled connection was dead, and the next non-idempotent write on it ended as unknown (features after a crash failed with answer-lost). Change: a leased connection must be quiet (neither closed nor written to), otherwise a new one is opened; the same for the platform.

--- a/berylhinge/tasks/connection.py
+++ b/berylhinge/tasks/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
@@ -57,6 +58,14 @@
         """Tell whether the socket may be used."""
         return self.sock is not None
 
+    def is_quiet(self) -> bool:
+        """Tell whether an idle connection was neither closed nor written to."""
+        if self.sock is None:
+            return False
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def open(self, timeout_seconds: float) -> None:
         """Connect; raise ConnectionFailed with sent false."""
         try:
--- a/berylhinge/tasks/platform.py
+++ b/berylhinge/tasks/platform.py
@@ -189,6 +189,8 @@
         """Make one call at one address."""
         idle = self.idle.setdefault(address, [])
         connection = idle.pop() if idle else Connection(address, headers={})
+        if not connection.is_quiet():
+            connection.close()
         try:
             if not connection.is_open:
                 connection.open(min(wait, self.timeout_seconds))
--- a/berylhinge/tasks/pool.py
+++ b/berylhinge/tasks/pool.py
@@ -55,8 +55,11 @@
             self.wait_for_turn(timeout_seconds)
         else:
             self.leased += 1
-        if self.idle:
-            return self.idle.pop()
+        while self.idle:
+            idle = self.idle.pop()
+            if idle.is_quiet():
+                return idle
+            idle.close()
         connection = Connection(
             self.address, headers=self.headers, ssl_context=self.ssl_context
         )
--- a/berylhinge/tasks/tests/test_connection.py
+++ b/berylhinge/tasks/tests/test_connection.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import gevent
+import gevent.socket
 import pytest
 
 from ..connection import Connection, ConnectionFailed
 from ..http import Address, respond_json, server_address, start_server
+from ..pool import Pool
 
 
 @pytest.fixture
@@ -50,3 +52,23 @@
     gevent.sleep(0.01)
     waiting.kill()
     assert not connection.is_open
+
+
+def test_an_idle_connection_that_was_closed_is_replaced_before_use():
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    address = Address(*listener.getsockname())
+    pool = Pool(address, allowance=1, headers={})
+    first = pool.lease(1.0)
+    accepted, _ = listener.accept()
+    pool.give_back(first)
+    assert pool.lease(1.0) is first
+    pool.give_back(first)
+    accepted.close()
+    gevent.sleep(0.01)
+    second = pool.lease(1.0)
+    assert second is not first
+    assert second.is_quiet()
+    assert not first.is_open
+    listener.close()
--- a/berylhinge/tests/steps/faults.py
+++ b/berylhinge/tests/steps/faults.py
@@ -128,7 +128,7 @@
 def promote_at_once(system: System) -> None:
     for proxy in system.proxies.values():
         for group in proxy.groups.tasks.values():
-            group.promotion = group.promotion._replace(rank=0)
+            group.promoter.set_rank(0)
 
 
 @when("all faults end")
