--- a/berylhinge/tests/features/truthful_refusals.feature
+++ b/berylhinge/tests/features/truthful_refusals.feature
@@ -20,6 +20,14 @@
     Then every call ends within 60 seconds
     And no promise about writes is broken
 
+  Scenario: The primary restarted while its connections were idle
+    Given Kari wrote "Miso" through instance 1
+    And Ola wrote "Tofu" through instance 2
+    And the primary restarts
+    Then Kari can write "Pus" through instance 1 within 14 seconds
+    And Ola can write "Mons" through instance 2 within 14 seconds
+    And no promise about writes is broken
+
   Scenario: One instance alone can't reach the primary
     Given the primary is cut off from instance 1
     When Kari writes "Miso" through instance 1 within 1 seconds
