--- a/berylhinge/tests/steps/faults.py
+++ b/berylhinge/tests/steps/faults.py
@@ -84,6 +84,13 @@
     primary_of(world, system).update_faults(FaultsRequest(down=True))
 
 
+@given("the primary restarts")
+def restart_primary(world: World, system: System) -> None:
+    crash_primary(world, system)
+    world.led_before.update_faults(FaultsRequest(down=False))
+    eventually(system.is_converged, FAILOVER_SECONDS, "one leads again")
+
+
 @when("both replicas go down")
 def crash_replicas(world: World, system: System) -> None:
     primary_of(world, system)
