--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+fuzz: $(VENV)/.installed
+	$(PYTHON) -m properties.fuzz_group
