--- /dev/null
+++ b/berylhinge/tasks/execution.py
@@ -0,0 +1,115 @@
+"""Run statements on a group that this instance serves."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from ..core.requests import Served
+from ..core.retries import decide_retry, earn, FULL_BUDGET, GiveUp
+from ..errors import RefusedError
+from ..types import Access
+from .attempts import Failed
+from .reading import Reader
+from .turns import Turns
+from .writing import Writer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..core.requests import StatementCall
+    from ..types import OrganisationId, UpstreamId
+    from .group import GroupTask
+    from .metrics import Metrics
+
+EXPECTED_SECONDS = 0.005
+SETTLE_PAUSE_SECONDS = 0.05
+SLOT_HOLD_SECONDS = 0.5
+
+
+class Executor:
+    """Run reads and writes with retries that are harmless."""
+
+    def __init__(self, group: GroupTask, metrics: Metrics, rng: random.Random) -> None:
+        """Start with a full retry budget."""
+        self.group = group
+        self.metrics = metrics
+        self.rng = rng
+        turns = Turns()
+        self.reader = Reader(group, turns, metrics, rng)
+        self.writer = Writer(group, turns)
+        self.budget = FULL_BUDGET
+        self.active = 0
+
+    def run(
+        self,
+        call: StatementCall,
+        arrived_at: float,
+        max_age: float,
+        *,
+        organisation: OrganisationId,
+    ) -> Served:
+        """Run one statement to its end; raise RefusedError."""
+        self.active += 1
+        try:
+            return self.run_counted(call, arrived_at, max_age, organisation)
+        finally:
+            self.active -= 1
+
+    def run_counted(
+        self,
+        call: StatementCall,
+        arrived_at: float,
+        max_age: float,
+        organisation: OrganisationId,
+    ) -> Served:
+        """Run a statement that ``active`` counts."""
+        deadline = arrived_at + call.timeout_seconds
+        if call.access is Access.WRITE:
+            return self.persist(
+                lambda: self.writer.try_write(call, deadline, organisation),
+                deadline,
+                call.idempotent,
+            )
+        floor, need = self.reader.read_floor(call, arrived_at, max_age, deadline)
+        excluded: set[UpstreamId] = set()
+        return self.persist(
+            lambda: self.reader.try_read(
+                call, floor, need, deadline, excluded, organisation
+            ),
+            deadline,
+            call.idempotent,
+        )
+
+    def persist(
+        self,
+        attempt: Callable[[], Served | Failed],
+        deadline: float,
+        idempotent: bool,
+    ) -> Served:
+        """Repeat an attempt while that is harmless; raise RefusedError."""
+        self.budget = earn(self.budget)
+        delay = 0.0
+        while True:
+            result = attempt()
+            if isinstance(result, Served):
+                return result
+            if result.retry is None:
+                raise RefusedError(result.refusal)
+            decision = decide_retry(
+                self.budget,
+                outcome=result.refusal.outcome,
+                idempotent=idempotent,
+                deadline=deadline,
+                expected_seconds=EXPECTED_SECONDS,
+                previous_delay_seconds=delay,
+                now=time.monotonic(),
+                rng=self.rng,
+            )
+            if isinstance(decision, GiveUp):
+                raise RefusedError(result.refusal)
+            self.budget = decision.budget
+            delay = decision.delay_seconds
+            self.metrics.count_retry(result.retry)
+            self.group.wait_change(delay)
--- a/berylhinge/tasks/http.py
+++ b/berylhinge/tasks/http.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+import gevent
 import msgspec
 from gevent import pywsgi
 from gevent.pool import Pool
@@ -21,6 +22,7 @@
 
 JSON = "application/json"
 MAX_CONNECTIONS = 20_000
+MAX_PORT = 65_535
 
 
 class Address(NamedTuple):
@@ -37,7 +39,7 @@
 def parse_address(text: str) -> Address:
     """Parse host:port; raise ValueError for any other form."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdigit() or int(port) > MAX_PORT:
         raise ValueError(f"got {text!r}, expected IP:PORT")
     return Address(host, int(port))
 
@@ -50,6 +52,12 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def read_requestline(self) -> str:
+        """Read the next request line, or end a connection that was idle too long."""
+        with gevent.Timeout(self.server.idle_seconds, False):
+            return str(super().read_requestline())
+        return ""
+
     def log_request(self) -> None:
         """Write nothing; metrics count requests."""
 
@@ -64,6 +72,7 @@
     handler_class: type[pywsgi.WSGIHandler] = QuickHandler,
     ssl_context: ssl.SSLContext | None = None,
     max_connections: int = MAX_CONNECTIONS,
+    idle_seconds: float | None = None,
 ) -> pywsgi.WSGIServer:
     """Listen and serve in the background; port 0 picks a free port."""
     options = {"ssl_context": ssl_context} if ssl_context else {}
@@ -76,6 +85,7 @@
         error_log=None,
         **options,
     )
+    server.idle_seconds = idle_seconds
     server.start()
     return server
 
--- /dev/null
+++ b/berylhinge/tasks/links.py
@@ -0,0 +1,241 @@
+"""Carry authenticated messages between instances over pynng."""
+
+from __future__ import annotations
+
+import socket
+from itertools import count
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+import pynng
+from gevent import get_hub
+from gevent.event import AsyncResult
+from returns.result import Failure
+
+from ..core.envelopes import EnvelopeState, seal, unseal
+from ..types import InstanceId
+from .http import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SEND_BUFFER_MESSAGES = 4_096
+RECEIVE_BUFFER_MESSAGES = 4_096
+RECONNECT_MIN_MS = 20
+RECONNECT_MAX_MS = 1_000
+MAX_MESSAGE_BYTES = 8_000_000
+BATCH_MESSAGES = 64
+
+
+class Frame(NamedTuple):
+    """Wrap one message; ``call`` asks for an answer, ``reply`` answers a call."""
+
+    kind: str
+    call: int
+    reply: int
+    body: msgspec.Raw
+
+
+class Peer(NamedTuple):
+    """Name a peer's inbox and the incarnation that reads it."""
+
+    address: str
+    incarnation: int
+
+
+class Outbox(NamedTuple):
+    """Hold the socket that dials a peer's inbox."""
+
+    address: str
+    socket: pynng.Push0
+
+
+class PeerLost(Exception):
+    """Report that a peer did not answer in time or is not known."""
+
+    def __init__(self, instance: InstanceId, *, sent: bool) -> None:
+        """Keep the peer and whether the message may have left."""
+        super().__init__(f"no answer from {instance}")
+        self.instance = instance
+        self.sent = sent
+
+
+class Links:
+    """Own the inbox and one outbox for each peer."""
+
+    def __init__(
+        self,
+        listen: Address,
+        *,
+        envelopes: EnvelopeState,
+        on_count: Callable[[str, int], None],
+    ) -> None:
+        """Listen at once; messages flow after ``start``."""
+        self.listen = listen
+        self.inbox = pynng.Pull0(
+            listen=f"tcp://{listen.host}:{listen.port}",
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        self.envelopes = envelopes
+        self.on_count = on_count
+        self.outboxes: dict[InstanceId, Outbox] = {}
+        self.peers: dict[InstanceId, Peer] = {}
+        self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
+        self.kinds: dict[str, type] = {}
+        self.calls: dict[int, AsyncResult] = {}
+        self.call_ids = count(1)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Frame)
+        self.reader: gevent.Greenlet | None = None
+
+    @property
+    def address(self) -> Address:
+        """Return where the inbox listens."""
+        bound = self.inbox.listeners[0].local_address
+        return Address(self.listen.host, socket.ntohs(bound.port))
+
+    def register(self, kind: type, handler: Callable[..., Any] | None = None) -> None:
+        """Handle messages of a kind in the reader; the handler must not block."""
+        self.kinds[kind.__name__] = kind
+        if handler is not None:
+            self.handlers[kind.__name__] = (kind, handler, False)
+
+    def register_call(self, kind: type, handler: Callable[..., Any]) -> None:
+        """Answer calls of a kind, each in a greenlet of its own."""
+        self.kinds[kind.__name__] = kind
+        self.handlers[kind.__name__] = (kind, handler, True)
+
+    def start(self) -> None:
+        """Start reading."""
+        self.reader = gevent.spawn(self.read_messages)
+
+    def stop(self) -> None:
+        """Stop reading and close every socket."""
+        if self.reader is not None:
+            self.reader.kill()
+        for outbox in self.outboxes.values():
+            outbox.socket.close()
+        self.inbox.close()
+
+    def set_peers(self, peers: dict[InstanceId, Peer]) -> None:
+        """Replace the known peers and drop outboxes that no longer fit."""
+        self.peers = peers
+        for instance, outbox in list(self.outboxes.items()):
+            peer = peers.get(instance)
+            if peer is None or peer.address != outbox.address:
+                del self.outboxes[instance]
+                outbox.socket.close()
+
+    def outbox_for(self, instance: InstanceId, peer: Peer) -> pynng.Push0:
+        """Return the peer's outbox, dialling in the background at first use."""
+        known = self.outboxes.get(instance)
+        if known is not None:
+            return known.socket
+        outbox = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        outbox.dial(f"tcp://{peer.address}", block=False)
+        self.outboxes[instance] = Outbox(peer.address, outbox)
+        return outbox
+
+    def send(
+        self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
+    ) -> bool:
+        """Send without waiting; return false when it certainly did not leave."""
+        peer = self.peers.get(instance)
+        if peer is None:
+            self.on_count("unknown-peer", 0)
+            return False
+        outbox = self.outbox_for(instance, peer)
+        body = msgspec.Raw(self.encoder.encode(message))
+        frame = Frame(type(message).__name__, call, reply, body)
+        data = seal(
+            self.envelopes,
+            self.encoder.encode(frame),
+            recipient=instance,
+            recipient_incarnation=peer.incarnation,
+        )
+        try:
+            outbox.send(data, block=False)
+        except pynng.TryAgain:
+            self.on_count("outbox-full", 0)
+            return False
+        self.on_count("sent", len(data))
+        return True
+
+    def call(self, instance: InstanceId, message: Any, timeout_seconds: float) -> Any:
+        """Send and wait for the answer; raise PeerLost."""
+        number = next(self.call_ids)
+        waiting = self.calls[number] = AsyncResult()
+        try:
+            if not self.send(instance, message, call=number):
+                raise PeerLost(instance, sent=False)
+            return waiting.get(timeout=timeout_seconds)
+        except gevent.Timeout as error:
+            raise PeerLost(instance, sent=True) from error
+        finally:
+            del self.calls[number]
+
+    def read_messages(self) -> None:
+        """Read until killed, yielding to the hub after each batch."""
+        watcher = get_hub().loop.io(self.inbox.recv_fd, 1)
+        while True:
+            for _ in range(BATCH_MESSAGES):
+                try:
+                    data = self.inbox.recv(block=False)
+                except pynng.TryAgain:
+                    get_hub().wait(watcher)
+                    continue
+                self.receive(data)
+            gevent.sleep(0)
+
+    def receive(self, data: bytes) -> None:
+        """Check, decode and dispatch one message."""
+        opened = unseal(self.envelopes, data)
+        if isinstance(opened, Failure):
+            self.on_count(opened.failure().value, len(data))
+            return
+        envelope = opened.unwrap()
+        sender = envelope.sender
+        try:
+            frame = self.decoder.decode(envelope.body)
+            kind = self.kinds[frame.kind]
+            message: Any = msgspec.msgpack.decode(frame.body, type=kind)
+        except (msgspec.MsgspecError, KeyError):
+            self.on_count("malformed", len(data))
+            return
+        self.on_count("received", len(data))
+        if frame.reply:
+            waiting = self.calls.get(frame.reply)
+            if waiting is not None:
+                waiting.set(message)
+            return
+        self.dispatch(sender, frame, message)
+
+    def dispatch(self, sender: InstanceId, frame: Frame, message: Any) -> None:
+        """Hand a message to its handler."""
+        registered = self.handlers.get(frame.kind)
+        if registered is None:
+            self.on_count("unhandled", 0)
+            return
+        _, handler, spawns = registered
+        if spawns:
+            gevent.spawn(self.answer, sender, frame.call, handler, message)
+        else:
+            handler(sender, message)
+
+    def answer(
+        self,
+        sender: InstanceId,
+        call: int,
+        handler: Callable[..., Any],
+        message: Any,
+    ) -> None:
+        """Run a call's handler and send what it returns."""
+        answer = handler(sender, message)
+        if answer is not None and call:
+            self.send(sender, answer, reply=call)
