Give every promoter its own name

Cause: a group's task that ends and starts again in the same run of an instance asked for votes under its former name; a database repeats a grant to the same name, so two databases could lead one term (the explorer's script 'promoter restarts' shows it). Change: number the promoters of a run.

--- a/berylhinge/tasks/promoter.py
+++ b/berylhinge/tasks/promoter.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from itertools import count
 from typing import Any, TYPE_CHECKING
 
 import gevent
@@ -32,14 +33,21 @@
     from .member import MemberLink
 
 
+# A vote is granted to a name for a term; a promoter that forgot what it ordered
+# under a name must not be granted the same term again.
+NUMBERS = count(1)
+
+
 class Promoter:
     """Own the promotion's state and send its effects."""
 
     def __init__(self, group: GroupTask, name: str, rank: int) -> None:
         """Start idle."""
         self.group = group
-        self.name = name
-        self.state = promotion.Promotion(group.group, name, group.view.members, rank)
+        self.name = f"{name}.{next(NUMBERS)}"
+        self.state = promotion.Promotion(
+            group.group, self.name, group.view.members, rank
+        )
         self.rng = random.Random(name + group.group)
 
     @property
