Pass over a suspected or leaving member while the others are a majority

Change: a loss names its suspect; among the grants the best of a majority without suspects and leaving members is chosen, else the best of all. A majority of grants holds every acknowledged write, so nothing is lost; a double that skips the majority is caught.

--- a/berylhinge/core/detection.py
+++ b/berylhinge/core/detection.py
@@ -166,9 +166,11 @@
     state = state._replace(orphan_since=None)
     state, silent = _is_silent(state, view, lead, fresh, now)
     if silent:
-        return state, PrimaryLost(lead.term, f"{lead.upstream} is silent to a majority")
+        cause = f"{lead.upstream} is silent to a majority"
+        return state, PrimaryLost(lead.term, cause, lead.upstream)
     if _is_unreachable(state, lead, live_peers, now):
-        return state, PrimaryLost(lead.term, f"no instance reaches {lead.upstream}")
+        cause = f"no instance reaches {lead.upstream}"
+        return state, PrimaryLost(lead.term, cause, lead.upstream)
     state, stray = _has_stray(state, view, lead, fresh, now)
     if stray:
         return state, PrimaryLost(lead.term, "a member is stuck in a newer term")
--- a/berylhinge/core/promotion.py
+++ b/berylhinge/core/promotion.py
@@ -37,7 +37,7 @@
 STAGGER_SECONDS = 0.1
 ATTEMPT_SECONDS = 0.15
 RESEND_SECONDS = 0.03
-GRANT_LINGER_SECONDS = 0.01
+GRANT_LINGER_SECONDS = 0.03
 CONFIRM_SECONDS = 1.0
 RETRY_JITTER_SECONDS = 0.1
 QUIESCE_SECONDS = 0.06
@@ -76,6 +76,7 @@
     answered: frozenset[UpstreamId] = frozenset()
     target: UpstreamId | None = None
     leaver: UpstreamId | None = None
+    suspects: frozenset[UpstreamId] = frozenset()
     quiesced_at: LogPoint | None = None
     caught_up: LogPoint = LOG_START
 
@@ -101,6 +102,8 @@
 @_on.register(PrimaryLost)
 def _(event: PrimaryLost, state: Promotion, now: Seconds, rng: Random) -> Step:
     state = _see(state, event.term)
+    if event.suspect is not None:
+        state = state._replace(suspects=state.suspects | {event.suspect})
     if not _handles(state, "primary-lost"):
         return state, ()
     state = _go(state, "primary-lost")._replace(
@@ -128,7 +131,7 @@
     own = state.stage in ("fencing", "promoting", "confirming")
     if event.term < (state.term if own else state.lost_term):
         return state, ()
-    return _rest(_go(state, "primary-seen")), ()
+    return _rest(_go(state, "primary-seen"))._replace(suspects=frozenset()), ()
 
 
 @_on.register(StatusSeen)
@@ -223,7 +226,7 @@
         return _fail(state, now, rng, f"term {state.term} was refused by a majority")
     if len(state.grants) < state.quorum:
         return state, ()
-    if silent and choose_log(state).leaving:
+    if silent and len(_wanted(state)) < state.quorum:
         until = state.linger_until
         if until is None:
             return state._replace(linger_until=now + GRANT_LINGER_SECONDS), ()
@@ -233,11 +236,31 @@
 
 
 def choose_log(state: Promotion) -> Grant:
-    """Return the most advanced grant; among equals one that is not leaving."""
+    """Return the most advanced grant of a majority.
+
+    Any majority of grants holds every acknowledged write, so members that are
+    leaving or suspected need not lead while the others are a majority, even if
+    their logs are longer.
+    """
+    wanted = _wanted(state)
+    votes = wanted if len(wanted) >= state.quorum else state.grants
     order = {name: place for place, name in enumerate(state.members)}
     return max(
-        state.grants,
-        key=lambda vote: (vote.last, not vote.leaving, -order[vote.upstream]),
+        votes,
+        key=lambda vote: (
+            vote.last,
+            not vote.leaving,
+            vote.upstream not in state.suspects,
+            -order[vote.upstream],
+        ),
+    )
+
+
+def _wanted(state: Promotion) -> tuple[Grant, ...]:
+    return tuple(
+        vote
+        for vote in state.grants
+        if not vote.leaving and vote.upstream not in state.suspects
     )
 
 
@@ -308,6 +331,7 @@
         state.rank,
         seen_term=state.seen_term,
         term=state.term,
+        suspects=state.suspects,
     )
 
 
--- a/berylhinge/core/promotion_messages.py
+++ b/berylhinge/core/promotion_messages.py
@@ -10,10 +10,14 @@
 
 
 class PrimaryLost(NamedTuple):
-    """Report that the primary of a term, or of no term, is lost."""
+    """Report that the primary of a term, or of no term, is lost.
+
+    ``suspect`` is the member that should not lead again soon, if any.
+    """
 
     term: Term
     cause: str
+    suspect: UpstreamId | None = None
 
 
 class PrimaryLeaving(NamedTuple):
--- a/properties/group_doubles.py
+++ b/properties/group_doubles.py
@@ -83,7 +83,7 @@
     request = message.body
     name = message.upstream
     done = databases.vote(name, request)
-    old = STALE_LASTS.get((id(databases), name), LOG_START)
+    old = vars(databases).setdefault("stale_lasts", {}).get(name, LOG_START)
     status = {**databases.status(name), "last": old}
     databases.reply(message, (request, done.granted, status))
 
@@ -91,7 +91,8 @@
 def remember_status(databases, message):
     """Report a status and keep it for later votes."""
     name = message.upstream
-    STALE_LASTS[(id(databases), name)] = databases.states[name].log.last
+    lasts = vars(databases).setdefault("stale_lasts", {})
+    lasts[name] = databases.states[name].log.last
     group_databases.Databases.on_status(databases, message)
 
 
@@ -100,6 +101,12 @@
     return max(state.grants, key=lambda vote: vote.last.position)
 
 
+def choose_below_majority(state):
+    """Leave suspects out even where too few others voted."""
+    votes = promotion._wanted(state) or state.grants
+    return max(votes, key=lambda vote: vote.last)
+
+
 def choose_first(state):
     """Take any log of the majority."""
     return state.grants[0]
@@ -176,7 +183,6 @@
     fresh.promotion = fresh.promotion._replace(promoter=promoter)
 
 
-STALE_LASTS: dict[tuple[int, str], LogPoint] = {}
 BEGIN_FENCING = promotion._begin_fencing
 FAIL = promotion._fail
 JUDGE = read_choice.judge_read
@@ -205,6 +211,9 @@
         Patch(group_databases.HANDLERS, "status", remember_status),
     ),
     "choose by position alone": (Patch(promotion, "choose_log", choose_by_position),),
+    "leave suspects out below a majority": (
+        Patch(promotion, "choose_log", choose_below_majority),
+    ),
     "choose the first log": (Patch(promotion, "choose_log", choose_first),),
     "promote below a majority": (
         Patch(promotion, "_count_votes", promote_below_majority),
--- a/properties/group_scripts.py
+++ b/properties/group_scripts.py
@@ -20,6 +20,7 @@
     world = World(Random(0))
     world.steps_down = False
     world.append_limit = 1
+    world.suspects = False
     for own in world.instances:
         know(world, own, "abc")
     return world
--- a/properties/group_world.py
+++ b/properties/group_world.py
@@ -78,6 +78,7 @@
         self.instances = [Instance(n, 1, self.names) for n in range(instances)]
         self.tokens = [encode_session(SessionToken(GROUP, 0, 0)) for _ in range(2)]
         self.seen: list[frozenset[str]] = [frozenset(), frozenset()]
+        self.suspects = True
         self.steps = 0
         self.writes_sent = 0
         self.reads_sent = 0
@@ -320,7 +321,8 @@
     def suspect(self, own: Instance) -> None:
         """Let an instance believe, rightly or not, that the primary is lost."""
         term = group_view.max_term(own.view)
-        self.drive(own, PrimaryLost(term, "suspected"))
+        suspect = self.rng.choice((*self.names, None)) if self.suspects else None
+        self.drive(own, PrimaryLost(term, "suspected", suspect))
         self.drive(own, Tick(len(self.names)))
 
     def leap(self, own: Instance) -> None:
