--- /dev/null
+++ b/benchmarks/bench_decisions_fleet.py
@@ -0,0 +1,156 @@
+"""Measure the processor time of one decision about capacity."""
+
+from __future__ import annotations
+
+from random import Random
+from time import perf_counter_ns, process_time
+from typing import TYPE_CHECKING
+
+import click
+
+from berylhinge.core import admission, capacity, rendezvous
+from berylhinge.core.admission import AdmissionState, Request
+from berylhinge.core.buckets import Bucket, Terms, UNITS
+from berylhinge.core.connections import (
+    Exchange,
+    give_back,
+    lease,
+    new_pool,
+    opened,
+    PoolLimits,
+)
+from berylhinge.core.permits import RosterRead, Tick
+from berylhinge.core.roster import Member, propose, Roster
+from berylhinge.types import Access
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROUNDS = 20_000
+
+
+def report(name: str, action: Callable[[int], object], rounds: int = ROUNDS) -> None:
+    """Print the mean of the middle of several runs, in microseconds."""
+    runs = []
+    for _ in range(5):
+        begun = process_time()
+        for index in range(rounds):
+            action(index)
+        runs.append((process_time() - begun) / rounds * 1e6)
+    click.echo(f"{name} {sorted(runs)[2]:.2f} us")
+
+
+def admitting(organisations: int) -> capacity.CapacityState:
+    """Return an instance that holds plenty of each organisation."""
+    me = Member("i0", 1)
+    state = capacity.new_capacity(me)
+    names = [f"o{index}" for index in range(organisations)]
+    capacity.configure(state, {name: Terms(1e9, 1e9) for name in names}, 0.0)
+    roster = propose(Roster(), [me, Member("i1", 1), Member("i2", 1)])
+    assert roster is not None
+    state, _ = capacity.step(state, RosterRead(roster, 0.0), 0.0, Random(1))
+    for name in names:
+        bucket = Bucket(0.0)
+        bucket.units, bucket.tokens = UNITS, 1e9
+        state.rates.buckets[name] = bucket
+    return state
+
+
+def bench_admit() -> None:
+    """Measure an admitted and a refused request, and a tick."""
+    for organisations in (8, 400):
+        state = admitting(organisations)
+        names = list(state.rates.buckets)
+        report(
+            f"decision_admit_{organisations}_organisations",
+            lambda index, state=state, names=names: capacity.admit(
+                state, names[index % len(names)], 1.0, 0.5 + index * 1e-6
+            ),
+        )
+    state = admitting(8)
+    for bucket in state.rates.buckets.values():
+        bucket.units, bucket.tokens = 0, 0.0
+        bucket.denied_until = bucket.ask_after = 1e9
+        bucket.waiting, bucket.waited_at = 1 << 30, 1e9
+    report("decision_refuse", lambda index: capacity.admit(state, "o1", 1.0, 0.5))
+    for organisations in (8, 100, 400):
+        state = admitting(organisations)
+        rng = Random(1)
+        report(
+            f"decision_tick_{organisations}_organisations",
+            lambda index, state=state, rng=rng: capacity.step(
+                state, Tick(), 0.5 + index * 0.1, rng
+            ),
+            200,
+        )
+
+
+def bench_queue() -> None:
+    """Measure offer, take and finish on a deep queue, and offers to a full one."""
+    for organisations in (8, 400):
+        state = AdmissionState(slots=2, bound=1000)
+        for index in range(900):
+            name = f"o{index % organisations}"
+            request = Request(f"r{index}", name, Access.READ, 1e9)
+            admission.offer(state, request, 0.0)
+        times = {"offer": 0, "take": 0, "finish": 0}
+        for index in range(ROUNDS):
+            name = f"o{index % organisations}"
+            request = Request(f"n{index}", name, Access.READ, 1e9)
+            begun = perf_counter_ns()
+            admission.offer(state, request, 0.0)
+            offered = perf_counter_ns()
+            found = admission.take(state, 0.0).request
+            taken = perf_counter_ns()
+            assert found is not None
+            admission.finish(state, found.request, 0.002)
+            times["offer"] += offered - begun
+            times["take"] += taken - offered
+            times["finish"] += perf_counter_ns() - taken
+        for label, spent in times.items():
+            mean = spent / ROUNDS / 1e3
+            click.echo(f"decision_{label}_{organisations}_organisations {mean:.2f} us")
+        full = AdmissionState(slots=0, bound=500)
+        for index in range(500):
+            name = f"o{index % organisations}"
+            admission.offer(full, Request(f"r{index}", name, Access.READ, 1e9), 0.0)
+        report(
+            f"decision_offer_full_{organisations}_organisations",
+            lambda index, full=full: admission.offer(
+                full, Request(f"f{index}", "newcomer", Access.READ, 1e9), 0.0
+            ),
+            2_000,
+        )
+
+
+def bench_connections() -> None:
+    """Measure a lease with its return, and the ranking of a fleet for one key."""
+    pool, limits = new_pool(), PoolLimits(5)
+    _, limits = lease(pool, limits, 0.0)
+    opened(pool, 1)
+    give_back(pool, limits, 1, Exchange.CLEAN, 0.0)
+
+    def turn(index: int) -> None:
+        lease(pool, limits, 0.0)
+        give_back(pool, limits, 1, Exchange.CLEAN, 0.0)
+
+    report("decision_lease_and_return", turn)
+    for size in (7, 200, 2000):
+        nodes = [f"instance-{index}" for index in range(size)]
+        report(
+            f"decision_top_3_of_{size}",
+            lambda index, nodes=nodes: rendezvous.top(nodes, f"g{index}", 3),
+            100,
+        )
+
+
+@click.command()
+def main() -> None:
+    """Print microseconds a decision."""
+    bench_admit()
+    bench_queue()
+    bench_connections()
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/rate_designs.py
+++ b/benchmarks/rate_designs.py
@@ -39,6 +39,23 @@
         return True
 
 
+class OfferedMeter:
+    """Tell whether all that was offered so far keeps within rate and burst."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.level = 0.0
+        self.updated_at = 0.0
+
+    def is_inside(self, now: float) -> bool:
+        """Count one offered request, admitted or not."""
+        drained = (now - self.updated_at) * self.rate
+        self.level = max(0.0, self.level - drained) + 1.0
+        self.updated_at = now
+        return self.level <= self.burst
+
+
 class Arrival(NamedTuple):
     """Describe one request as the balancer hands it to an instance."""
 
--- a/berylhinge/core/buckets.py
+++ b/berylhinge/core/buckets.py
@@ -26,6 +26,8 @@
 LOW_SECONDS = 0.05
 TARGET_SECONDS = 0.25
 SCARCE_REQUESTS = 4.0
+LENDER_REQUESTS = 5.0
+AWAITED_SECONDS = 0.3
 
 
 class Terms(NamedTuple):
@@ -51,6 +53,8 @@
         "tokens",
         "units",
         "updated_at",
+        "waited_at",
+        "waiting",
     )
 
     def __init__(self, now: Seconds) -> None:
@@ -67,6 +71,8 @@
         self.ask_after = 0.0
         self.denied_until = 0.0
         self.backoff = 0.0
+        self.waiting = 0
+        self.waited_at = float("-inf")
 
 
 def capacity(units: int, terms: Terms) -> float:
@@ -138,6 +144,16 @@
     return terms.burst < SCARCE_REQUESTS * cost * members
 
 
+def is_awaited(bucket: Bucket, now: Seconds) -> bool:
+    """Tell whether requests wait here for tokens."""
+    return bucket.waiting > 0 and now - bucket.waited_at < AWAITED_SECONDS
+
+
+def lenders(terms: Terms, cost: float, members: int) -> int:
+    """Return over how many hubs scarce units are spread, a few requests' worth each."""
+    return max(1, min(members, int(terms.burst / (LENDER_REQUESTS * cost))))
+
+
 def low_water(bucket: Bucket) -> float:
     """Return the tokens under which more are asked for."""
     return bucket.cost + bucket.demand * LOW_SECONDS
--- a/berylhinge/core/minting.py
+++ b/berylhinge/core/minting.py
@@ -134,9 +134,9 @@
     """Ask those not yet counted, then mint what is missing once it is safe."""
     if state.counted is None:
         return state, []
-    missing = [member for member in rates.roster.members if member not in state.counted]
-    if missing:
-        return _collect(state, rates, missing, now)
+    absent = missing(state, rates)
+    if absent:
+        return _collect(state, rates, absent, now)
     if now < safe_at(state):
         return state, []
     state = mint(state, rates, now)
--- a/berylhinge/core/rates.py
+++ b/berylhinge/core/rates.py
@@ -13,6 +13,7 @@
 from .buckets import (
     Bucket,
     is_scarce,
+    lenders,
     low_water,
     needed,
     refill,
@@ -22,15 +23,16 @@
     Terms,
 )
 from .permits import Send
-from .roster import Member, ranked, Roster
+from .roster import Member, ranked, Roster, seat
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from ..types import OrganisationId, Seconds
 
-WAIT_LIMIT_SECONDS = 0.25
+WAIT_LIMIT_SECONDS = 0.5
 WAIT_STEP_SECONDS = 0.004
+WAITERS_SECONDS = 0.1
 ASK_TIMEOUT_SECONDS = 0.1
 ASK_PAUSE_SECONDS = 0.01
 REVIEW_SECONDS = 0.25
@@ -188,6 +190,8 @@
     refill(bucket, terms, now)
     if bucket.tokens >= cost:
         bucket.tokens -= cost
+        if waited > 0.0:
+            bucket.waiting = max(0, bucket.waiting - 1)
         if bucket.tokens < low_water(bucket):
             _run_low(state, organisation, bucket, terms, now)
         return ADMITTED
@@ -218,14 +222,27 @@
     now: Seconds,
     waited: Seconds,
 ) -> Admission:
-    """Wait while an answer is due, and refuse once peers have nothing to spare."""
+    """Wait while units may come, and refuse once too many wait or have waited."""
     if now >= bucket.ask_after:
         ask(state, organisation, bucket, terms, now)
-    hopeless = cost > terms.burst or now < bucket.denied_until
-    if hopeless or waited >= WAIT_LIMIT_SECONDS:
-        pause = max(bucket.denied_until - now, 0.1)
+    if now - bucket.waited_at > 2 * WAIT_LIMIT_SECONDS:
+        bucket.waiting = 0
+    room = waited > 0.0 or bucket.waiting < _waiters(terms)
+    denied = now < bucket.denied_until
+    if cost > terms.burst or waited >= WAIT_LIMIT_SECONDS or (denied and not room):
+        bucket.waiting = max(0, bucket.waiting - (waited > 0.0))
+        pause = max(bucket.denied_until - now, WAIT_STEP_SECONDS)
         return Refused(RefusalReason.RATE_EXCEEDED, pause)
-    return Wait(min(WAIT_STEP_SECONDS, WAIT_LIMIT_SECONDS - waited))
+    bucket.waiting += waited <= 0.0
+    bucket.waited_at = now
+    left = WAIT_LIMIT_SECONDS - waited
+    pause = bucket.denied_until - now if denied else WAIT_STEP_SECONDS
+    return Wait(min(max(pause, WAIT_STEP_SECONDS), max(left, 1e-6)))
+
+
+def _waiters(terms: Terms) -> float:
+    """Return how many requests may wait here although peers have nothing to spare."""
+    return max(3.0, terms.rate * WAITERS_SECONDS)
 
 
 def ask(
@@ -238,7 +255,7 @@
     """Ask the organisation's hub, or as the hub another holder, for what is short."""
     if isinstance(bucket.asked, Member):
         state.suspects[bucket.asked] = now + SUSPECT_SECONDS
-    to = _giver(state, organisation, now)
+    to = _giver(state, organisation, bucket, terms, now)
     bucket.asked = to
     bucket.ask_after = now + ASK_TIMEOUT_SECONDS
     if to is None:
@@ -246,9 +263,11 @@
         return
     units = max(0, needed(bucket, terms, now) - bucket.units)
     tokens = max(0.0, target(bucket) - bucket.tokens)
-    if is_scarce(terms, bucket.cost, len(state.roster.members)):
-        units, tokens = 0, max(0.0, bucket.cost - bucket.tokens)
     hop = 0 if hub(state, organisation, now) == to else 1
+    if is_scarce(terms, bucket.cost, len(state.roster.members)):
+        wanted = bucket.cost * max(1, bucket.waiting)
+        units, tokens = 0, max(0.0, min(wanted, terms.burst) - bucket.tokens)
+        hop = 0
     message = Ask(
         state.roster.epoch,
         organisation,
@@ -272,9 +291,15 @@
 
 
 def _giver(
-    state: RatesState, organisation: OrganisationId, now: Seconds
+    state: RatesState,
+    organisation: OrganisationId,
+    bucket: Bucket,
+    terms: Terms,
+    now: Seconds,
 ) -> Member | None:
     """Return whom to ask: the hub; for the hub, the holder of most units."""
+    if is_scarce(terms, bucket.cost, len(state.roster.members)):
+        return next_lender(state, organisation, terms, bucket.cost, state.me, now)
     first = hub(state, organisation, now)
     if first != state.me:
         return first
@@ -282,6 +307,38 @@
     return found[0] if found else None
 
 
+def lending(
+    state: RatesState,
+    organisation: OrganisationId,
+    terms: Terms,
+    cost: float,
+    now: Seconds,
+) -> list[Member]:
+    """Return the hubs over which an organisation's scarce units are spread."""
+    members = state.roster.members
+    chosen = ranked(members, f"rate/{organisation}", 8)
+    found = [member for member in chosen if state.suspects.get(member, 0.0) <= now]
+    return found[: lenders(terms, cost, len(members))]
+
+
+def next_lender(
+    state: RatesState,
+    organisation: OrganisationId,
+    terms: Terms,
+    cost: float,
+    after: Member,
+    now: Seconds,
+) -> Member | None:
+    """Return the lender after another; for who is none, one by its place in the roster."""
+    ring = lending(state, organisation, terms, cost, now)
+    if after in ring:
+        ring = ring[ring.index(after) + 1 :] + ring[: ring.index(after)]
+        return ring[0] if ring else None
+    if not ring:
+        return None
+    return ring[seat(state.roster, after) % len(ring)]
+
+
 def holders(
     state: RatesState,
     organisation: OrganisationId,
--- a/berylhinge/core/roster.py
+++ b/berylhinge/core/roster.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from functools import lru_cache
 from typing import NamedTuple, TYPE_CHECKING
 
@@ -103,6 +104,11 @@
     return Roster(change.epoch, roster.settled, members, joined, changes)
 
 
+def seat(roster: Roster, member: Member) -> int:
+    """Return the member's place in the sorted list, or where it would stand."""
+    return bisect_left(roster.members, member)
+
+
 def joined_at(roster: Roster, member: Member) -> int | None:
     """Return the epoch in which the member last joined, or none."""
     if member not in roster.members:
--- a/properties/fleet_storm.py
+++ b/properties/fleet_storm.py
@@ -27,6 +27,7 @@
     "network": ("pause", "split", "cut_store", "store_down"),
     "isolate": ("isolate", "pause"),
     "grow": ("grow",),
+    "banish": ("banish", "banish", "pause"),
 }
 
 
@@ -121,6 +122,15 @@
         self.world.at(seconds, lambda: self.heal(pairs))
         self.world.at(seconds, lambda: self.world.store_cut.discard(name))
 
+    def banish(self) -> None:
+        """Remove one that others still hear, but that cannot read the store."""
+        name = self.one()
+        seconds = self.rng.uniform(4.0, 10.0)
+        self.world.banned.add(name)
+        self.world.store_cut.add(name)
+        self.world.at(seconds, lambda: self.world.banned.discard(name))
+        self.world.at(seconds, lambda: self.world.store_cut.discard(name))
+
     def store_down(self) -> None:
         self.world.store_up = False
         self.world.at(self.rng.uniform(0.5, 6.0), self.store_back)
--- a/properties/fleet_world.py
+++ b/properties/fleet_world.py
@@ -80,6 +80,7 @@
         self.store_up = True
         self.cut: set[frozenset[str]] = set()
         self.store_cut: set[str] = set()
+        self.banned: set[str] = set()
         self.nodes: dict[str, Node] = {}
         self.admitted: dict[str, list[tuple[float, float]]] = {}
         self.refused: list[tuple[float, str, Refused]] = []
@@ -199,7 +200,9 @@
         live = [
             node.member
             for node in self.nodes.values()
-            if not self.is_suspected(node) and self.linked(proposer, node)
+            if not self.is_suspected(node)
+            and self.linked(proposer, node)
+            and node.member.instance not in self.banned
         ]
         changed = rosters.propose(self.roster, live)
         if changed is not None:
