--- a/berylhinge/tasks/callers.py
+++ b/berylhinge/tasks/callers.py
@@ -10,8 +10,13 @@
 import msgspec
 from returns.pipeline import is_successful
 
-from ..core.requests import parse_statement, parse_transaction
-from ..core.sessions import decode_token, encode_token, SessionToken
+from ..core.requests import (
+    DEFAULT_TIMEOUTS,
+    parse_statement,
+    parse_transaction,
+    Timeouts,
+)
+from ..core.sessions import decode_session, encode_session, SessionToken
 from ..errors import Refusal, refuse, RefusedError
 from ..reasons import REFUSAL_KINDS, RefusalReason
 from ..types import Outcome
@@ -37,12 +42,13 @@
 
 def request_id_of(environ: Environ) -> str:
     """Return the caller's request id where it is usable, or a new one."""
-    given = environ.get("HTTP_BERYLHINGE_REQUEST_ID", "")
+    given = str(environ.get("HTTP_BERYLHINGE_REQUEST_ID", ""))
     if 0 < len(given) <= MAX_REQUEST_ID_CHARACTERS and given.isprintable():
         return given
     return uuid.uuid4().hex
 
 
+LOGGED_REASONS = {RefusalReason.TRANSACTION_LOST, RefusalReason.NO_PRIMARY}
 UNREAD_BODY = {
     RefusalReason.BODY_TOO_LARGE,
     RefusalReason.BODY_TOO_SLOW,
@@ -53,7 +59,7 @@
 
 def split_path(environ: Environ) -> list[str]:
     """Split /v1/routes/ROUTE/...; raise RefusedError for other paths."""
-    segments = environ.get("PATH_INFO", "").strip("/").split("/")
+    segments = str(environ.get("PATH_INFO", "")).strip("/").split("/")
     if len(segments) < 4 or segments[:2] != ["v1", "routes"]:
         detail = "expected /v1/routes/ROUTE/statements or .../transactions"
         raise RefusedError(refuse(RefusalReason.UNKNOWN_PATH, detail))
@@ -88,7 +94,7 @@
     if not points:
         return []
     newest = max(points)
-    token = encode_token(SessionToken(group, newest.term, newest.position))
+    token = encode_session(SessionToken(group, newest.term, newest.position))
     return [(SESSION_HEADER, token)]
 
 
@@ -102,13 +108,16 @@
         *,
         body_limit_bytes: int,
         body_timeout_seconds: float,
+        timeouts: Timeouts = DEFAULT_TIMEOUTS,
     ) -> None:
         """Keep the collaborators and limits."""
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.body_limit_bytes = body_limit_bytes
         self.body_timeout_seconds = body_timeout_seconds
+        self.timeouts = timeouts
         self.leaving = False
+        self.refusing = False
         self.active = 0
 
     def __call__(
@@ -139,6 +148,9 @@
         self, environ: Environ, request_id: str
     ) -> tuple[Served, list[tuple[str, str]]]:
         """Parse, authenticate, route and run; raise RefusedError."""
+        if self.refusing:
+            detail = "the instance has stopped serving"
+            raise RefusedError(refuse(RefusalReason.INSTANCE_LEAVING, detail))
         body = self.read_body(environ)
         segments = split_path(environ)
         caller = self.dispatcher.identify(
@@ -148,7 +160,11 @@
         if segments[3:] == ["statements"]:
             call = unwrap(
                 parse_statement(
-                    body, request_id=request_id, route=segments[2], floor=floor
+                    body,
+                    request_id=request_id,
+                    route=segments[2],
+                    floor=floor,
+                    timeouts=self.timeouts,
                 )
             )
             served = self.dispatcher.run_statement(caller, call)
@@ -162,6 +178,7 @@
                     request_id=request_id,
                     route=segments[2],
                     floor=floor,
+                    timeouts=self.timeouts,
                 )
             )
             served = self.dispatcher.run_transaction(caller, inner)
@@ -185,7 +202,7 @@
         timeout = gevent.Timeout(self.body_timeout_seconds)
         timeout.start()
         try:
-            body = environ["wsgi.input"].read(length)
+            body: bytes = environ["wsgi.input"].read(length)
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
@@ -205,7 +222,7 @@
         token = environ.get("HTTP_BERYLHINGE_SESSION")
         if not token:
             return None
-        return unwrap(decode_token(token, group=group)).point
+        return unwrap(decode_session(token, group=group)).point
 
     def send_served(
         self,
@@ -233,6 +250,8 @@
     ) -> Iterable[bytes]:
         """Send and count one refusal."""
         self.metrics.count_refusal(refusal.reason, refusal.outcome)
+        if refusal.outcome is Outcome.UNKNOWN or refusal.reason in LOGGED_REASONS:
+            self.dispatcher.log.refusal(request_id, refusal)
         kind = REFUSAL_KINDS[refusal.reason]
         problem = {
             "type": PROBLEM_BASE + refusal.reason.value,
--- a/berylhinge/tasks/group.py
+++ b/berylhinge/tasks/group.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
 
-from ..core import promotion
+from ..core import detection
 from ..core.floors import advance_rounds, floor_for, NO_ROUNDS, want_floor
 from ..core.group_view import (
     lag_of,
@@ -19,33 +18,28 @@
     observe_answer,
     primary_of,
 )
+from ..core.promotion_messages import StatusSeen, Tick
 from ..core.read_choice import UpstreamLoad
-from ..wire.upstream import (
-    EntryAnswer,
-    EntryRequest,
-    FenceAnswer,
-    FenceRequest,
-    GroupMember,
-    PromoteAnswer,
-    PromoteRequest,
-    QuiesceRequest,
-    UpstreamStatus,
-)
+from ..wire.peers import ReachReport
+from ..wire.upstream import EntryAnswer, EntryRequest, UpstreamStatus
+from .loops import spawn_loop
 from .member import MemberLink
+from .pending import PendingWrites
+from .promoter import Promoter
 from .signal import Broadcast
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from ..core.declarations import Upstream
-    from ..types import GroupId, LogPoint, UpstreamId
+    from ..types import GroupId, InstanceId, LogPoint, OrganisationId, UpstreamId
     from ..wire.upstream import UpstreamAnswer
     from .logs import Log
     from .metrics import Metrics
 
 TICK_SECONDS = 0.02
-STATUS_FRESH_SECONDS = 0.3
+REPORT_SECONDS = 0.5
 
 
 class GroupOptions(NamedTuple):
@@ -56,9 +50,20 @@
     place: str
     rank: int
     allowances: dict[UpstreamId, int]
+    queue: int
+    connect_seconds: float
+    weights: Mapping[OrganisationId, float]
     ssl_context: ssl.SSLContext | None = None
 
 
+class Endpoint(NamedTuple):
+    """Name an upstream and its listeners."""
+
+    upstream: UpstreamId
+    data: str
+    control: str
+
+
 class GroupTask:
     """Watch the members, share confirmation rounds and promote when needed."""
 
@@ -68,30 +73,37 @@
         upstreams: tuple[Upstream, ...],
         options: GroupOptions,
         *,
-        detect: Callable[[GroupTask, float], Any],
+        live_peers: Callable[[], frozenset[InstanceId] | None],
+        send: Callable[[InstanceId, NamedTuple], object],
         metrics: Metrics,
         log: Log,
     ) -> None:
         """Prepare without connecting."""
         self.group = group
         self.options = options
-        self.detect = detect
+        self.live_peers = live_peers
+        self.send = send
+        self.reported_at = float("-inf")
+        self.reported: dict[UpstreamId, float] = {}
         self.metrics = metrics
         self.log = log
         self.upstreams = upstreams
         names = tuple(upstream["id"] for upstream in upstreams)
         self.view = new_view(group, names)
         self.rounds = NO_ROUNDS
-        self.promotion = promotion.Promotion(
-            group, options.promoter, names, options.rank
-        )
-        self.rng = random.Random(options.promoter + group)
+        self.promoter = Promoter(self, options.promoter, options.rank)
+        self.detection = detection.new_detection()
+        self.asked_at = float("-inf")
+        self.writes = PendingWrites()
         self.changed = Broadcast()
         self.links = {
             upstream["id"]: MemberLink(
                 upstream,
                 instance=options.instance,
                 allowance=options.allowances.get(upstream["id"], 1),
+                queue=options.queue,
+                connect_seconds=options.connect_seconds,
+                weights=options.weights,
                 ssl_context=options.ssl_context,
             )
             for upstream in upstreams
@@ -102,7 +114,7 @@
         """Watch every member and start the promoter's clock."""
         for link in self.links.values():
             link.start(self.on_status, self.is_interested)
-        self.ticker = gevent.spawn(self.run_ticks)
+        self.ticker = spawn_loop(self.tick, lambda: TICK_SECONDS, self.log)
 
     def stop(self) -> None:
         """End every greenlet and close every socket."""
@@ -111,17 +123,35 @@
         for link in self.links.values():
             link.stop()
 
+    def serves(self, upstreams: tuple[Upstream, ...]) -> bool:
+        """Tell whether the members are the same as declared before."""
+        return tuple(map(endpoint_of, upstreams)) == tuple(
+            map(endpoint_of, self.upstreams)
+        )
+
+    def adjust(self, rank: int, allowances: dict[UpstreamId, int]) -> None:
+        """Take a new rank and a new division of the connections."""
+        self.promoter.set_rank(rank)
+        for name, allowance in allowances.items():
+            if self.links[name].data.allowance != allowance:
+                self.links[name].resize(allowance)
+
+    def close_idle(self) -> None:
+        """Close the connections that nothing uses."""
+        for link in self.links.values():
+            link.data.resize(link.data.leased)
+
     def is_interested(self) -> bool:
         """Tell whether anyone waits for the view to change."""
-        return self.changed.waiters > 0 or self.promotion.stage != "idle"
+        return self.changed.waiters > 0 or not self.promoter.is_idle
 
     def loads(self) -> dict[UpstreamId, UpstreamLoad]:
         """Return this instance's use of every member."""
         return {
             name: UpstreamLoad(
                 link.upstream["place"],
-                link.data.leased + len(link.data.waiting),
-                link.data.allowance,
+                link.gate.in_flight,
+                link.gate.slots,
                 link.reachable,
             )
             for name, link in self.links.items()
@@ -139,11 +169,15 @@
         """Take in what a watch or a question reported."""
         now = time.monotonic()
         if status is None:
+            detection.note_failed(self.detection, link.name, now, refused=link.refused)
             return
+        detection.note_answered(
+            self.detection, link.name, 0.0, leaving=status["leaving"]
+        )
         if observe(self.view, link.name, status, asked_at, now):
             self.changed.notify()
         self.advance_rounds(now)
-        self.promote(promotion.StatusSeen(link.name, status), now)
+        self.promoter.step(StatusSeen(link.name, status), now)
 
     def on_answer(
         self, upstream: UpstreamId, answer: UpstreamAnswer, asked_at: float
@@ -182,6 +216,7 @@
     def ask_status(self, link: MemberLink) -> None:
         """Ask one member for its status now."""
         asked_at = time.monotonic()
+        detection.note_asked(self.detection, link.name, asked_at)
         status = link.ask("/v1/status", {}, UpstreamStatus)
         self.on_status(link, status, asked_at)
 
@@ -190,98 +225,55 @@
         request = EntryRequest(position=position)
         link = self.links[upstream]
         asked_at = time.monotonic()
-        answer = link.ask("/v1/entry", request, EntryAnswer)
+        answer: EntryAnswer | None = link.ask("/v1/entry", request, EntryAnswer)
         if answer is not None:
             self.on_status(link, answer["status"], asked_at)
         return answer
 
-    def run_ticks(self) -> None:
+    def tick(self) -> None:
         """Let time pass for detection, rounds and the promoter."""
-        while True:
-            gevent.sleep(TICK_SECONDS)
-            now = time.monotonic()
-            self.advance_rounds(now)
-            event = self.detect(self, now)
-            if event is not None:
-                self.promote(event, now)
-            self.promote(promotion.Tick(self.answering(now)), now)
-
-    def answering(self, now: float) -> int:
-        """Count the members that answered lately."""
-        return sum(
-            now - link.answered_at < STATUS_FRESH_SECONDS
-            for link in self.links.values()
-        )
-
-    def promote(self, event: Any, now: float) -> None:
-        """Step the promoter and carry out its effects."""
-        before = self.promotion.stage
-        self.promotion, effects = promotion.step(self.promotion, event, now, self.rng)
-        if self.promotion.stage != before:
-            self.log.info(
-                f"Promotion is {self.promotion.stage}.",
-                group=self.group,
-                term=self.promotion.term,
-                cause=self.promotion.cause,
-            )
-            self.metrics.count("promotions_total", self.promotion.stage)
-        for effect in effects:
-            self.carry_out(effect)
-
-    def carry_out(self, effect: promotion.Effect) -> None:
-        """Send one effect of the promoter in the background."""
-        match effect:
-            case promotion.AskStatus(upstreams):
-                for name in upstreams:
-                    gevent.spawn(self.ask_status, self.links[name])
-            case promotion.FenceMembers(upstreams, term):
-                for name in upstreams:
-                    gevent.spawn(self.fence, self.links[name], term)
-            case promotion.PromoteMember(upstream, term):
-                gevent.spawn(self.make_primary, self.links[upstream], term)
-            case promotion.QuiesceMember(upstream, term, seconds):
-                request = QuiesceRequest(term=term, seconds=seconds)
-                link = self.links[upstream]
-                gevent.spawn(link.ask, "/v1/quiesce", request, dict[str, Any])
-            case promotion.Announce(upstream, term):
-                self.log.info(
-                    "A primary was promoted.",
-                    group=self.group,
-                    upstream=upstream,
-                    term=term,
-                )
-
-    def fence(self, link: MemberLink, term: int) -> None:
-        """Ask one member for its vote."""
-        request = FenceRequest(term=term, promoter=self.options.promoter)
-        asked_at = time.monotonic()
-        answer = link.ask("/v1/fence", request, FenceAnswer)
-        if answer is None:
-            return
-        self.on_status(link, answer["status"], asked_at)
-        event = promotion.FenceAnswered(
-            link.name, term, answer["granted"], answer["status"]
+        now = time.monotonic()
+        self.advance_rounds(now)
+        self.poll_if_due(now)
+        self.report_if_due(now)
+        primary = primary_of(self.view)
+        if primary is not None:
+            self.writes.abort_superseded(primary.term, now)
+        self.detection, verdict = detection.judge(
+            self.detection, self.view, self.live_peers(), now
         )
-        self.promote(event, time.monotonic())
-
-    def make_primary(self, link: MemberLink, term: int) -> None:
-        """Promote one member in a term that a majority granted."""
-        members = [
-            GroupMember(upstream=upstream["id"], control=upstream["control"])
-            for upstream in self.upstreams
-        ]
-        request = PromoteRequest(
-            term=term, promoter=self.options.promoter, members=members
+        if not isinstance(verdict, detection.Undecided):
+            self.promoter.step(verdict, now)
+        self.promoter.step(Tick(detection.answering(self.view, now)), now)
+
+    def poll_if_due(self, now: float) -> None:
+        """Ask every member for its status, more often while in doubt."""
+        pause = detection.poll_seconds(
+            self.detection, self.view, now, self.writes.oldest_at
         )
-        asked_at = time.monotonic()
-        answer = link.ask("/v1/promote", request, PromoteAnswer)
-        if answer is None:
+        if now - self.asked_at < pause:
+            return
+        self.asked_at = now
+        for link in self.links.values():
+            gevent.spawn(self.ask_status, link)
+
+    def report_if_due(self, now: float) -> None:
+        """Tell the group's other servers which members are unreachable here."""
+        if now - self.reported_at < REPORT_SECONDS:
             return
-        event = promotion.PromoteAnswered(
-            link.name, term, answer["promoted"], answer["status"]
+        self.reported_at = now
+        unreachable = detection.unreachable_seconds(self.detection, now)
+        if unreachable or self.reported:
+            report = ReachReport(self.group, unreachable)
+            for peer in self.live_peers() or ():
+                self.send(peer, report)
+        self.reported = unreachable
+
+    def on_report(self, sender: InstanceId, report: ReachReport) -> None:
+        """Take in which members a peer cannot reach."""
+        detection.note_peer(
+            self.detection, sender, report.unreachable, time.monotonic()
         )
-        self.promote(event, time.monotonic())
-        self.on_status(link, answer["status"], asked_at)
 
     def report(self) -> dict[str, Any]:
         """Return the group's status for operators."""
@@ -290,7 +282,7 @@
             "term": max_term(self.view),
             "primary": primary.upstream if primary else None,
             "confirmed": list(newest_confirmed(self.view)),
-            "promotion": self.promotion.stage,
+            "promotion": self.promoter.state.stage,
             "members": {
                 name: self.report_member(name, link)
                 for name, link in self.links.items()
@@ -310,3 +302,8 @@
             "connections": link.data.leased + len(link.data.idle),
             "allowance": link.data.allowance,
         }
+
+
+def endpoint_of(upstream: Upstream) -> Endpoint:
+    """Return what a link depends on."""
+    return Endpoint(upstream["id"], upstream["data"], upstream["control"])
--- /dev/null
+++ b/berylhinge/tasks/live.py
@@ -0,0 +1,80 @@
+"""Follow the platform's list of instances and announce this one."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Success
+
+from .loops import spawn_loop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..wire.platform import InstanceRecord
+    from .logs import Log
+    from .platform import PlatformClient
+
+ANNOUNCE_SECONDS = 2.0
+LIST_SECONDS = 2.0
+LIST_READS_PER_SECOND = 100.0
+
+
+class LiveList:
+    """Own the announcement and the reading of the list."""
+
+    def __init__(
+        self,
+        record: InstanceRecord,
+        platform: PlatformClient,
+        *,
+        on_list: Callable[[list[InstanceRecord]], None],
+        log: Log,
+    ) -> None:
+        """Announce nothing before ``start``."""
+        self.record = record
+        self.platform = platform
+        self.on_list = on_list
+        self.log = log
+        self.listed = 0
+        self.rng = random.Random(record["instance"])
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Announce and list in the background."""
+        self.greenlets = [
+            spawn_loop(self.announce, self.announce_pause, self.log),
+            spawn_loop(self.read_list, self.list_pause, self.log),
+        ]
+
+    def stop(self) -> None:
+        """End the greenlets."""
+        gevent.killall(self.greenlets)
+
+    def leave(self) -> None:
+        """Announce that this instance is leaving."""
+        self.record["state"] = "leaving"
+        gevent.spawn(self.platform.announce, self.record)
+
+    def announce(self) -> None:
+        """Announce this instance."""
+        self.platform.announce(self.record)
+
+    def announce_pause(self) -> float:
+        """Return the time between two announcements."""
+        return ANNOUNCE_SECONDS * self.rng.uniform(0.8, 1.2)
+
+    def read_list(self) -> None:
+        """Read the list; an outage keeps the last one."""
+        result = self.platform.instances()
+        if isinstance(result, Success):
+            records = result.unwrap()["instances"]
+            self.listed = len(records)
+            self.on_list(records)
+
+    def list_pause(self) -> float:
+        """Return the time between two reads, longer in a large fleet."""
+        seconds = max(LIST_SECONDS, self.listed / LIST_READS_PER_SECOND)
+        return seconds * self.rng.uniform(0.8, 1.2)
--- /dev/null
+++ b/berylhinge/tasks/proxy.py
@@ -0,0 +1,327 @@
+"""Compose one instance from its tasks."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from ..core.envelopes import new_envelopes
+from ..core.requests import Timeouts
+from ..core.roster import Member, vouchers
+from ..settings import reveal_secrets
+from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
+from . import shutdown
+from .callers import CallersApp
+from .configuration import ConfigurationTask
+from .dispatch import Dispatcher
+from .fleet import FleetTask
+from .groups import Groups, GroupsOptions
+from .http import parse_address, server_address, start_server
+from .links import Links
+from .live import LiveList
+from .logs import Log
+from .members import MembershipCallbacks, MembershipTask
+from .metrics import Metrics
+from .operators import OperatorsApp
+from .platform import PlatformClient
+from .tls import callers_context, TlsReloader, upstream_context
+from .transactions import Transactions
+
+if TYPE_CHECKING:
+    from ..core.configuration import Configuration
+    from ..core.index import DeclarationIndex
+    from ..errors import FieldError
+    from ..settings import Settings
+    from ..types import InstanceId
+    from ..wire.platform import InstanceRecord
+
+LAG_SAMPLE_SECONDS = 0.05
+RETIRE_PAUSE_SECONDS = 0.05
+
+
+class Proxy:
+    """Own every task of one instance."""
+
+    def __init__(self, settings: Settings, *, incarnation: int) -> None:
+        """Listen on every address; serve after ``start``."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.me = Member(settings.instance, incarnation)
+        self.metrics = Metrics()
+        self.log = Log("proxy", settings.instance)
+        self.index: DeclarationIndex | None = None
+        self.hub_lag = 0.0
+        self.stopping = Event()
+        self.reloader: TlsReloader | None = None
+        self.upstream_context = upstream_context(settings.tls)
+        self.platform = PlatformClient(
+            [parse_address(text) for text in settings.platform],
+            timeout_seconds=settings.limits.store_seconds,
+            on_call=lambda result: self.metrics.count("store_calls_total", result),
+        )
+        secrets = reveal_secrets(settings)
+        self.links = Links(
+            parse_address(settings.peers),
+            envelopes=new_envelopes(settings.instance, incarnation, secrets),
+            on_count=self.metrics.count_peer,
+        )
+        self.transactions = Transactions(
+            settings.instance, limit_seconds=settings.limits.transaction_seconds
+        )
+        self.build_tasks()
+        self.open_listeners()
+        self.take_bound_addresses()
+
+    def build_tasks(self) -> None:
+        """Create the tasks that share this instance's links and platform."""
+        settings = self.settings
+        self.members = MembershipTask(
+            self.me,
+            links=self.links,
+            version=lambda: self.configuration.version,
+            callbacks=MembershipCallbacks(
+                self.on_live, self.on_version, self.on_superseded
+            ),
+            log=Log("members", settings.instance),
+        )
+        self.live = LiveList(
+            self.record(),
+            self.platform,
+            on_list=self.members.take_list,
+            log=Log("live", settings.instance),
+        )
+        self.fleet = FleetTask(
+            self.me,
+            links=self.links,
+            platform=self.platform,
+            live=self.members.members,
+            is_suspect=self.members.is_suspect,
+            serving_count=settings.serving_instances,
+            log=Log("fleet", settings.instance),
+        )
+        self.configuration = ConfigurationTask(
+            settings.instance,
+            links=self.links,
+            platform=self.platform,
+            vouchers=self.voucher_names,
+            on_adopt=self.on_adopt,
+            log=Log("configuration", settings.instance),
+        )
+        self.groups = Groups(
+            GroupsOptions(
+                me=self.me,
+                settings=settings,
+                serving=self.fleet.serving,
+                links=self.links,
+                transactions=self.transactions,
+                metrics=self.metrics,
+                ssl_context=self.upstream_context,
+            )
+        )
+        self.dispatcher = Dispatcher(
+            settings.instance,
+            fleet=self.fleet,
+            executors=self.groups.executors,
+            prove_keys=self.configuration.await_fresh,
+            links=self.links,
+            transactions=self.transactions,
+            metrics=self.metrics,
+            log=self.log,
+        )
+
+    def open_listeners(self) -> None:
+        """Listen for callers and operators."""
+        limits = self.settings.limits
+        self.callers_app = CallersApp(
+            self.dispatcher,
+            self.metrics,
+            body_limit_bytes=limits.body_bytes,
+            body_timeout_seconds=limits.body_seconds,
+            timeouts=Timeouts(limits.statement_seconds, limits.statement_limit_seconds),
+        )
+        context = callers_context(self.settings.tls)
+        self.callers = start_server(
+            parse_address(self.settings.callers),
+            self.callers_app,
+            ssl_context=context,
+            max_connections=limits.connections,
+            idle_seconds=limits.idle_seconds,
+        )
+        if context is not None:
+            self.reloader = TlsReloader(
+                context, self.settings.tls, on_reload=self.on_reload
+            )
+        operators = OperatorsApp(
+            self.metrics,
+            is_ready=self.is_ready,
+            status=self.status,
+            refresh=self.refresh_gauges,
+            actions={WITHDRAWALS_PATH: self.withdraw, DRAIN_PATH: self.drain},
+        )
+        self.operators = start_server(parse_address(self.settings.operators), operators)
+
+    def record(self) -> InstanceRecord:
+        """Return what the platform lists of this instance."""
+        settings = self.settings
+        return {
+            "instance": settings.instance,
+            "incarnation": self.incarnation,
+            "place": settings.place,
+            "state": "live",
+            "peer": settings.peers,
+            "callers": settings.callers,
+            "operators": settings.operators,
+        }
+
+    def take_bound_addresses(self) -> None:
+        """Announce the addresses that others use, with the ports really bound."""
+        settings, record = self.settings, self.live.record
+        callers = str(server_address(self.callers))
+        operators = str(server_address(self.operators))
+        record["peer"] = settings.advertised_peers or str(self.links.address)
+        record["callers"] = settings.advertised_callers or callers
+        record["operators"] = settings.advertised_operators or operators
+        self.members.advertise(record["peer"])
+
+    def start(self) -> None:
+        """Start every task."""
+        self.links.start()
+        self.transactions.start()
+        self.members.start()
+        self.live.start()
+        self.fleet.start()
+        self.configuration.start()
+        gevent.spawn(self.watch_hub)
+        if self.reloader is not None:
+            self.reloader.start()
+        self.log.info("The instance started.", callers=self.settings.callers)
+
+    def shut_down(self) -> None:
+        """Stop gracefully: leave, finish what runs, hand units back, then stop."""
+        shutdown.shut_down(self)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        if self.reloader is not None:
+            self.reloader.stop()
+        self.callers.stop(timeout=0)
+        self.operators.stop(timeout=0)
+        self.configuration.stop()
+        self.fleet.stop()
+        self.live.stop()
+        self.members.stop()
+        self.transactions.stop()
+        self.groups.stop()
+        self.links.stop()
+        self.platform.close()
+
+    def voucher_names(self) -> tuple[InstanceId, ...]:
+        """Return the instances that vouch for this one."""
+        members = self.fleet.state.permit.roster.members
+        return tuple(member.instance for member in vouchers(members, self.me))
+
+    def on_live(self) -> None:
+        """Follow a changed list of instances."""
+        peers = self.members.peers()
+        self.links.set_peers(peers)
+        self.configuration.set_peers(tuple(sorted(peers)))
+        self.groups.serve_all()
+
+    def on_version(self, peer: InstanceId, version: int) -> None:
+        """Hear a peer's configuration version."""
+        if version > self.configuration.version:
+            self.configuration.hear(peer, version)
+
+    def on_superseded(self) -> None:
+        """Stop: a newer start of this instance runs elsewhere."""
+        self.log.info("Another process runs as this instance; stopping.")
+        self.stopping.set()
+
+    def on_adopt(self, configuration: Configuration, index: DeclarationIndex) -> None:
+        """Put a configuration in force on every task."""
+        self.index = index
+        self.dispatcher.index = index
+        self.groups.index = index
+        self.fleet.configure(index)
+        self.transactions.abandon_keys(self.is_withdrawn)
+        self.groups.serve_all()
+
+    def is_withdrawn(self, key: str) -> bool:
+        """Tell whether a key no longer works."""
+        known = self.index.keys.get(key) if self.index else None
+        return bool(key) and (known is None or known.withdrawn)
+
+    def is_ready(self) -> bool:
+        """Tell whether requests can be served."""
+        if self.index is None or self.callers_app.leaving:
+            return False
+        member = self.me in self.fleet.state.permit.roster.members
+        return member and self.configuration.is_fresh()
+
+    def on_reload(self, errors: tuple[FieldError, ...]) -> None:
+        """Log what came of changed certificate files."""
+        if errors:
+            text = "; ".join(map(str, errors))
+            self.log.info("The old certificate stays in use.", errors=text)
+        else:
+            self.log.info("A new certificate is in use.")
+
+    def watch_hub(self) -> None:
+        """Measure how long the hub stalls."""
+        while True:
+            started = time.monotonic()
+            gevent.sleep(LAG_SAMPLE_SECONDS)
+            stall = time.monotonic() - started - LAG_SAMPLE_SECONDS
+            self.hub_lag = max(self.hub_lag * 0.99, stall)
+
+    def withdraw(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Withdraw keys at once."""
+        self.configuration.withdraw(tuple(str(key) for key in body["keys"]))
+        return {"version": self.configuration.version}
+
+    def drain(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Begin a planned stop."""
+        self.stopping.set()
+        return {"draining": self.settings.instance}
+
+    def refresh_gauges(self) -> None:
+        """Set the gauges before a scrape."""
+        gauge = self.metrics.gauge
+        gauge("configuration_version", self.configuration.version)
+        gauge("hub_lag_seconds", self.hub_lag)
+        for name, group in self.groups.tasks.items():
+            report = group.report()
+            gauge("group_term", report["term"], group=name)
+            for upstream, member in report["members"].items():
+                if member["lag_entries"] is not None:
+                    gauge(
+                        "replica_lag_entries",
+                        member["lag_entries"],
+                        upstream=upstream,
+                    )
+        for name, bucket in self.fleet.state.rates.buckets.items():
+            gauge("rate_units", bucket.units, organisation=name)
+
+    def status(self) -> dict[str, Any]:
+        """Return the instance's status for operators."""
+        return {
+            "instance": self.settings.instance,
+            "incarnation": self.incarnation,
+            "place": self.settings.place,
+            "state": self.live.record["state"],
+            "ready": self.is_ready(),
+            "config_version": self.configuration.version,
+            "roster_epoch": self.fleet.state.permit.roster.epoch,
+            "keys_proven": self.configuration.is_fresh(),
+            "groups": {
+                name: group.report() for name, group in self.groups.tasks.items()
+            },
+            "shares": {
+                name: {"units": bucket.units, "tokens": bucket.tokens}
+                for name, bucket in self.fleet.state.rates.buckets.items()
+            },
+        }
