--- a/berylhinge/settings.py
+++ b/berylhinge/settings.py
@@ -119,7 +119,8 @@
         Listener, msgspec.Meta(description="where health, metrics and status are read")
     ]
     peers: Annotated[
-        Listener, msgspec.Meta(description="where other instances connect, by TCP and by UDP")
+        Listener,
+        msgspec.Meta(description="where other instances connect, by TCP and by UDP"),
     ]
     platform: Annotated[
         tuple[Endpoint, ...],
