--- a/berylhinge/tasks/logs.py
+++ b/berylhinge/tasks/logs.py
@@ -4,10 +4,13 @@
 
 import sys
 import traceback
-from typing import Any
+from typing import Any, TYPE_CHECKING
 
 import eliot
 
+if TYPE_CHECKING:
+    from ..errors import Refusal
+
 
 def start_logging(stream: Any = None) -> None:
     """Send every log line to a stream, standard error by default."""
@@ -28,6 +31,16 @@
             message_type=f"{self.part}: {text}", instance=self.instance, **fields
         )
 
+    def refusal(self, request_id: str, refusal: Refusal) -> None:
+        """Write a refusal that an operator may be asked about."""
+        self.info(
+            "A request was refused.",
+            request_id=request_id,
+            reason=refusal.reason.value,
+            outcome=refusal.outcome.value,
+            detail=refusal.detail,
+        )
+
     def fault(self, request_id: str, error: BaseException) -> None:
         """Write an unexpected exception with where it came from."""
         frames = traceback.extract_tb(error.__traceback__)
