Probe over UDP instead of the links

Change: one UDP socket at the peers' address and port carries the membership messages, sealed under keys of their own so that a message of the links is never accepted as a probe; an unknown prober is answered at the address it tells. The links keep only whom work is forwarded to.

--- a/berylhinge/tasks/members.py
+++ b/berylhinge/tasks/members.py
@@ -4,12 +4,12 @@
 
 import random
 import time
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 from ..core import membership
 from ..core.roster import Member
 from ..core.standings import Changed, new_membership, Send, Superseded, VersionSeen
-from ..wire.membership import Ack, Ping, PingRequest, Status, Update
+from ..wire.membership import MembershipMessage, Status, Update
 from .links import Peer
 from .loops import spawn_loop
 
@@ -20,8 +20,9 @@
 
     from ..types import InstanceId
     from ..wire.platform import InstanceRecord
-    from .links import Links
+    from .http import Address
     from .logs import Log
+    from .probes import ProbeSocket
 
 TICK_SECONDS = 0.1
 LISTED_STATUS = {"live": Status.ALIVE, "leaving": Status.LEAVING}
@@ -43,31 +44,32 @@
         self,
         me: Member,
         *,
-        links: Links,
+        address: Address,
+        probes: ProbeSocket,
         version: Callable[[], int],
         callbacks: MembershipCallbacks,
         log: Log,
     ) -> None:
         """Start alone."""
         self.me = me
-        self.links = links
+        self.probes = probes
         self.version = version
         self.callbacks = callbacks
         self.log = log
-        self.state = new_membership(me.instance, str(links.address), me.incarnation)
+        self.state = new_membership(me.instance, str(address), me.incarnation)
         self.rng = random.Random(f"members/{me.instance}/{me.incarnation}")
         self.ticker: gevent.Greenlet | None = None
-        for kind in (Ping, Ack, PingRequest):
-            links.register(kind, self.on_message)
 
     def start(self) -> None:
-        """Probe in the background."""
+        """Probe and answer in the background."""
+        self.probes.start(self.on_message)
         self.ticker = spawn_loop(self.tick, lambda: TICK_SECONDS, self.log)
 
     def stop(self) -> None:
         """End the probes."""
         if self.ticker is not None:
             self.ticker.kill()
+        self.probes.stop()
 
     def advertise(self, peer: str) -> None:
         """Tell the address that others use from now on."""
@@ -121,17 +123,10 @@
         )
         self.step(membership.Listed(updates))
 
-    def on_message(self, sender: InstanceId, message: Any) -> None:
+    def on_message(self, sender: InstanceId, message: MembershipMessage) -> None:
         """Take a probe, its answer or a request for one."""
-        self.learn_sender(message.sender)
         self.step(membership.Received(sender, message))
 
-    def learn_sender(self, sender: Update) -> None:
-        """Make sure that an unknown prober can be answered."""
-        if sender.instance not in self.links.peers:
-            peer = Peer(sender.peer, sender.incarnation)
-            self.links.set_peers({**self.links.peers, sender.instance: peer})
-
     def step(self, event: membership.MembershipEvent) -> None:
         """Step the core and carry out what it wants."""
         self.state, effects = membership.step(
@@ -140,8 +135,9 @@
         changed = False
         for effect in effects:
             match effect:
-                case Send(to, _, message):
-                    self.send(to, message)
+                case Send(to, peer, message):
+                    incarnation = self.state.members[to].incarnation
+                    self.probes.send(Member(to, incarnation), peer, message)
                 case VersionSeen(peer, version):
                     self.callbacks.on_version(peer, version)
                 case Changed(update):
@@ -152,14 +148,6 @@
         if changed:
             self.callbacks.on_change()
 
-    def send(self, to: InstanceId, message: Any) -> None:
-        """Send, also to a member that the links do not hold any more."""
-        if to not in self.links.peers and to in self.state.members:
-            update = self.state.members[to]
-            peer = Peer(update.peer, update.incarnation)
-            self.links.set_peers({**self.links.peers, to: peer})
-        self.links.send(to, message)
-
     def note(self, update: Update) -> None:
         """Log a member's new standing."""
         self.log.info(
--- /dev/null
+++ b/berylhinge/tasks/probes.py
@@ -0,0 +1,136 @@
+"""Carry membership messages between instances over UDP.
+
+Probes of random members over connections would leave each instance with one to every
+other instance.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+from gevent import socket
+from returns.result import Failure
+
+from ..core.envelopes import new_envelopes, PROBE_PURPOSE, seal, unseal
+from ..wire.membership import Ack, MembershipMessage, Ping, PingRequest
+from .http import parse_address
+from .loops import spawn_loop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from ..core.roster import Member
+    from ..types import InstanceId
+    from .http import Address
+    from .logs import Log
+
+DATAGRAM_BYTES = 8_192
+BATCH_DATAGRAMS = 64
+
+
+class Datagram(NamedTuple):
+    """Wrap one message with the name of its kind."""
+
+    kind: str
+    body: msgspec.Raw
+
+
+KINDS = {kind.__name__: kind for kind in (Ping, Ack, PingRequest)}
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Datagram)
+
+
+class ProbeSocket:
+    """Own one UDP socket, bound beside the peers' listener."""
+
+    def __init__(
+        self,
+        me: Member,
+        listen: Address,
+        *,
+        secrets: Sequence[bytes],
+        on_count: Callable[[str, int], None],
+        log: Log,
+    ) -> None:
+        """Bind at once; raise OSError when the port is taken."""
+        self.on_count = on_count
+        self.log = log
+        self.envelopes = new_envelopes(
+            me.instance, me.incarnation, secrets, purpose=PROBE_PURPOSE
+        )
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((listen.host, listen.port))
+        self.reader: gevent.Greenlet | None = None
+
+    def start(
+        self, on_message: Callable[[InstanceId, MembershipMessage], None]
+    ) -> None:
+        """Read in the background; the handler must not block."""
+        self.reader = spawn_loop(
+            lambda: self.receive_batch(on_message), lambda: 0.0, self.log
+        )
+
+    def stop(self) -> None:
+        """Stop reading and close the socket."""
+        if self.reader is not None:
+            self.reader.kill()
+        self.socket.close()
+
+    def send(self, to: Member, peer: str, message: MembershipMessage) -> None:
+        """Send one datagram; a lost one is the core's concern."""
+        body = msgspec.Raw(ENCODER.encode(message))
+        data = seal(
+            self.envelopes,
+            ENCODER.encode(Datagram(type(message).__name__, body)),
+            recipient=to.instance,
+            recipient_incarnation=to.incarnation,
+        )
+        address = parse_address(peer)
+        try:
+            self.socket.sendto(data, (address.host, address.port))
+        except OSError:
+            self.on_count("probe-unsent", len(data))
+            return
+        self.on_count("probe-sent", len(data))
+
+    def receive_batch(
+        self, on_message: Callable[[InstanceId, MembershipMessage], None]
+    ) -> None:
+        """Read some datagrams, then let others run."""
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, _ = self.socket.recvfrom(DATAGRAM_BYTES)
+            except ConnectionError:
+                # The system reports here that an earlier datagram found no listener.
+                continue
+            self.receive(data, on_message)
+
+    def receive(
+        self, data: bytes, on_message: Callable[[InstanceId, MembershipMessage], None]
+    ) -> None:
+        """Check and decode one datagram and hand it on, or count why not."""
+        opened = unseal(self.envelopes, data)
+        if isinstance(opened, Failure):
+            self.on_count(opened.failure().value, len(data))
+            return
+        envelope = opened.unwrap()
+        message = decode_message(envelope.body)
+        if message is None:
+            self.on_count("malformed", len(data))
+            return
+        self.on_count("probe-received", len(data))
+        on_message(envelope.sender, message)
+
+
+def decode_message(body: bytes) -> MembershipMessage | None:
+    """Decode one message, none for anything else."""
+    try:
+        datagram = DECODER.decode(body)
+        kind = KINDS[datagram.kind]
+        found: Any = msgspec.msgpack.decode(datagram.body, type=kind)
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError, RecursionError):
+        return None
+    message: MembershipMessage = found
+    return message
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -10,10 +10,8 @@
 from gevent.event import Event
 
 from ..core.connections import connection_allowance
-from ..core.envelopes import new_envelopes
 from ..core.requests import Timeouts
 from ..core.roster import Member, vouchers
-from ..settings import reveal_secrets
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from ..wire.peers import ReachReport
 from . import shutdown
@@ -24,12 +22,12 @@
 from .fleet import FleetTask
 from .group import GroupOptions, GroupTask
 from .http import parse_address, server_address, start_server
-from .links import Links
 from .live import LiveList
 from .logs import Log
 from .members import MembershipCallbacks, MembershipTask
 from .metrics import Metrics
 from .operators import OperatorsApp
+from .peering import open_peers
 from .platform import PlatformClient
 from .tls import callers_context, TlsReloader, upstream_context
 from .transactions import Transactions
@@ -68,12 +66,7 @@
             timeout_seconds=settings.limits.store_seconds,
             on_call=lambda result: self.metrics.count("store_calls_total", result),
         )
-        secrets = reveal_secrets(settings)
-        self.links = Links(
-            parse_address(settings.peers),
-            envelopes=new_envelopes(settings.instance, incarnation, secrets),
-            on_count=self.metrics.count_peer,
-        )
+        self.links, self.probes = open_peers(settings, self.me, self.metrics.count_peer)
         self.transactions = Transactions(
             settings.instance, limit_seconds=settings.limits.transaction_seconds
         )
@@ -87,10 +80,13 @@
         settings = self.settings
         self.members = MembershipTask(
             self.me,
-            links=self.links,
+            address=self.links.address,
+            probes=self.probes,
             version=lambda: self.configuration.version,
             callbacks=MembershipCallbacks(
-                self.on_live, self.on_version, self.on_superseded
+                on_change=self.on_live,
+                on_version=lambda *heard: self.configuration.hear(*heard),
+                on_superseded=self.on_superseded,
             ),
             log=Log("members", settings.instance),
         )
@@ -227,11 +223,6 @@
         self.configuration.set_peers(tuple(sorted(peers)))
         self.serve_groups()
 
-    def on_version(self, peer: InstanceId, version: int) -> None:
-        """Hear a peer's configuration version."""
-        if version > self.configuration.version:
-            self.configuration.hear(peer, version)
-
     def on_superseded(self) -> None:
         """Stop: a newer start of this instance runs elsewhere."""
         self.log.info("Another process runs as this instance; stopping.")
--- a/properties/test_control_decoders.py
+++ b/properties/test_control_decoders.py
@@ -26,7 +26,7 @@
 from berylhinge.core.validation import validate
 from berylhinge.errors import DocumentError, FieldError, Refusal
 from berylhinge.settings import parse_settings, read_settings
-from berylhinge.tasks.membership import decode_message
+from berylhinge.tasks.probes import decode_message
 from berylhinge.tests.test_settings import document
 
 GRANTED = grant_key("ark", lambda count: bytes(range(count)))
