Let proofs of the configuration ride on vouching

Cause: at 7 idle instances control cost 2,199 B/s by the links and 238 B/s by probes in each direction, 2 kB/s being the bound; two thirds of it were proofs that ask the same vouchers that vouching asks anyway.

Change: a voucher's answer carries its version and early withdrawals, counted from when its request was sent; proofs of their own are asked only when those run out. Who vouches is worked out once a roster (0.28 ms each at 2,000 members, on every request before).

--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -45,6 +45,7 @@
 TICK_SECONDS = 0.1
 PROOF_SECONDS = 0.8
 PROOF_WAIT_SECONDS = 0.5
+PROOF_MARGIN_SECONDS = 1.2
 PULL_TIMEOUT_SECONDS = 0.5
 LONE_WATCH_SECONDS = 1.0
 
@@ -124,7 +125,7 @@
         """Tick in the background."""
         self.greenlets = [
             spawn_loop(self.tick, lambda: TICK_SECONDS, self.log),
-            spawn_loop(self.ask_proofs, self.proof_pause, self.log),
+            spawn_loop(self.ask_if_running_out, self.proof_pause, self.log),
         ]
 
     def stop(self) -> None:
@@ -176,6 +177,20 @@
         """Return the time between two proofs."""
         return PROOF_SECONDS * self.rng.uniform(0.8, 1.0)
 
+    def ask_if_running_out(self) -> None:
+        """Ask for proofs where those that ride on vouching do not suffice."""
+        proof = check_fresh(
+            self.freshness, self.version, self.vouchers(), time.monotonic()
+        )
+        if not isinstance(proof, Success) or (
+            proof.unwrap() - time.monotonic() < PROOF_MARGIN_SECONDS
+        ):
+            self.ask_proofs()
+
+    def news(self) -> tuple[int, tuple[KeyId, ...]]:
+        """Return the version in force and keys withdrawn ahead of the store."""
+        return self.version, tuple(sorted(self.state.withdrawals))
+
     def ask_proofs(self) -> None:
         """Ask the vouchers whether they know a newer version."""
         request = ProofRequest(self.version, time.monotonic())
@@ -318,19 +333,25 @@
 
     def on_proof_request(self, sender: InstanceId, message: ProofRequest) -> None:
         """Answer with the version known here, and learn of a newer one."""
-        withdrawals = tuple(sorted(self.state.withdrawals))
-        answer = ProofAnswer(self.version, message.sent_at, withdrawals)
+        version, withdrawals = self.news()
+        answer = ProofAnswer(version, message.sent_at, withdrawals)
         self.links.send(sender, answer)
         if message.version > self.version:
             self.step(adoption.VersionHeard(sender, message.version))
 
     def on_proof(self, sender: InstanceId, message: ProofAnswer) -> None:
+        """Take a voucher's answer."""
+        self.take_proof(sender, message.version, message.withdrawals, message.sent_at)
+
+    def take_proof(
+        self,
+        voucher: InstanceId,
+        version: int,
+        withdrawals: tuple[KeyId, ...],
+        sent_at: float,
+    ) -> None:
         """Count a voucher's answer from the moment its request was sent."""
-        self.freshness = voucher_confirmed(
-            self.freshness, sender, message.version, message.sent_at
-        )
+        self.freshness = voucher_confirmed(self.freshness, voucher, version, sent_at)
         self.proven.notify()
-        if message.version > self.version or message.withdrawals:
-            self.step(
-                adoption.VersionHeard(sender, message.version, message.withdrawals)
-            )
+        if version > self.version or withdrawals:
+            self.step(adoption.VersionHeard(voucher, version, withdrawals))
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -26,9 +26,18 @@
     Withdrawn,
 )
 from ..core.rates import Admitted, Refused, Wait
-from ..core.roster import Member, proposal_delay, propose, Roster, ROSTER_KEY, settle
+from ..core.roster import (
+    Member,
+    proposal_delay,
+    propose,
+    Roster,
+    ROSTER_KEY,
+    settle,
+    vouchers,
+)
 from ..errors import refuse, RefusedError
 from ..reasons import RefusalReason
+from ..types import KeyId
 from .links import PeerLost
 from .loops import spawn_loop
 
@@ -48,7 +57,6 @@
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
     VouchRequest,
-    VouchAnswer,
     rates.Ask,
     rates.Give,
     rates.Taken,
@@ -70,6 +78,14 @@
     roster: Roster
 
 
+class ProvenAnswer(NamedTuple):
+    """Vouch, and tell the voucher's configuration on the same message."""
+
+    answer: VouchAnswer
+    version: int
+    withdrawals: tuple[KeyId, ...]
+
+
 class FleetTask:
     """Own the capacity state: roster, permit, units and minting."""
 
@@ -82,6 +98,8 @@
         live: Callable[[], frozenset[Member]],
         is_suspect: Callable[[InstanceId], bool],
         serving_count: int,
+        news: Callable[[], tuple[int, tuple[KeyId, ...]]],
+        on_proof: Callable[[InstanceId, int, tuple[KeyId, ...], float], None],
         log: Log,
     ) -> None:
         """Start without units and without a permit."""
@@ -91,6 +109,10 @@
         self.live = live
         self.is_suspect = is_suspect
         self.serving_count = serving_count
+        self.news = news
+        self.on_proof = on_proof
+        self.vouching: tuple[InstanceId, ...] = ()
+        self.vouched_for: tuple[Member, ...] = ()
         self.log = log
         self.state = capacity.new_capacity(me)
         self.rng = random.Random(f"{me.instance}/{me.incarnation}")
@@ -98,6 +120,7 @@
         self.greenlets: list[gevent.Greenlet] = []
         for kind in CAPACITY_MESSAGES:
             links.register(kind, self.on_message)
+        links.register(ProvenAnswer, self.on_proven)
         links.register(RosterAnswer)
         links.register_call(RosterRequest, self.on_roster_request)
 
@@ -172,6 +195,21 @@
         """Take one message of the capacity protocol."""
         self.step(message)
 
+    def on_proven(self, sender: InstanceId, message: ProvenAnswer) -> None:
+        """Take a voucher's answer, and its version as of when it was asked."""
+        sent_at = self.state.permit.sent.get(message.answer.sequence)
+        self.step(message.answer)
+        if sent_at is not None:
+            self.on_proof(sender, message.version, message.withdrawals, sent_at)
+
+    def voucher_names(self) -> tuple[InstanceId, ...]:
+        """Return the instances that vouch for this one."""
+        members = self.state.permit.roster.members
+        if members is not self.vouched_for:
+            self.vouched_for = members
+            self.vouching = tuple(one.instance for one in vouchers(members, self.me))
+        return self.vouching
+
     def step(self, event: Any) -> None:
         """Step the core and carry out what it wants."""
         self.state, effects = capacity.step(
@@ -196,6 +234,8 @@
         """Send a message, or take it directly when it is to this instance."""
         if to == self.me:
             gevent.spawn(self.step, message)
+        elif isinstance(message, VouchAnswer):
+            self.links.send(to.instance, ProvenAnswer(message, *self.news()))
         else:
             self.links.send(to.instance, message)
 
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from ..core.requests import Timeouts
-from ..core.roster import Member, vouchers
+from ..core.roster import Member
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from . import shutdown
 from .callers import CallersApp
@@ -33,7 +33,6 @@
     from ..core.index import DeclarationIndex
     from ..errors import FieldError
     from ..settings import Settings
-    from ..types import InstanceId
     from ..wire.platform import InstanceRecord
 
 LAG_SAMPLE_SECONDS = 0.05
@@ -96,13 +95,15 @@
             live=self.members.members,
             is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
+            news=lambda: self.configuration.news(),
+            on_proof=lambda *proof: self.configuration.take_proof(*proof),
             log=Log("fleet", settings.instance),
         )
         self.configuration = ConfigurationTask(
             settings.instance,
             links=self.links,
             platform=self.platform,
-            vouchers=self.voucher_names,
+            vouchers=self.fleet.voucher_names,
             on_adopt=self.on_adopt,
             log=Log("configuration", settings.instance),
         )
@@ -215,11 +216,6 @@
         self.links.stop()
         self.platform.close()
 
-    def voucher_names(self) -> tuple[InstanceId, ...]:
-        """Return the instances that vouch for this one."""
-        members = self.fleet.state.permit.roster.members
-        return tuple(member.instance for member in vouchers(members, self.me))
-
     def on_live(self) -> None:
         """Follow a changed list of instances."""
         peers = self.members.peers()
