--- a/berylhinge/core/envelopes.py
+++ b/berylhinge/core/envelopes.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-TAG_BYTES = 32
+TAG_BYTES = 16
 WINDOW_MESSAGES = 1_024
 LINK_PURPOSE = b"berylhinge peer link 1"
 PROBE_PURPOSE = b"berylhinge peer probe 1"
@@ -110,7 +110,7 @@
     recipient: InstanceId,
     recipient_incarnation: int,
 ) -> bytes:
-    """Encode and sign one message with HMAC-SHA256 (RFC 2104)."""
+    """Encode and sign one message with HMAC-SHA256-128 (RFC 2104, RFC 4868)."""
     pair = (recipient, recipient_incarnation)
     sequence = state.sequences.get(pair, 0) + 1
     state.sequences[pair] = sequence
@@ -118,7 +118,12 @@
         state.me, state.incarnation, recipient, recipient_incarnation, sequence, body
     )
     encoded = ENCODER.encode(envelope)
-    return hmac.digest(state.keys[0], encoded, hashlib.sha256) + encoded
+    return tag_of(state.keys[0], encoded) + encoded
+
+
+def tag_of(key: bytes, encoded: bytes) -> bytes:
+    """Return the truncated authentication code of a message."""
+    return hmac.digest(key, encoded, hashlib.sha256)[:TAG_BYTES]
 
 
 def unseal(state: EnvelopeState, data: bytes) -> Result[Envelope, DropReason]:
@@ -139,10 +144,7 @@
 
 def is_signed(keys: tuple[bytes, ...], tag: bytes, encoded: bytes) -> bool:
     """Tell whether any key made the tag, in constant time."""
-    return any(
-        hmac.compare_digest(tag, hmac.digest(key, encoded, hashlib.sha256))
-        for key in keys
-    )
+    return any(hmac.compare_digest(tag, tag_of(key, encoded)) for key in keys)
 
 
 def note_sequence(
--- a/properties/membership_fleet.py
+++ b/properties/membership_fleet.py
@@ -19,7 +19,7 @@
 TICK_SECONDS = 0.1
 DELAY_SECONDS = 0.001
 # Names and signature of an envelope, and the kind and call numbers of a frame.
-ENVELOPE_BYTES = 32 + 2 * 14 + 18 + 16
+ENVELOPE_BYTES = 16 + 2 * 14 + 18 + 16
 ENCODER = msgspec.msgpack.Encoder()
 
 
