--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -8,10 +8,8 @@
 import gevent
 from gevent.event import Event
 
-from ..core.envelopes import new_envelopes
 from ..core.requests import Timeouts
-from ..core.roster import Member, vouchers
-from ..settings import reveal_secrets
+from ..core.roster import Member
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from . import shutdown
 from .callers import CallersApp
@@ -20,12 +18,12 @@
 from .fleet import FleetTask
 from .groups import Groups, GroupsOptions
 from .http import parse_address, server_address, start_server
-from .links import Links
 from .live import LiveList
 from .logs import Log
 from .members import MembershipCallbacks, MembershipTask
 from .metrics import Metrics
 from .operators import OperatorsApp
+from .peering import open_peers
 from .platform import PlatformClient
 from .tls import callers_context, TlsReloader, upstream_context
 from .transactions import Transactions
@@ -35,7 +33,6 @@
     from ..core.index import DeclarationIndex
     from ..errors import FieldError
     from ..settings import Settings
-    from ..types import InstanceId
     from ..wire.platform import InstanceRecord
 
 LAG_SAMPLE_SECONDS = 0.05
@@ -62,12 +59,7 @@
             timeout_seconds=settings.limits.store_seconds,
             on_call=lambda result: self.metrics.count("store_calls_total", result),
         )
-        secrets = reveal_secrets(settings)
-        self.links = Links(
-            parse_address(settings.peers),
-            envelopes=new_envelopes(settings.instance, incarnation, secrets),
-            on_count=self.metrics.count_peer,
-        )
+        self.links, self.probes = open_peers(settings, self.me, self.metrics.count_peer)
         self.transactions = Transactions(
             settings.instance, limit_seconds=settings.limits.transaction_seconds
         )
@@ -80,10 +72,13 @@
         settings = self.settings
         self.members = MembershipTask(
             self.me,
-            links=self.links,
+            address=self.links.address,
+            probes=self.probes,
             version=lambda: self.configuration.version,
             callbacks=MembershipCallbacks(
-                self.on_live, self.on_version, self.on_superseded
+                on_change=self.on_live,
+                on_version=lambda *heard: self.configuration.hear(*heard),
+                on_superseded=self.on_superseded,
             ),
             log=Log("members", settings.instance),
         )
@@ -100,13 +95,15 @@
             live=self.members.members,
             is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
+            news=lambda: self.configuration.news(),
+            on_proof=lambda *proof: self.configuration.take_proof(*proof),
             log=Log("fleet", settings.instance),
         )
         self.configuration = ConfigurationTask(
             settings.instance,
             links=self.links,
             platform=self.platform,
-            vouchers=self.voucher_names,
+            vouchers=self.fleet.voucher_names,
             on_adopt=self.on_adopt,
             log=Log("configuration", settings.instance),
         )
@@ -219,11 +216,6 @@
         self.links.stop()
         self.platform.close()
 
-    def voucher_names(self) -> tuple[InstanceId, ...]:
-        """Return the instances that vouch for this one."""
-        members = self.fleet.state.permit.roster.members
-        return tuple(member.instance for member in vouchers(members, self.me))
-
     def on_live(self) -> None:
         """Follow a changed list of instances."""
         peers = self.members.peers()
@@ -231,11 +223,6 @@
         self.configuration.set_peers(tuple(sorted(peers)))
         self.groups.serve_all()
 
-    def on_version(self, peer: InstanceId, version: int) -> None:
-        """Hear a peer's configuration version."""
-        if version > self.configuration.version:
-            self.configuration.hear(peer, version)
-
     def on_superseded(self) -> None:
         """Stop: a newer start of this instance runs elsewhere."""
         self.log.info("Another process runs as this instance; stopping.")
