--- a/benchmarks/bench_rates.py
+++ b/benchmarks/bench_rates.py
@@ -140,7 +140,9 @@
     case: Case, offered: list[Arrival], outcomes: list[tuple[bool, float] | None]
 ) -> Score:
     """Count against one bucket for the whole fleet, and check every window."""
-    ideal = {name: TokenBucket(terms.rate, terms.burst) for name, terms in TERMS.items()}
+    ideal = {
+        name: TokenBucket(terms.rate, terms.burst) for name, terms in TERMS.items()
+    }
     inside = wrongful = noisy_ideal = noisy_got = 0
     counts = {name: [0, 0] for name in TERMS}
     admitted: dict[str, list[tuple[float, float]]] = {name: [] for name in TERMS}
