--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -22,7 +22,7 @@
 from ..core.parts import (
     assemble,
     decode_head,
-    encode_head,
+    encode_for_peer,
     missing_parts,
     part_configuration,
     part_key,
@@ -249,7 +249,9 @@
             self.revision = stored["revision"]
         return configuration
 
-    def decode(self, value: Any, fetch: Callable[[str], bytes | None]) -> Any:
+    def decode(
+        self, value: Any, fetch: Callable[[str], bytes | None]
+    ) -> Configuration | None:
         """Build the configuration of a head, fetching what is missing."""
         decoded = decode_head(value)
         if isinstance(decoded, Failure):
@@ -304,7 +306,7 @@
             for digest, part in self.parted.parts.items()
             if digest not in known
         }
-        return PullAnswer(encode_head(self.parted, inline=False), parts, withdrawals)
+        return PullAnswer(encode_for_peer(self.parted), parts, withdrawals)
 
     def on_news(self, sender: InstanceId, message: VersionNews) -> None:
         """Take a peer's version and withdrawals."""
