--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,12 @@
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+bench: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.run
+
+measures: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.measures
+
+slopes: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.slopes
