--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,12 @@
 
 fuzz: $(VENV)/.installed
 	$(PYTHON) -m properties.fuzz_group
+
+bench: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.run
+
+measures: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.measures
+
+slopes: $(VENV)/.installed
+	$(PYTHON) -m benchmarks.slopes
--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -15,6 +15,7 @@
 from ..core.freshness import (
     check_fresh,
     new_freshness,
+    proven_at,
     store_confirmed,
     voucher_confirmed,
 )
@@ -45,6 +46,7 @@
 TICK_SECONDS = 0.1
 PROOF_SECONDS = 0.8
 PROOF_WAIT_SECONDS = 0.5
+STORE_PROOF_SECONDS = 1.2
 PROOF_MARGIN_SECONDS = 1.2
 PULL_TIMEOUT_SECONDS = 0.5
 LONE_WATCH_SECONDS = 1.0
@@ -114,6 +116,7 @@
         self.revision = 0
         self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
         self.proven = Broadcast()
+        self.proving = False
         self.greenlets: list[gevent.Greenlet] = []
         links.register(VersionNews, self.on_news)
         links.register(ProofRequest, self.on_proof_request)
@@ -149,6 +152,7 @@
         if self.is_fresh():
             return True
         self.ask_proofs()
+        self.prove_by_store()
         deadline = time.monotonic() + PROOF_WAIT_SECONDS
         while not self.is_fresh():
             remaining = deadline - time.monotonic()
@@ -196,6 +200,32 @@
         request = ProofRequest(self.version, time.monotonic())
         for voucher in self.vouchers():
             self.links.send(voucher, request)
+        if self.unproven_seconds() > STORE_PROOF_SECONDS:
+            self.prove_by_store()
+
+    def unproven_seconds(self) -> float:
+        """Return how long ago the version in force was last proven current."""
+        newest = proven_at(self.freshness, self.version, self.vouchers())
+        return time.monotonic() - newest
+
+    def prove_by_store(self) -> None:
+        """Read the store beside any watch when the vouchers do not answer."""
+        if not self.proving:
+            self.proving = True
+            gevent.spawn(self.read_proof)
+
+    def read_proof(self) -> None:
+        """Take the store's word, from the moment the read was sent."""
+        sent_at = time.monotonic()
+        try:
+            configuration = self.read_store(0.0)
+        finally:
+            self.proving = False
+        if configuration is None:
+            return
+        self.freshness = store_confirmed(self.freshness, configuration.version, sent_at)
+        self.step(adoption.PeerSent(self.state.me, configuration))
+        self.proven.notify()
 
     def step(self, event: adoption.AdoptionEvent) -> None:
         """Step the core and carry out what it wants."""
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -96,6 +96,7 @@
         links: Links,
         platform: PlatformClient,
         live: Callable[[], frozenset[Member]],
+        present: Callable[[], frozenset[Member]],
         is_suspect: Callable[[InstanceId], bool],
         serving_count: int,
         news: Callable[[], tuple[int, tuple[KeyId, ...]]],
@@ -107,6 +108,7 @@
         self.links = links
         self.platform = platform
         self.live = live
+        self.present = present
         self.is_suspect = is_suspect
         self.serving_count = serving_count
         self.news = news
@@ -316,10 +318,7 @@
 
     def wanted(self, roster: Roster) -> Roster | None:
         """Return the roster that the live instances call for, none if no other."""
-        live = self.live()
-        if self.me not in live and self.me not in self.resigned:
-            return None
-        return propose(roster, live, resigned=self.resigned)
+        return propose(roster, self.present(), resigned=self.resigned)
 
     def propose_roster(self) -> None:
         """Swap a new roster in from the store's newest one."""
--- a/berylhinge/tasks/members.py
+++ b/berylhinge/tasks/members.py
@@ -27,6 +27,7 @@
 TICK_SECONDS = 0.1
 LISTED_STATUS = {"live": Status.ALIVE, "leaving": Status.LEAVING}
 SERVING = (Status.ALIVE, Status.SUSPECT)
+PRESENT = (*SERVING, Status.LEAVING)
 
 
 class MembershipCallbacks(NamedTuple):
@@ -77,14 +78,20 @@
 
     def members(self) -> frozenset[Member]:
         """Return the instances that serve, this one included unless it leaves."""
-        found = {
-            Member(name, update.incarnation)
-            for name, update in self.state.members.items()
-            if update.status in SERVING
-        }
-        if self.state.me.status is Status.ALIVE:
-            found.add(self.me)
-        return frozenset(found)
+        return self.having(SERVING)
+
+    def present(self) -> frozenset[Member]:
+        """Return the instances that run, leaving ones included."""
+        return self.having(PRESENT)
+
+    def having(self, statuses: tuple[Status, ...]) -> frozenset[Member]:
+        """Return the instances with one of the statuses."""
+        updates = [self.state.me, *self.state.members.values()]
+        return frozenset(
+            Member(update.instance, update.incarnation)
+            for update in updates
+            if update.status in statuses
+        )
 
     def is_suspect(self, instance: InstanceId) -> bool:
         """Tell whether an instance did not answer its last probe."""
