--- /dev/null
+++ b/berylhinge/core/tests/test_permits.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from ..charts import load_chart
+from ..grant_phase import follow, Phase
+from ..permits import (
+    Adopted,
+    CLOCK_MARGIN,
+    expires_at,
+    FetchRoster,
+    is_held,
+    new_permit,
+    PERMIT_SECONDS,
+    PermitState,
+    RosterRead,
+    Send,
+    step,
+    STORE_BOUND_SECONDS,
+    Tick,
+    VouchAnswer,
+    VouchRequest,
+    Withdrawn,
+)
+from ..roster import (
+    keeper,
+    Member,
+    propose,
+    Roster,
+    settle,
+    unsettled,
+    vouchers,
+)
+
+RNG = Random(1)
+MEMBERS = [Member(f"i{number}", 1) for number in range(7)]
+HELD = PERMIT_SECONDS * (1 - CLOCK_MARGIN)
+
+
+def roster(members: list[Member] = MEMBERS, after: Roster | None = None) -> Roster:
+    found = propose(after or Roster(), members)
+    assert found is not None
+    return found
+
+
+def confirmed(count: int, *, epoch: int = 1, now: float = 100.0) -> PermitState:
+    state = new_permit(MEMBERS[0])
+    state, _ = step(state, RosterRead(roster(), 0.0), 0.0, RNG)
+    state, effects = step(state, Tick(), now, RNG)
+    sequence = state.sequence
+    chosen = vouchers(state.roster.members, state.me)
+    assert {effect.to for effect in effects if isinstance(effect, Send)} <= set(chosen)
+    for voucher in chosen[:count]:
+        answer = VouchAnswer(voucher, state.me, epoch, sequence, True)
+        state, _ = step(state, answer, now + 1.0, RNG)
+    return state
+
+
+@pytest.mark.parametrize(("count", "held"), [(0, False), (2, False), (3, True)])
+def test_a_majority_of_vouchers_holds_from_the_time_of_sending(
+    count: int, held: bool
+) -> None:
+    state = confirmed(count)
+    assert is_held(state, 101.0) == held
+    if held:
+        assert expires_at(state) == pytest.approx(100.0 + HELD)
+
+
+def test_answers_of_another_epoch_do_not_count() -> None:
+    assert not is_held(confirmed(5, epoch=2), 101.0)
+
+
+def test_no_store_contact_stops_after_the_bound() -> None:
+    late = STORE_BOUND_SECONDS * (1 - CLOCK_MARGIN)
+    assert is_held(confirmed(5, now=late - 1.0), late - 0.1)
+    assert not is_held(confirmed(5, now=late - 1.0), late + 0.1)
+
+
+@pytest.mark.parametrize(
+    ("asker", "epoch", "vouched", "fetches"),
+    [
+        (MEMBERS[1], 2, True, False),
+        (MEMBERS[0], 2, False, False),
+        (MEMBERS[0], 1, False, False),
+        (MEMBERS[1], 1, False, False),
+        (MEMBERS[1], 3, False, True),
+    ],
+)
+def test_a_voucher_confirms_only_members_of_its_own_epoch(
+    asker: Member, epoch: int, vouched: bool, fetches: bool
+) -> None:
+    state = new_permit(MEMBERS[2])
+    newer = roster(MEMBERS[1:], roster())
+    state, _ = step(state, Adopted(newer), 0.0, RNG)
+    request = VouchRequest(asker, MEMBERS[2], epoch, 1)
+    _, effects = step(state, request, 0.0, RNG)
+    answers = [effect.message for effect in effects if isinstance(effect, Send)]
+    assert answers == [VouchAnswer(MEMBERS[2], asker, 2, 1, vouched)]
+    assert any(isinstance(effect, FetchRoster) for effect in effects) == fetches
+
+
+def test_the_roster_remembers_every_voucher_set_until_it_is_settled() -> None:
+    first = roster()
+    second = roster([*MEMBERS, Member("i9", 1)], first)
+    third = roster(
+        [member for member in second.members if member != MEMBERS[0]], second
+    )
+    (removed,) = unsettled(third)
+    assert removed.member == MEMBERS[0] and removed.epoch == 3
+    assert vouchers(first.members, MEMBERS[0]) in removed.voucher_sets
+    assert vouchers(second.members, MEMBERS[0]) in removed.voucher_sets
+    assert unsettled(settle(third, 3)) == ()
+    assert settle(third, 3).changes == ()
+    assert keeper(third) in third.members
+
+
+def test_a_resigned_member_needs_no_proof() -> None:
+    first = roster()
+    found = propose(first, MEMBERS, resigned=MEMBERS[:1])
+    assert found is not None
+    assert MEMBERS[0] not in found.members
+    assert unsettled(found) == ()
+
+
+def test_the_grant_chart_follows_the_permit() -> None:
+    state, phase = confirmed(5), Phase()
+    assert follow(phase, new_permit(MEMBERS[0]), 0.0) == phase
+    phase = follow(phase, state, 101.0)
+    assert phase == Phase("held", ("confirmed",))
+    assert follow(phase, state, 101.0) == Phase("held")
+    phase = follow(phase, state, 110.0)
+    assert phase == Phase("lapsed", ("expired",))
+    out, _ = step(state, Adopted(roster(MEMBERS[1:], roster())), 111.0, RNG)
+    assert follow(phase, out, 111.0) == Phase("unheld", ("removed",))
+    gone, _ = step(state, Withdrawn(), 112.0, RNG)
+    assert follow(phase, gone, 112.0) == Phase("withdrawn", ("withdrawn",))
+
+
+@pytest.mark.parametrize("name", ["instance", "grant"])
+def test_every_state_is_reached_and_every_event_handled(name: str) -> None:
+    chart = load_chart(name)
+    reached, fresh = set(), {chart.initial}
+    while fresh:
+        reached |= fresh
+        fresh = {to for (at, _), to in chart.targets.items() if at in reached} - reached
+    assert reached == set(chart.states)
+    assert {event for _, event in chart.targets} == set(chart.events)
