--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -36,6 +36,7 @@
     review_all,
     REVIEW_SECONDS,
     Seen,
+    SUSPECT_SECONDS,
     Taken,
 )
 from .roster import joined_at, seat
@@ -189,6 +190,7 @@
             pause = min(RESEND_LIMIT_SECONDS, 2 * pending.pause)
             state.pending[sequence] = Pending(pending.message, now + pause, pause)
             state.outbox.append(Send(pending.message.receiver, pending.message))
+            state.suspects[pending.message.receiver] = now + SUSPECT_SECONDS
     if now - state.reviewed_at < REVIEW_SECONDS:
         return state, []
     state = state._replace(reviewed_at=now)
--- a/properties/fleet_storm.py
+++ b/properties/fleet_storm.py
@@ -28,6 +28,7 @@
     "isolate": ("isolate", "pause"),
     "grow": ("grow",),
     "banish": ("banish", "banish", "pause"),
+    "expel": ("expel",),
 }
 
 
@@ -122,9 +123,19 @@
         self.world.at(seconds, lambda: self.heal(pairs))
         self.world.at(seconds, lambda: self.world.store_cut.discard(name))
 
-    def banish(self) -> None:
+    def expel(self, name: str = "") -> None:
+        """Remove one at the moment in which it is cut off from everyone."""
+        name = name or self.one()
+        pairs = {
+            frozenset({name, other}) for other in self.world.nodes if other != name
+        }
+        self.world.cut |= pairs
+        self.world.at(3.0, lambda: self.heal(pairs))
+        self.banish(name)
+
+    def banish(self, name: str = "") -> None:
         """Remove one that others still hear, but that cannot read the store."""
-        name = self.one()
+        name = name or self.one()
         seconds = self.rng.uniform(4.0, 10.0)
         self.world.banned.add(name)
         self.world.store_cut.add(name)
@@ -155,6 +166,27 @@
         self.world.at(self.rng.uniform(0.5, 3.0), lambda: self.world.restart(name))
 
 
+def expelled_hog(seed: int) -> float:
+    """Expel the instance that holds nearly all units while all instances want them."""
+    terms = Terms(100.0, 40.0)
+    storm = Storm(seed, "expel")
+    world = World(storm.rng, {"a": terms}, size=SIZE)
+    storm.world = world
+
+    def press(name: str) -> None:
+        world.request(name, "a")
+        world.at(world.rng.expovariate(300.0), lambda: press(name))
+
+    world.at(4.0, lambda: press("i0"))
+    world.at(8.0, lambda: storm.expel("i0"))
+    for name in ("i1", "i2", "i3", "i4"):
+        world.at(8.0, lambda name=name: press(name))
+    world.run(12.0)
+    return worst_excess(world.admitted["a"], *terms)
+
+
 def worst(seed: int, kind: str = "all") -> float:
     """Return the greatest excess of any organisation in one storm."""
+    if kind == "hog":
+        return expelled_hog(seed)
     return max(Storm(seed, kind).run().values())
--- a/properties/test_rates.py
+++ b/properties/test_rates.py
@@ -48,13 +48,13 @@
 
 # Each storm is one in which the broken rule beside it would show.
 STORMS = [
-    ("no_permit_check", "isolate", 8),
-    ("mint_at_once", "isolate", 10),
+    ("no_permit_check", "hog", 0),
+    ("mint_at_once", "hog", 1),
     ("give_without_deducting", "isolate", 10),
     ("take_repeats", "all", 2),
-    ("vouch_for_anyone", "banish", 7),
-    ("mint_full_buckets", "banish", 2),
-    ("report_later_holdings", "all", 2),
+    ("vouch_for_anyone", "hog", 2),
+    ("mint_full_buckets", "expel", 16),
+    ("report_later_holdings", "isolate", 6),
     ("mint_before_all_answered", "grow", 0),
     ("keep_units_over_a_removal", "banish", 1),
 ]
