--- a/berylhinge/core/permits.py
+++ b/berylhinge/core/permits.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple, TYPE_CHECKING, TypeAlias
 
 from ..types import Seconds
-from .roster import majority, Member, Roster, vouchers
+from .roster import has_member, majority, Member, Members, Roster, vouchers
 
 if TYPE_CHECKING:
     from random import Random
@@ -119,7 +119,7 @@
     """Return when the permit runs out on the holder's clock; minus infinity if never."""
     if state.withdrawn or state.store_at is None:
         return float("-inf")
-    if state.me not in state.roster.members:
+    if not has_member(state.roster, state.me):
         return float("-inf")
     bound = state.store_at + STORE_BOUND_SECONDS * HOLDER_FACTOR
     confirmed = max(state.store_at, vouched_at(state))
@@ -223,7 +223,7 @@
         return state, []
     effects: list[PermitEffect] = []
     late = expires_at(state) - now < PERMIT_SECONDS / 2
-    if state.me in state.roster.members and now >= state.renew_at:
+    if has_member(state.roster, state.me) and now >= state.renew_at:
         state = _ask(state, now, rng, late, effects)
     pause = RENEW_SECONDS if late else STORE_CONTACT_SECONDS * rng.uniform(0.8, 1.2)
     if state.read_at is None or now >= state.read_at:
@@ -237,8 +237,8 @@
 def vouch(state: PermitState, event: VouchRequest) -> VouchAnswer:
     """Confirm the asker only if both are members of the epoch that both adopted."""
     roster = state.roster
-    vouched = event.epoch == roster.epoch and event.asker in roster.members
-    vouched = vouched and state.me in roster.members
+    vouched = event.epoch == roster.epoch and has_member(roster, event.asker)
+    vouched = vouched and has_member(roster, state.me)
     return VouchAnswer(state.me, event.asker, roster.epoch, event.sequence, vouched)
 
 
@@ -246,6 +246,7 @@
     """Move to a newer epoch; what was confirmed runs on, no answer is still due."""
     if roster.epoch < state.roster.epoch:
         return state
+    roster = roster._replace(members=Members(roster.members))
     if roster.epoch == state.roster.epoch:
         return state._replace(roster=max(state.roster, roster))
     carried_at = vouched_at(state)
--- a/berylhinge/core/rates.py
+++ b/berylhinge/core/rates.py
@@ -24,7 +24,7 @@
     Terms,
 )
 from .permits import Send
-from .roster import Member, ranked, Roster, seat
+from .roster import has_member, Member, ranked, Roster, seat
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -347,12 +347,13 @@
     exclude: Member,
 ) -> list[Member]:
     """Return the known holders, most units first; all members when none is known."""
-    members = set(state.roster.members)
     known = state.reports.get(organisation, {})
     found = [
         (report.units, member)
         for member, report in known.items()
-        if member in members and member not in (state.me, exclude) and report.units
+        if report.units
+        and member not in (state.me, exclude)
+        and has_member(state.roster, member)
     ]
     if not found:
         others = ranked(state.roster.members, f"rate/{organisation}", 8)
--- a/berylhinge/core/roster.py
+++ b/berylhinge/core/roster.py
@@ -32,6 +32,17 @@
     incarnation: int
 
 
+class Members(tuple[Member, ...]):
+    """Keep a roster's members with their hash, which every cached ranking needs."""
+
+    def __hash__(self) -> int:
+        """Return the hash, worked out once."""
+        known: int | None = self.__dict__.get("known")
+        if known is None:
+            known = self.__dict__["known"] = super().__hash__()
+        return known
+
+
 class Change(NamedTuple):
     """Record one epoch; ``resigned`` members have sworn to spend nothing more."""
 
@@ -98,7 +109,7 @@
         if member not in gone
     }
     seats.update(dict.fromkeys(change.added, change.epoch))
-    members = tuple(sorted(seats))
+    members = Members(sorted(seats))
     joined = tuple(seats[member] for member in members)
     changes = (*roster.changes, change)
     return Roster(change.epoch, roster.settled, members, joined, changes)
@@ -109,6 +120,12 @@
     return bisect_left(roster.members, member)
 
 
+def has_member(roster: Roster, member: Member) -> bool:
+    """Tell whether the member is in the sorted list."""
+    place = seat(roster, member)
+    return place < len(roster.members) and roster.members[place] == member
+
+
 def joined_at(roster: Roster, member: Member) -> int | None:
     """Return the epoch in which the member last joined, or none."""
     if member not in roster.members:
@@ -145,6 +162,7 @@
     return found[0] if found else None
 
 
+@lru_cache(maxsize=4096)
 def vouchers(members: tuple[Member, ...], member: Member) -> tuple[Member, ...]:
     """Return the members that confirm another's membership."""
     others = tuple(other for other in members if other != member)
