Let each instance add only itself to the roster

Cause: proposals came from each instance's own view, so that differing views undid each other: 11 epochs for three starting instances, 39 after a rolling replacement, and the keeper never finished a count. Change: an instance adds itself and removes only whoever is dead or replaced.

--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -96,7 +96,7 @@
         links: Links,
         platform: PlatformClient,
         live: Callable[[], frozenset[Member]],
-        present: Callable[[], frozenset[Member]],
+        is_gone: Callable[[Member], bool],
         is_suspect: Callable[[InstanceId], bool],
         serving_count: int,
         news: Callable[[], tuple[int, tuple[KeyId, ...]]],
@@ -108,7 +108,7 @@
         self.links = links
         self.platform = platform
         self.live = live
-        self.present = present
+        self.is_gone = is_gone
         self.is_suspect = is_suspect
         self.serving_count = serving_count
         self.news = news
@@ -317,8 +317,15 @@
             self.propose_roster()
 
     def wanted(self, roster: Roster) -> Roster | None:
-        """Return the roster that the live instances call for, none if no other."""
-        return propose(roster, self.present(), resigned=self.resigned)
+        """Return the roster that this instance calls for, none if no other.
+
+        Each instance adds only itself and removes only whoever is gone for good, so
+        that differing views do not undo each other's proposals.
+        """
+        wanted = {member for member in roster.members if not self.is_gone(member)}
+        if self.me in self.live():
+            wanted.add(self.me)
+        return propose(roster, wanted, resigned=self.resigned)
 
     def propose_roster(self) -> None:
         """Swap a new roster in from the store's newest one."""
--- a/berylhinge/tasks/members.py
+++ b/berylhinge/tasks/members.py
@@ -27,7 +27,7 @@
 TICK_SECONDS = 0.1
 LISTED_STATUS = {"live": Status.ALIVE, "leaving": Status.LEAVING}
 SERVING = (Status.ALIVE, Status.SUSPECT)
-PRESENT = (*SERVING, Status.LEAVING)
+UNSEEN_SECONDS = 15.0
 
 
 class MembershipCallbacks(NamedTuple):
@@ -59,6 +59,7 @@
         self.log = log
         self.state = new_membership(me.instance, str(address), me.incarnation)
         self.rng = random.Random(f"members/{me.instance}/{me.incarnation}")
+        self.unseen_since: dict[Member, float] = {}
         self.ticker: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -80,9 +81,17 @@
         """Return the instances that serve, this one included unless it leaves."""
         return self.having(SERVING)
 
-    def present(self) -> frozenset[Member]:
-        """Return the instances that run, leaving ones included."""
-        return self.having(PRESENT)
+    def is_gone(self, member: Member) -> bool:
+        """Tell whether a member is dead, replaced, or was never seen for long."""
+        if member == self.me:
+            return False
+        known = self.state.members.get(member.instance)
+        if known is not None and known.incarnation >= member.incarnation:
+            self.unseen_since.pop(member, None)
+            replaced = known.incarnation > member.incarnation
+            return replaced or known.status is Status.DEAD
+        now = time.monotonic()
+        return now - self.unseen_since.setdefault(member, now) > UNSEEN_SECONDS
 
     def having(self, statuses: tuple[Status, ...]) -> frozenset[Member]:
         """Return the instances with one of the statuses."""
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -93,7 +93,7 @@
             links=self.links,
             platform=self.platform,
             live=self.members.members,
-            present=self.members.present,
+            is_gone=self.members.is_gone,
             is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
             news=lambda: self.configuration.news(),
