--- a/berylhinge/core/detection.py
+++ b/berylhinge/core/detection.py
@@ -9,7 +9,7 @@
 from .promotion_messages import PrimaryLeaving, PrimaryLost, PrimarySeen
 
 if TYPE_CHECKING:
-    from ..types import InstanceId, Seconds, UpstreamId
+    from ..types import InstanceId, Seconds, Term, UpstreamId
     from .group_view import GroupView, Primary, Reading
 
 CHART = load_chart("upstream")
@@ -52,6 +52,7 @@
     reach: dict[UpstreamId, Reach]
     peers: dict[InstanceId, PeerReport]
     silent_since: Seconds | None = None
+    silent_term: Term = 0
     orphan_since: Seconds | None = None
     stray_since: Seconds | None = None
 
@@ -256,8 +257,8 @@
     ]
     if len(silent) < view.quorum:
         return state._replace(silent_since=None), False
-    if state.silent_since is None:
-        return state._replace(silent_since=now), False
+    if state.silent_since is None or state.silent_term != lead.term:
+        return state._replace(silent_since=now, silent_term=lead.term), False
     again = sum(reading.asked_at >= state.silent_since for reading in silent)
     return state, again >= view.quorum
 
--- a/berylhinge/core/sessions.py
+++ b/berylhinge/core/sessions.py
@@ -58,6 +58,8 @@
     """Return the token, or MALFORMED_SESSION or FOREIGN_SESSION."""
     if not 0 < len(text) <= TOKEN_LIMIT_CHARS:
         return _malformed(f"got {len(text)} characters")
+    if "=" in text:
+        return _malformed("got padding")
     padding = "=" * (-len(text) % _PADDING_CHARS)
     try:
         raw = b64decode(text + padding, altchars=b"-_", validate=True)
--- /dev/null
+++ b/berylhinge/core/tests/test_charts.py
@@ -0,0 +1,46 @@
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure, Success
+
+from .. import detection, promotion
+from ..charts import advance, Chart, ChartRefusal, load_chart
+
+CHARTS = [load_chart(name) for name in ("promotion", "upstream")]
+
+
+@pytest.mark.parametrize("chart", CHARTS, ids=lambda chart: chart.name)
+def test_every_state_is_reachable(chart: Chart) -> None:
+    reached, added = {chart.initial}, True
+    while added:
+        targets = {to for (at, _), to in chart.targets.items() if at in reached}
+        added = not targets <= reached
+        reached |= targets
+    assert reached == set(chart.states)
+
+
+@pytest.mark.parametrize("chart", CHARTS, ids=lambda chart: chart.name)
+def test_every_event_is_handled_or_refused_by_name(chart: Chart) -> None:
+    for state in chart.states:
+        for event in (*chart.events, "no-such-event"):
+            result = advance(chart, state, event)
+            if isinstance(result, Success):
+                assert result.unwrap() in chart.states
+                continue
+            assert isinstance(result, Failure)
+            refusal = result.failure()
+            assert isinstance(refusal, ChartRefusal)
+            assert (refusal.state, refusal.event) == (state, event)
+            assert f"got {event} in {state}" in str(refusal)
+
+
+@pytest.mark.parametrize("chart", CHARTS, ids=lambda chart: chart.name)
+def test_every_state_can_be_left_and_rest_is_reachable(chart: Chart) -> None:
+    for state in chart.states:
+        assert any(at == state and to != state for (at, _), to in chart.targets.items())
+
+
+def test_the_cores_use_these_charts() -> None:
+    assert promotion.CHART is CHARTS[0]
+    assert detection.CHART is CHARTS[1]
+    assert promotion.Promotion("g", "i", ("a",), 0).stage == CHARTS[0].initial
--- /dev/null
+++ b/berylhinge/core/tests/test_group_view.py
@@ -0,0 +1,141 @@
+from __future__ import annotations
+
+import pytest
+
+from ...types import LogPoint
+from ..group_view import (
+    confirmed_point,
+    GroupView,
+    is_acknowledged,
+    is_superseded,
+    lag_of,
+    last_is_confirmed,
+    max_term,
+    new_view,
+    observe,
+    observe_answer,
+    Primary,
+    primary_of,
+    TERMS_KEPT,
+    write_target,
+)
+from .samples_group import answer, status
+
+Report = tuple[str, str, int, int, tuple[int, int]]
+
+
+def view_of(reports: list[Report], members: str = "abc") -> GroupView:
+    view = new_view("g", members)
+    for at, (name, role, term, log_term, last) in enumerate(reports):
+        told = status(name, role=role, term=term, log_term=log_term, last=last)
+        observe(view, name, told, float(at), float(at))
+    return view
+
+
+@pytest.mark.parametrize(
+    "reports,members,confirmed",
+    [
+        ([("a", "primary", 1, 1, (1, 5))], "abc", None),
+        (
+            [("a", "primary", 1, 1, (1, 5)), ("b", "replica", 1, 1, (1, 4))],
+            "abc",
+            (1, 4),
+        ),
+        (
+            [("b", "replica", 1, 1, (1, 4)), ("c", "replica", 1, 1, (1, 3))],
+            "abc",
+            (1, 3),
+        ),
+        (
+            [("a", "primary", 1, 1, (1, 5)), ("b", "replica", 2, 1, (1, 5))],
+            "abc",
+            None,
+        ),
+        (
+            [("a", "primary", 2, 2, (2, 5)), ("b", "replica", 2, 2, (1, 4))],
+            "abc",
+            None,
+        ),
+        (
+            [("a", "primary", 1, 1, (1, 5)), ("b", "replica", 1, 1, (1, 5))],
+            "abcde",
+            None,
+        ),
+        (
+            [
+                ("a", "primary", 1, 1, (1, 5)),
+                ("b", "replica", 1, 1, (1, 4)),
+                ("c", "replica", 1, 1, (1, 3)),
+            ],
+            "abcde",
+            (1, 3),
+        ),
+    ],
+)
+def test_what_a_majority_confirms(
+    reports: list[Report], members: str, confirmed: tuple[int, int] | None
+) -> None:
+    view = view_of(reports, members)
+    term = max_term(view) if confirmed is None else confirmed[0]
+    assert confirmed_point(view, term) == confirmed
+
+
+def test_a_replica_proves_what_its_primary_had_written() -> None:
+    view = view_of([("a", "primary", 1, 1, (1, 2)), ("b", "replica", 1, 1, (1, 9))])
+    assert is_acknowledged(view, 1, LogPoint(1, 9))
+    assert not is_acknowledged(view, 1, LogPoint(1, 10))
+    assert not is_acknowledged(view, 2, LogPoint(2, 3))
+
+
+def test_a_write_answer_counts_as_the_primary_report() -> None:
+    view = view_of([("b", "replica", 1, 1, (1, 2))])
+    observe_answer(view, "a", answer(1, 1, (1, 2)), 1.0, 1.0)
+    assert is_acknowledged(view, 1, LogPoint(1, 2))
+
+
+def test_the_primary_needs_its_own_entry_on_a_majority() -> None:
+    view = view_of([("b", "primary", 2, 2, (2, 3)), ("c", "replica", 2, 1, (1, 2))])
+    assert primary_of(view) is None
+    assert write_target(view) == Primary("b", 2, False)
+    observe(view, "c", status("c", term=2, log_term=2, last=(2, 3)), 5.0, 5.0)
+    assert primary_of(view) == write_target(view) == Primary("b", 2, True)
+
+
+def test_a_majority_of_a_newer_term_supersedes() -> None:
+    view = view_of([("a", "primary", 1, 1, (1, 2)), ("b", "replica", 1, 1, (1, 2))])
+    observe(view, "c", status("c", term=2), 5.0, 5.0)
+    assert primary_of(view) == Primary("a", 1, True)
+    observe(view, "b", status("b", term=2, last=(1, 2)), 6.0, 6.0)
+    assert is_superseded(view, 1)
+    assert primary_of(view) is write_target(view) is None
+
+
+def test_late_reports_move_nothing_back() -> None:
+    view = view_of([("b", "replica", 1, 1, (1, 9))])
+    observe(view, "b", status("b", last=(1, 4)), 9.0, 9.0)
+    reading = view.readings["b"]
+    assert (reading.last, reading.asked_at) == (LogPoint(1, 9), 9.0)
+
+
+def test_strangers_and_old_terms_are_dropped() -> None:
+    view = new_view("g", "abc")
+    observe(view, "z", status("z", role="primary"), 0.0, 0.0)
+    for term in range(1, 10):
+        told = status("a", role="primary", term=term, log_term=term, last=(term, term))
+        observe(view, "a", told, float(term), float(term))
+    assert set(view.readings) == {"a"}
+    assert len(view.evidence) == len(view.primaries) == TERMS_KEPT
+
+
+def test_lag_and_confirmed_logs() -> None:
+    view = view_of(
+        [
+            ("a", "primary", 1, 1, (1, 9)),
+            ("b", "replica", 1, 1, (1, 9)),
+            ("c", "replica", 1, 1, (1, 4)),
+        ]
+    )
+    assert lag_of(view, "c") == 5
+    assert last_is_confirmed(view, 1, LogPoint(1, 9))
+    assert not last_is_confirmed(view, 1, LogPoint(1, 10))
+    assert not last_is_confirmed(view, 2, LogPoint(1, 1))
--- /dev/null
+++ b/berylhinge/core/tests/test_outcomes.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import pytest
+
+from ...types import LogPoint
+from ..group_view import GroupView, new_view, observe
+from ..outcomes import outcome_by_entry, outcome_by_view, WriteOutcome
+from .samples_group import status
+
+WRITTEN = LogPoint(1, 5)
+
+
+def failed_over(*, confirmed: bool) -> GroupView:
+    view = new_view("g", "abc")
+    observe(view, "a", status("a", role="primary", last=(1, 5)), 0.0, 0.0)
+    lead = status("b", role="primary", term=2, log_term=2, last=(2, 6))
+    observe(view, "b", lead, 1.0, 1.0)
+    last = (2, 6) if confirmed else (1, 4)
+    log_term = 2 if confirmed else 1
+    observe(view, "c", status("c", term=2, log_term=log_term, last=last), 1.0, 1.0)
+    return view
+
+
+@pytest.mark.parametrize(
+    "confirmed,entry_term,log_term,last,expected",
+    [
+        (True, 1, 2, (2, 6), WriteOutcome.ACKNOWLEDGED),
+        (True, 2, 2, (2, 6), WriteOutcome.NOT_RUN),
+        (True, None, 2, (2, 4), WriteOutcome.NOT_RUN),
+        (True, None, 2, (1, 4), WriteOutcome.PENDING),
+        (True, 1, 1, (1, 5), WriteOutcome.PENDING),
+        (False, 2, 2, (2, 6), WriteOutcome.PENDING),
+        (False, 1, 2, (2, 6), WriteOutcome.PENDING),
+    ],
+)
+def test_a_newer_confirmed_log_decides(
+    confirmed: bool,
+    entry_term: int | None,
+    log_term: int,
+    last: tuple[int, int],
+    expected: WriteOutcome,
+) -> None:
+    told = status("b", term=2, log_term=log_term, last=last)
+    view = failed_over(confirmed=confirmed)
+    answer = {"entry_term": entry_term, "status": told}
+    assert outcome_by_entry(view, WRITTEN, answer) is expected  # type: ignore[arg-type]
+
+
+def test_a_majority_of_its_own_term_decides_without_a_question() -> None:
+    view = new_view("g", "abc")
+    observe(view, "a", status("a", role="primary", last=(1, 5)), 0.0, 0.0)
+    assert outcome_by_view(view, WRITTEN) is WriteOutcome.PENDING
+    observe(view, "c", status("c", last=(1, 5)), 0.0, 0.0)
+    assert outcome_by_view(view, WRITTEN) is WriteOutcome.ACKNOWLEDGED
--- /dev/null
+++ b/berylhinge/core/tests/test_reads.py
@@ -0,0 +1,173 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from ...errors import Refusal
+from ...reasons import RefusalReason, RetryReason
+from ...types import LogPoint
+from ..floors import advance_rounds, floor_for, floor_since, NO_ROUNDS, want_floor
+from ..group_view import GroupView, new_view, observe
+from ..read_choice import (
+    choose_read,
+    judge_read,
+    Need,
+    ReadAt,
+    REPLICA_WAIT_SECONDS,
+    RetryRead,
+    ReturnAnswer,
+    UpstreamLoad,
+    WaitForProof,
+    WaitForReplica,
+)
+from .samples_group import answer, status
+
+IDLE = UpstreamLoad("oslo-a", 0, 4, True)
+FULL = UpstreamLoad("oslo-a", 4, 4, True)
+AWAY = UpstreamLoad("bergen-a", 0, 4, True)
+DOWN = UpstreamLoad("oslo-a", 0, 4, False)
+NONE = UpstreamLoad("oslo-a", 0, 0, True)
+
+
+def group(lasts: dict[str, int], at: float = 1.0, size: str = "abc") -> GroupView:
+    view = new_view("g", size)
+    for name, position in lasts.items():
+        role = "primary" if name == "a" else "replica"
+        observe(view, name, status(name, role=role, last=(1, position)), at, at)
+    return view
+
+
+@pytest.mark.parametrize(
+    "lasts,floor",
+    [
+        ({"a": 9}, None),
+        ({"a": 9, "b": 7}, 9),
+        ({"b": 7, "c": 5}, 7),
+        ({"a": 9, "b": 7, "c": 5}, 7),
+    ],
+)
+def test_floor_bounds_what_a_majority_may_hold(
+    lasts: dict[str, int], floor: int | None
+) -> None:
+    point = floor_since(group(lasts), 1.0)
+    assert point == (None if floor is None else LogPoint(1, floor))
+
+
+def test_answers_to_older_questions_prove_nothing() -> None:
+    assert floor_since(group({"a": 9, "b": 7}, at=0.9), 1.0) is None
+
+
+def test_one_round_serves_all_that_wait_and_the_next_begins_after_it() -> None:
+    view = group({"a": 5, "b": 5, "c": 5}, at=0.0)
+    first = want_floor(NO_ROUNDS, 1.0, 1.0)
+    second = want_floor(first.rounds, 1.001, 1.001)
+    assert (first.ask, second.ask) == (True, False)
+    for name in "abc":
+        observe(view, name, status(name, last=(1, 6)), 1.0, 1.002)
+    ended = advance_rounds(second.rounds, view, 1.002)
+    assert ended.ask
+    assert floor_for(ended.rounds, view, 1.0) == LogPoint(1, 6)
+    assert floor_for(ended.rounds, view, 1.001) is None
+    assert floor_for(ended.rounds, view, 1.101, max_age_seconds=0.2) == LogPoint(1, 6)
+
+
+def test_an_unanswered_round_asks_again() -> None:
+    view = group({"a": 5}, at=0.0)
+    rounds = want_floor(NO_ROUNDS, 1.0, 1.0).rounds
+    asks = [advance_rounds(rounds, view, at).ask for at in (1.01, 1.04, 1.06)]
+    assert asks == [False, False, True]
+
+
+@pytest.mark.parametrize(
+    "lasts,loads,floor,chosen",
+    [
+        ({"a": 9, "b": 9, "c": 9}, {"b": AWAY}, 9, "c"),
+        ({"a": 9, "b": 9, "c": 8}, {}, 9, "b"),
+        ({"a": 9, "b": 9, "c": 8}, {"b": FULL}, 9, "a"),
+        ({"a": 9, "b": 9, "c": 8}, {"b": FULL, "a": FULL}, 9, "b"),
+        ({"a": 9, "b": 9, "c": 9}, {"b": DOWN, "c": NONE}, 9, "a"),
+        ({"a": 9, "b": 8, "c": 8}, {"b": DOWN, "c": DOWN}, 9, "a"),
+    ],
+)
+def test_where_a_read_goes(
+    lasts: dict[str, int], loads: dict[str, UpstreamLoad], floor: int, chosen: str
+) -> None:
+    view = group(lasts)
+    all_loads = {**dict.fromkeys("abc", IDLE), **loads}
+    assert choose(view, all_loads, floor, now=1.0) == ReadAt(chosen)
+
+
+def choose(
+    view: GroupView,
+    loads: dict[str, UpstreamLoad],
+    floor: int,
+    *,
+    now: float,
+    need: Need = Need.TOKEN,
+) -> object:
+    return choose_read(
+        view,
+        loads,
+        floor=LogPoint(1, floor),
+        need=need,
+        place="oslo-a",
+        asked_at=1.0,
+        now=now,
+        rng=Random(1),
+    )
+
+
+def test_a_read_waits_briefly_and_then_goes_to_the_primary() -> None:
+    view = group({"a": 9, "b": 8, "c": 8})
+    loads = dict.fromkeys("abc", IDLE)
+    until = 1.0 + REPLICA_WAIT_SECONDS
+    assert choose(view, loads, 9, now=1.0) == WaitForReplica(until)
+    assert choose(view, loads, 9, now=until) == ReadAt("a")
+
+
+@pytest.mark.parametrize(
+    "need,reason",
+    [
+        (Need.TOKEN, RefusalReason.SESSION_UNREACHABLE),
+        (Need.ROUND, RefusalReason.NO_PRIMARY),
+    ],
+)
+def test_a_read_that_nobody_can_serve_is_refused(
+    need: Need, reason: RefusalReason
+) -> None:
+    view = group({"b": 8})
+    choice = choose(view, dict.fromkeys("abc", IDLE), 9, now=2.0, need=need)
+    assert isinstance(choice, Refusal)
+    assert choice.reason is reason
+
+
+def test_a_leaving_replica_gets_no_reads() -> None:
+    view = group({"a": 9, "b": 9, "c": 9})
+    observe(view, "b", status("b", last=(1, 9), leaving=True), 2.0, 2.0)
+    assert choose(view, dict.fromkeys("abc", IDLE), 9, now=1.0) == ReadAt("c")
+
+
+@pytest.mark.parametrize(
+    "log_term,last,verdict",
+    [
+        (1, (1, 7), RetryRead(RetryReason.REPLICA_BEHIND)),
+        (1, (1, 8), ReturnAnswer(LogPoint(1, 8))),
+        (1, (1, 9), ReturnAnswer(LogPoint(1, 9))),
+        (1, (1, 10), WaitForProof(LogPoint(1, 10))),
+        (2, (2, 10), WaitForProof(LogPoint(2, 10))),
+    ],
+)
+def test_an_answer_shows_confirmed_data_alone(
+    log_term: int, last: tuple[int, int], verdict: object
+) -> None:
+    view = group({"a": 10, "b": 9, "c": 9})
+    assert judge_read(view, LogPoint(1, 8), answer(2, log_term, last)) == verdict
+
+
+def test_a_superseded_answer_is_dropped() -> None:
+    view = group({"a": 10, "b": 9})
+    for name in "bc":
+        observe(view, name, status(name, term=2, last=(1, 9)), 2.0, 2.0)
+    verdict = judge_read(view, LogPoint(1, 8), answer(1, 1, (1, 10)))
+    assert verdict == RetryRead(RetryReason.READ_UNCONFIRMED)
--- /dev/null
+++ b/berylhinge/core/tests/test_retries.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from ...types import Outcome
+from ..retries import (
+    BASE_DELAY_SECONDS,
+    BUDGET_SPENT,
+    DEADLINE_NEAR,
+    decide_retry,
+    DELAY_LIMIT_SECONDS,
+    earn,
+    FULL_BUDGET,
+    MAY_HAVE_RUN,
+    next_delay,
+    RetryAfter,
+    RetryBudget,
+    TOKENS_PER_REQUEST,
+)
+
+
+@pytest.mark.parametrize(
+    "outcome,idempotent,deadline,tokens,expected",
+    [
+        (Outcome.NOT_RUN, False, 9.0, 5.0, None),
+        (Outcome.NOT_RUN, True, 9.0, 5.0, None),
+        (Outcome.UNKNOWN, True, 9.0, 5.0, None),
+        (Outcome.UNKNOWN, False, 9.0, 5.0, MAY_HAVE_RUN),
+        (Outcome.NOT_RUN, False, 1.004, 5.0, DEADLINE_NEAR),
+        (Outcome.NOT_RUN, False, 0.5, 5.0, DEADLINE_NEAR),
+        (Outcome.NOT_RUN, False, 9.0, 0.9, BUDGET_SPENT),
+    ],
+)
+def test_when_a_statement_is_tried_again(
+    outcome: Outcome,
+    idempotent: bool,
+    deadline: float,
+    tokens: float,
+    expected: object,
+) -> None:
+    decision = decide_retry(
+        RetryBudget(tokens),
+        outcome=outcome,
+        idempotent=idempotent,
+        deadline=deadline,
+        expected_seconds=0.001,
+        previous_delay_seconds=0.0,
+        now=1.0,
+        rng=Random(1),
+    )
+    if expected is None:
+        assert isinstance(decision, RetryAfter)
+        assert decision.budget.tokens == tokens - 1.0
+    else:
+        assert decision == expected
+
+
+def test_retries_stay_within_their_ratio_of_requests() -> None:
+    budget, retried, requests = FULL_BUDGET, 0, 10_000
+    for _ in range(requests):
+        budget = earn(budget)
+        while budget.tokens >= 1.0:
+            budget = RetryBudget(budget.tokens - 1.0)
+            retried += 1
+    assert retried <= FULL_BUDGET.tokens + requests * TOKENS_PER_REQUEST
+
+
+def test_delays_grow_within_their_bounds_and_differ() -> None:
+    rng, delay, delays = Random(7), 0.0, []
+    for _ in range(200):
+        delay = next_delay(delay, rng)
+        delays.append(delay)
+    assert min(delays) >= BASE_DELAY_SECONDS
+    assert max(delays) <= DELAY_LIMIT_SECONDS
+    assert len(set(delays)) > len(delays) // 4
