Take a promoter's turn only while the loss is still reported

Cause: a promoter that waited for its turn fenced a new primary that was not yet confirmed, as under a replica lag of seconds; and a new primary that died before its confirmation was missed for a second. Change: a turn needs a loss reported within 0.25 s, and a loss of the new term ends the wait for confirmation.

--- a/berylhinge/core/promotion.py
+++ b/berylhinge/core/promotion.py
@@ -40,6 +40,7 @@
 GRANT_LINGER_SECONDS = 0.03
 CONFIRM_SECONDS = 1.0
 RETRY_JITTER_SECONDS = 0.1
+LOSS_FRESH_SECONDS = 0.25
 QUIESCE_SECONDS = 0.06
 HANDOVER_RETRY_SECONDS = 1.0
 
@@ -67,6 +68,7 @@
     cause: str = ""
     seen_term: Term = 0
     lost_term: Term = 0
+    lost_at: Seconds = 0.0
     awaited_term: Term = 0
     term: Term = 0
     due_at: Seconds = 0.0
@@ -104,6 +106,9 @@
     state = _see(state, event.term)
     if event.suspect is not None:
         state = state._replace(suspects=state.suspects | {event.suspect})
+    if state.stage == "confirming" and event.term < state.term:
+        return state, ()
+    state = state._replace(lost_at=now)
     if not _handles(state, "primary-lost"):
         return state, ()
     state = _go(state, "primary-lost")._replace(
@@ -193,6 +198,8 @@
 
 
 def _take_turn(state: Promotion, now: Seconds) -> Step:
+    if state.stage == "waiting" and now - state.lost_at > LOSS_FRESH_SECONDS:
+        return _rest(_go(state, "loss-withdrawn")), ()
     if state.seen_term > state.awaited_term:
         return _await_turn(state, now + STAGGER_SECONDS * (state.rank + 1)), ()
     if state.stage == "waiting":
@@ -315,6 +322,7 @@
     state = _go(state, "attempt-failed")._replace(cause=cause, linger_until=None)
     if state.stage == "handover-waiting":
         return _await_turn(state, now + HANDOVER_RETRY_SECONDS), ()
+    state = state._replace(lost_at=now)
     jitter = rng.uniform(0.0, RETRY_JITTER_SECONDS)
     return _await_turn(state, now + STAGGER_SECONDS * state.rank + jitter), ()
 
--- a/properties/group_walk.py
+++ b/properties/group_walk.py
@@ -35,6 +35,7 @@
 DECIDED = "every write and read is decided"
 HEAL_ROUNDS = 30
 HEAL_MESSAGES = 1000
+HEAL_LEAP_ROUNDS = 5
 HEAL_APPEND_LIMIT = 100
 
 
@@ -169,8 +170,10 @@
     first = world.instances[0]
     lead = group_view.primary_of(first.view)
     if lead is None or not leads(world, lead):
-        world.suspect(first)
-        world.leap(first)
+        if first.promotion.stage in ("idle", "waiting"):
+            world.suspect(first)
+        if first.promotion.stage == "waiting" or world.steps % HEAL_LEAP_ROUNDS == 0:
+            world.leap(first)
     for own in world.instances:
         world.ask_all(own)
         world.ask_entries(own)
--- /dev/null
+++ b/properties/test_handover.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from berylhinge.core import promotion
+from berylhinge.core.promotion_messages import (
+    AskStatus,
+    FenceAnswered,
+    FenceMembers,
+    PrimaryLeaving,
+    PromoteMember,
+    QuiesceMember,
+    StatusSeen,
+    Tick,
+)
+from berylhinge.core.tests.samples_group import status
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylhinge.core.promotion_messages import Event
+    from berylhinge.wire.upstream import UpstreamStatus
+
+MEMBERS = ("a", "b", "c")
+LINK_SECONDS = 0.001
+LAG_SECONDS = 0.003
+TICK_SECONDS = 0.02
+GAP_SECONDS = 0.1
+HORIZON_SECONDS = 2.0
+
+
+class Handover:
+    """Own a leaving primary, two replicas that lag and one promoter."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = count()
+        self.lags = {name: self.rng.expovariate(1 / LAG_SECONDS) for name in MEMBERS}
+        self.quiesced_at: float | None = None
+        self.promoted: tuple[float, str] | None = None
+        self.state = promotion.Promotion("g", "i#1", MEMBERS, 0)
+
+    def send(self, action: Callable[[], None]) -> None:
+        due = self.now + LINK_SECONDS * self.rng.uniform(1.0, 1.5)
+        heappush(self.queue, (due, next(self.numbers), action))
+
+    def drive(self, event: Event) -> None:
+        self.state, effects = promotion.step(self.state, event, self.now, self.rng)
+        for effect in effects:
+            if isinstance(effect, QuiesceMember):
+                self.send(self.quiesce)
+            elif isinstance(effect, AskStatus):
+                for name in effect.upstreams:
+                    self.send(lambda name=name: self.report(name))
+            elif isinstance(effect, FenceMembers):
+                for name in effect.upstreams:
+                    self.send(lambda name=name, term=effect.term: self.vote(name, term))
+            elif isinstance(effect, PromoteMember):
+                self.send(lambda name=effect.upstream: self.lead(name))
+
+    def quiesce(self) -> None:
+        if self.quiesced_at is None:
+            self.quiesced_at = self.now
+
+    def status(self, name: str, term: int = 1) -> UpstreamStatus:
+        since = self.quiesced_at
+        if name == "a":
+            quiesced = since is not None
+            fields = {"role": "primary", "leaving": True, "quiesced": quiesced}
+            return status(name, term=term, last=(1, 10), **fields)
+        arrived = since is not None and self.now >= since + self.lags[name]
+        return status(name, term=term, last=(1, 10 if arrived else 9))
+
+    def report(self, name: str) -> None:
+        told = self.status(name)
+        self.send(lambda: self.drive(StatusSeen(name, told)))
+
+    def vote(self, name: str, term: int) -> None:
+        told = self.status(name, term)
+        self.send(lambda: self.drive(FenceAnswered(name, term, True, told)))
+
+    def lead(self, name: str) -> None:
+        if self.promoted is None:
+            self.promoted = (self.now, name)
+
+    def run(self) -> Handover:
+        self.drive(PrimaryLeaving(1, "a"))
+        tick = 0.0
+        while self.promoted is None and tick < HORIZON_SECONDS:
+            if self.queue and self.queue[0][0] <= tick:
+                self.now, _, action = heappop(self.queue)
+                action()
+            else:
+                self.now = tick
+                self.drive(Tick(3))
+                tick += TICK_SECONDS
+        return self
+
+
+@pytest.mark.parametrize("first", range(0, 200, 50))
+def test_a_handover_stops_writes_for_less_than_the_bound(first: int) -> None:
+    for seed in range(first, first + 50):
+        run = Handover(seed).run()
+        assert run.promoted is not None
+        assert run.quiesced_at is not None
+        promoted_at, name = run.promoted
+        assert promoted_at - run.quiesced_at < GAP_SECONDS
+        assert name != "a"
