--- a/berylhinge/tasks/configuration.py
+++ b/berylhinge/tasks/configuration.py
@@ -15,6 +15,7 @@
 from ..core.freshness import (
     check_fresh,
     new_freshness,
+    proven_at,
     store_confirmed,
     voucher_confirmed,
 )
@@ -45,6 +46,8 @@
 TICK_SECONDS = 0.1
 PROOF_SECONDS = 0.8
 PROOF_WAIT_SECONDS = 0.5
+STORE_PROOF_SECONDS = 1.2
+PROOF_MARGIN_SECONDS = 1.2
 PULL_TIMEOUT_SECONDS = 0.5
 LONE_WATCH_SECONDS = 1.0
 
@@ -113,6 +116,7 @@
         self.revision = 0
         self.rng = random.Random(f"configuration/{me}/{time.monotonic_ns()}")
         self.proven = Broadcast()
+        self.proving = False
         self.greenlets: list[gevent.Greenlet] = []
         links.register(VersionNews, self.on_news)
         links.register(ProofRequest, self.on_proof_request)
@@ -124,7 +128,7 @@
         """Tick in the background."""
         self.greenlets = [
             spawn_loop(self.tick, lambda: TICK_SECONDS, self.log),
-            spawn_loop(self.ask_proofs, self.proof_pause, self.log),
+            spawn_loop(self.ask_if_running_out, self.proof_pause, self.log),
         ]
 
     def stop(self) -> None:
@@ -148,6 +152,7 @@
         if self.is_fresh():
             return True
         self.ask_proofs()
+        self.prove_by_store()
         deadline = time.monotonic() + PROOF_WAIT_SECONDS
         while not self.is_fresh():
             remaining = deadline - time.monotonic()
@@ -160,6 +165,10 @@
         if peers != self.state.peers:
             self.step(adoption.PeersChanged(peers))
 
+    def hear(self, peer: InstanceId, version: int) -> None:
+        """Take a version that a peer said it holds."""
+        self.step(adoption.VersionHeard(peer, version))
+
     def withdraw(self, keys: tuple[KeyId, ...]) -> None:
         """Withdraw keys at once, ahead of the store."""
         self.step(adoption.KeysWithdrawn(keys))
@@ -172,11 +181,51 @@
         """Return the time between two proofs."""
         return PROOF_SECONDS * self.rng.uniform(0.8, 1.0)
 
+    def ask_if_running_out(self) -> None:
+        """Ask for proofs where those that ride on vouching do not suffice."""
+        proof = check_fresh(
+            self.freshness, self.version, self.vouchers(), time.monotonic()
+        )
+        if not isinstance(proof, Success) or (
+            proof.unwrap() - time.monotonic() < PROOF_MARGIN_SECONDS
+        ):
+            self.ask_proofs()
+
+    def news(self) -> tuple[int, tuple[KeyId, ...]]:
+        """Return the version in force and keys withdrawn ahead of the store."""
+        return self.version, tuple(sorted(self.state.withdrawals))
+
     def ask_proofs(self) -> None:
         """Ask the vouchers whether they know a newer version."""
         request = ProofRequest(self.version, time.monotonic())
         for voucher in self.vouchers():
             self.links.send(voucher, request)
+        if self.unproven_seconds() > STORE_PROOF_SECONDS:
+            self.prove_by_store()
+
+    def unproven_seconds(self) -> float:
+        """Return how long ago the version in force was last proven current."""
+        newest = proven_at(self.freshness, self.version, self.vouchers())
+        return time.monotonic() - newest
+
+    def prove_by_store(self) -> None:
+        """Read the store beside any watch when the vouchers do not answer."""
+        if not self.proving:
+            self.proving = True
+            gevent.spawn(self.read_proof)
+
+    def read_proof(self) -> None:
+        """Take the store's word, from the moment the read was sent."""
+        sent_at = time.monotonic()
+        try:
+            configuration = self.read_store(0.0)
+        finally:
+            self.proving = False
+        if configuration is None:
+            return
+        self.freshness = store_confirmed(self.freshness, configuration.version, sent_at)
+        self.step(adoption.PeerSent(self.state.me, configuration))
+        self.proven.notify()
 
     def step(self, event: adoption.AdoptionEvent) -> None:
         """Step the core and carry out what it wants."""
@@ -314,19 +363,25 @@
 
     def on_proof_request(self, sender: InstanceId, message: ProofRequest) -> None:
         """Answer with the version known here, and learn of a newer one."""
-        withdrawals = tuple(sorted(self.state.withdrawals))
-        answer = ProofAnswer(self.version, message.sent_at, withdrawals)
+        version, withdrawals = self.news()
+        answer = ProofAnswer(version, message.sent_at, withdrawals)
         self.links.send(sender, answer)
         if message.version > self.version:
             self.step(adoption.VersionHeard(sender, message.version))
 
     def on_proof(self, sender: InstanceId, message: ProofAnswer) -> None:
+        """Take a voucher's answer."""
+        self.take_proof(sender, message.version, message.withdrawals, message.sent_at)
+
+    def take_proof(
+        self,
+        voucher: InstanceId,
+        version: int,
+        withdrawals: tuple[KeyId, ...],
+        sent_at: float,
+    ) -> None:
         """Count a voucher's answer from the moment its request was sent."""
-        self.freshness = voucher_confirmed(
-            self.freshness, sender, message.version, message.sent_at
-        )
+        self.freshness = voucher_confirmed(self.freshness, voucher, version, sent_at)
         self.proven.notify()
-        if message.version > self.version or message.withdrawals:
-            self.step(
-                adoption.VersionHeard(sender, message.version, message.withdrawals)
-            )
+        if version > self.version or withdrawals:
+            self.step(adoption.VersionHeard(voucher, version, withdrawals))
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -12,7 +12,7 @@
 
 from ..core import capacity, minting, rates
 from ..core.buckets import Terms
-from ..core.connections import serving_instances
+from ..core.connections import forward_targets, serving_instances
 from ..core.minting import Settle
 from ..core.permits import (
     Adopted,
@@ -26,9 +26,18 @@
     Withdrawn,
 )
 from ..core.rates import Admitted, Refused, Wait
-from ..core.roster import Member, proposal_delay, propose, Roster, ROSTER_KEY, settle
+from ..core.roster import (
+    Member,
+    proposal_delay,
+    propose,
+    Roster,
+    ROSTER_KEY,
+    settle,
+    vouchers,
+)
 from ..errors import refuse, RefusedError
 from ..reasons import RefusalReason
+from ..types import KeyId
 from .links import PeerLost
 from .loops import spawn_loop
 
@@ -44,12 +53,10 @@
 TICK_SECONDS = 0.1
 ROSTER_TIMEOUT_SECONDS = 1.0
 PROPOSE_PAUSE_SECONDS = 0.5
-ABSENT_SECONDS = 3.0
 RENEW_WAIT_SECONDS = 0.5
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
     VouchRequest,
-    VouchAnswer,
     rates.Ask,
     rates.Give,
     rates.Taken,
@@ -71,6 +78,14 @@
     roster: Roster
 
 
+class ProvenAnswer(NamedTuple):
+    """Vouch, and tell the voucher's configuration on the same message."""
+
+    answer: VouchAnswer
+    version: int
+    withdrawals: tuple[KeyId, ...]
+
+
 class FleetTask:
     """Own the capacity state: roster, permit, units and minting."""
 
@@ -81,7 +96,11 @@
         links: Links,
         platform: PlatformClient,
         live: Callable[[], frozenset[Member]],
+        present: Callable[[], frozenset[Member]],
+        is_suspect: Callable[[InstanceId], bool],
         serving_count: int,
+        news: Callable[[], tuple[int, tuple[KeyId, ...]]],
+        on_proof: Callable[[InstanceId, int, tuple[KeyId, ...], float], None],
         log: Log,
     ) -> None:
         """Start without units and without a permit."""
@@ -89,15 +108,21 @@
         self.links = links
         self.platform = platform
         self.live = live
+        self.present = present
+        self.is_suspect = is_suspect
         self.serving_count = serving_count
+        self.news = news
+        self.on_proof = on_proof
+        self.vouching: tuple[InstanceId, ...] = ()
+        self.vouched_for: tuple[Member, ...] = ()
         self.log = log
         self.state = capacity.new_capacity(me)
         self.rng = random.Random(f"{me.instance}/{me.incarnation}")
         self.resigned: frozenset[Member] = frozenset()
-        self.absent_since: dict[Member, float] = {}
         self.greenlets: list[gevent.Greenlet] = []
         for kind in CAPACITY_MESSAGES:
             links.register(kind, self.on_message)
+        links.register(ProvenAnswer, self.on_proven)
         links.register(RosterAnswer)
         links.register_call(RosterRequest, self.on_roster_request)
 
@@ -162,10 +187,31 @@
         live = sorted(member.instance for member in self.live())
         return tuple(serving_instances(live, group, self.serving_count))
 
+    def targets(self, group: GroupId) -> tuple[InstanceId, ...]:
+        """Return whom to forward to, suspects last."""
+        live = sorted(member.instance for member in self.live())
+        found = forward_targets(live, group, self.me.instance, self.serving_count)
+        return tuple(sorted(found, key=self.is_suspect))
+
     def on_message(self, sender: InstanceId, message: Any) -> None:
         """Take one message of the capacity protocol."""
         self.step(message)
 
+    def on_proven(self, sender: InstanceId, message: ProvenAnswer) -> None:
+        """Take a voucher's answer, and its version as of when it was asked."""
+        sent_at = self.state.permit.sent.get(message.answer.sequence)
+        self.step(message.answer)
+        if sent_at is not None:
+            self.on_proof(sender, message.version, message.withdrawals, sent_at)
+
+    def voucher_names(self) -> tuple[InstanceId, ...]:
+        """Return the instances that vouch for this one."""
+        members = self.state.permit.roster.members
+        if members is not self.vouched_for:
+            self.vouched_for = members
+            self.vouching = tuple(one.instance for one in vouchers(members, self.me))
+        return self.vouching
+
     def step(self, event: Any) -> None:
         """Step the core and carry out what it wants."""
         self.state, effects = capacity.step(
@@ -190,6 +236,8 @@
         """Send a message, or take it directly when it is to this instance."""
         if to == self.me:
             gevent.spawn(self.step, message)
+        elif isinstance(message, VouchAnswer):
+            self.links.send(to.instance, ProvenAnswer(message, *self.news()))
         else:
             self.links.send(to.instance, message)
 
@@ -270,27 +318,7 @@
 
     def wanted(self, roster: Roster) -> Roster | None:
         """Return the roster that the live instances call for, none if no other."""
-        live = self.live()
-        if self.me not in live and self.me not in self.resigned:
-            return None
-        present = live | self.lately_absent(roster, live)
-        return propose(roster, present, resigned=self.resigned)
-
-    def lately_absent(
-        self, roster: Roster, live: frozenset[Member]
-    ) -> frozenset[Member]:
-        """Return members missing from the lagging list for too short a time."""
-        now = time.monotonic()
-        missing = frozenset(roster.members) - live - self.resigned
-        self.absent_since = {
-            member: self.absent_since.get(member, now) for member in missing
-        }
-        restarted = {member.instance for member in live}
-        return frozenset(
-            member
-            for member, since in self.absent_since.items()
-            if now - since < ABSENT_SECONDS and member.instance not in restarted
-        )
+        return propose(roster, self.present(), resigned=self.resigned)
 
     def propose_roster(self) -> None:
         """Swap a new roster in from the store's newest one."""
--- /dev/null
+++ b/berylhinge/tasks/members.py
@@ -0,0 +1,164 @@
+"""Probe the other instances and keep who is alive."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple, TYPE_CHECKING
+
+from ..core import membership
+from ..core.roster import Member
+from ..core.standings import Changed, new_membership, Send, Superseded, VersionSeen
+from ..wire.membership import MembershipMessage, Status, Update
+from .links import Peer
+from .loops import spawn_loop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import gevent
+
+    from ..types import InstanceId
+    from ..wire.platform import InstanceRecord
+    from .http import Address
+    from .logs import Log
+    from .probes import ProbeSocket
+
+TICK_SECONDS = 0.1
+LISTED_STATUS = {"live": Status.ALIVE, "leaving": Status.LEAVING}
+SERVING = (Status.ALIVE, Status.SUSPECT)
+PRESENT = (*SERVING, Status.LEAVING)
+
+
+class MembershipCallbacks(NamedTuple):
+    """Say whom to tell of changes."""
+
+    on_change: Callable[[], None]
+    on_version: Callable[[InstanceId, int], None]
+    on_superseded: Callable[[], None]
+
+
+class MembershipTask:
+    """Own the membership state."""
+
+    def __init__(
+        self,
+        me: Member,
+        *,
+        address: Address,
+        probes: ProbeSocket,
+        version: Callable[[], int],
+        callbacks: MembershipCallbacks,
+        log: Log,
+    ) -> None:
+        """Start alone."""
+        self.me = me
+        self.probes = probes
+        self.version = version
+        self.callbacks = callbacks
+        self.log = log
+        self.state = new_membership(me.instance, str(address), me.incarnation)
+        self.rng = random.Random(f"members/{me.instance}/{me.incarnation}")
+        self.ticker: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Probe and answer in the background."""
+        self.probes.start(self.on_message)
+        self.ticker = spawn_loop(self.tick, lambda: TICK_SECONDS, self.log)
+
+    def stop(self) -> None:
+        """End the probes."""
+        if self.ticker is not None:
+            self.ticker.kill()
+        self.probes.stop()
+
+    def advertise(self, peer: str) -> None:
+        """Tell the address that others use from now on."""
+        self.state = self.state._replace(me=self.state.me._replace(peer=peer))
+
+    def members(self) -> frozenset[Member]:
+        """Return the instances that serve, this one included unless it leaves."""
+        return self.having(SERVING)
+
+    def present(self) -> frozenset[Member]:
+        """Return the instances that run, leaving ones included."""
+        return self.having(PRESENT)
+
+    def having(self, statuses: tuple[Status, ...]) -> frozenset[Member]:
+        """Return the instances with one of the statuses."""
+        updates = [self.state.me, *self.state.members.values()]
+        return frozenset(
+            Member(update.instance, update.incarnation)
+            for update in updates
+            if update.status in statuses
+        )
+
+    def is_suspect(self, instance: InstanceId) -> bool:
+        """Tell whether an instance did not answer its last probe."""
+        known = self.state.members.get(instance)
+        return known is not None and known.status is Status.SUSPECT
+
+    def peers(self) -> dict[InstanceId, Peer]:
+        """Return where the other instances listen, leaving ones included."""
+        return {
+            name: Peer(update.peer, update.incarnation)
+            for name, update in self.state.members.items()
+            if update.status is not Status.DEAD
+        }
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self.state = self.state._replace(version=self.version())
+        self.step(membership.Tick())
+
+    def leave(self) -> None:
+        """Tell everyone that this instance is leaving."""
+        self.step(membership.Leave())
+
+    def take_list(self, records: list[InstanceRecord]) -> None:
+        """Take the platform's lagging list."""
+        updates = tuple(
+            Update(
+                record["instance"],
+                record["peer"],
+                record["incarnation"],
+                0,
+                LISTED_STATUS[record["state"]],
+            )
+            for record in records
+            if record["instance"] != self.me.instance
+        )
+        self.step(membership.Listed(updates))
+
+    def on_message(self, sender: InstanceId, message: MembershipMessage) -> None:
+        """Take a probe, its answer or a request for one."""
+        self.step(membership.Received(sender, message))
+
+    def step(self, event: membership.MembershipEvent) -> None:
+        """Step the core and carry out what it wants."""
+        self.state, effects = membership.step(
+            event, self.state, time.monotonic(), self.rng
+        )
+        changed = False
+        for effect in effects:
+            match effect:
+                case Send(to, peer, message):
+                    incarnation = self.state.members[to].incarnation
+                    self.probes.send(Member(to, incarnation), peer, message)
+                case VersionSeen(peer, version):
+                    self.callbacks.on_version(peer, version)
+                case Changed(update):
+                    changed = True
+                    self.note(update)
+                case Superseded(_):
+                    self.callbacks.on_superseded()
+        if changed:
+            self.callbacks.on_change()
+
+    def note(self, update: Update) -> None:
+        """Log a member's new standing."""
+        self.log.info(
+            f"A member is {update.status.name.lower()}.",
+            member=update.instance,
+            incarnation=update.incarnation,
+        )
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -2,44 +2,37 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import Any, TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
 
-from ..core.connections import connection_allowance
-from ..core.envelopes import new_envelopes
 from ..core.requests import Timeouts
-from ..core.roster import Member, vouchers
-from ..settings import reveal_secrets
+from ..core.roster import Member
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
-from ..wire.peers import ReachReport
 from . import shutdown
 from .callers import CallersApp
 from .configuration import ConfigurationTask
 from .dispatch import Dispatcher
-from .execution import Executor
 from .fleet import FleetTask
-from .group import GroupOptions, GroupTask
+from .groups import Groups, GroupsOptions
 from .http import parse_address, server_address, start_server
-from .links import Links
 from .live import LiveList
 from .logs import Log
+from .members import MembershipCallbacks, MembershipTask
 from .metrics import Metrics
 from .operators import OperatorsApp
+from .peering import open_peers
 from .platform import PlatformClient
 from .tls import callers_context, TlsReloader, upstream_context
 from .transactions import Transactions
 
 if TYPE_CHECKING:
     from ..core.configuration import Configuration
-    from ..core.declarations import Upstream
     from ..core.index import DeclarationIndex
     from ..errors import FieldError
     from ..settings import Settings
-    from ..types import GroupId, InstanceId
     from ..wire.platform import InstanceRecord
 
 LAG_SAMPLE_SECONDS = 0.05
@@ -57,7 +50,6 @@
         self.metrics = Metrics()
         self.log = Log("proxy", settings.instance)
         self.index: DeclarationIndex | None = None
-        self.groups: dict[GroupId, GroupTask] = {}
         self.hub_lag = 0.0
         self.stopping = Event()
         self.reloader: TlsReloader | None = None
@@ -67,16 +59,10 @@
             timeout_seconds=settings.limits.store_seconds,
             on_call=lambda result: self.metrics.count("store_calls_total", result),
         )
-        secrets = reveal_secrets(settings)
-        self.links = Links(
-            parse_address(settings.peers),
-            envelopes=new_envelopes(settings.instance, incarnation, secrets),
-            on_count=self.metrics.count_peer,
-        )
+        self.links, self.probes = open_peers(settings, self.me, self.metrics.count_peer)
         self.transactions = Transactions(
             settings.instance, limit_seconds=settings.limits.transaction_seconds
         )
-        self.links.register(ReachReport, self.on_reach)
         self.build_tasks()
         self.open_listeners()
         self.take_bound_addresses()
@@ -84,31 +70,59 @@
     def build_tasks(self) -> None:
         """Create the tasks that share this instance's links and platform."""
         settings = self.settings
+        self.members = MembershipTask(
+            self.me,
+            address=self.links.address,
+            probes=self.probes,
+            version=lambda: self.configuration.version,
+            callbacks=MembershipCallbacks(
+                on_change=self.on_live,
+                on_version=lambda *heard: self.configuration.hear(*heard),
+                on_superseded=self.on_superseded,
+            ),
+            log=Log("members", settings.instance),
+        )
         self.live = LiveList(
             self.record(),
             self.platform,
-            on_change=self.on_live,
+            on_list=self.members.take_list,
             log=Log("live", settings.instance),
         )
         self.fleet = FleetTask(
             self.me,
             links=self.links,
             platform=self.platform,
-            live=self.live.members,
+            live=self.members.members,
+            present=self.members.present,
+            is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
+            news=lambda: self.configuration.news(),
+            on_proof=lambda *proof: self.configuration.take_proof(*proof),
             log=Log("fleet", settings.instance),
         )
         self.configuration = ConfigurationTask(
             settings.instance,
             links=self.links,
             platform=self.platform,
-            vouchers=self.voucher_names,
+            vouchers=self.fleet.voucher_names,
             on_adopt=self.on_adopt,
             log=Log("configuration", settings.instance),
         )
+        self.groups = Groups(
+            GroupsOptions(
+                me=self.me,
+                settings=settings,
+                serving=self.fleet.serving,
+                links=self.links,
+                transactions=self.transactions,
+                metrics=self.metrics,
+                ssl_context=self.upstream_context,
+            )
+        )
         self.dispatcher = Dispatcher(
             settings.instance,
             fleet=self.fleet,
+            executors=self.groups.executors,
             prove_keys=self.configuration.await_fresh,
             links=self.links,
             transactions=self.transactions,
@@ -168,11 +182,13 @@
         record["peer"] = settings.advertised_peers or str(self.links.address)
         record["callers"] = settings.advertised_callers or callers
         record["operators"] = settings.advertised_operators or operators
+        self.members.advertise(record["peer"])
 
     def start(self) -> None:
         """Start every task."""
         self.links.start()
         self.transactions.start()
+        self.members.start()
         self.live.start()
         self.fleet.start()
         self.configuration.start()
@@ -195,126 +211,38 @@
         self.configuration.stop()
         self.fleet.stop()
         self.live.stop()
+        self.members.stop()
         self.transactions.stop()
-        for group in self.groups.values():
-            group.stop()
+        self.groups.stop()
         self.links.stop()
         self.platform.close()
 
-    def voucher_names(self) -> tuple[InstanceId, ...]:
-        """Return the instances that vouch for this one."""
-        members = self.fleet.state.permit.roster.members
-        return tuple(member.instance for member in vouchers(members, self.me))
-
     def on_live(self) -> None:
         """Follow a changed list of instances."""
-        peers = self.live.peers()
+        peers = self.members.peers()
         self.links.set_peers(peers)
         self.configuration.set_peers(tuple(sorted(peers)))
-        self.serve_groups()
+        self.groups.serve_all()
+
+    def on_superseded(self) -> None:
+        """Stop: a newer start of this instance runs elsewhere."""
+        self.log.info("Another process runs as this instance; stopping.")
+        self.stopping.set()
 
     def on_adopt(self, configuration: Configuration, index: DeclarationIndex) -> None:
         """Put a configuration in force on every task."""
         self.index = index
         self.dispatcher.index = index
+        self.groups.index = index
         self.fleet.configure(index)
         self.transactions.abandon_keys(self.is_withdrawn)
-        self.serve_groups()
+        self.groups.serve_all()
 
     def is_withdrawn(self, key: str) -> bool:
         """Tell whether a key no longer works."""
         known = self.index.keys.get(key) if self.index else None
         return bool(key) and (known is None or known.withdrawn)
 
-    def serve_groups(self) -> None:
-        """Start and stop group tasks as rendezvous hashing says."""
-        if self.index is None:
-            return
-        wanted = {}
-        for group, upstreams in self.index.members.items():
-            serving = self.fleet.serving(group)
-            if self.settings.instance in serving and upstreams:
-                wanted[group] = (serving.index(self.settings.instance), len(serving))
-        for group in list(self.groups):
-            if group not in wanted:
-                self.stop_group(group)
-        for group, (rank, count) in wanted.items():
-            self.serve_group(group, self.index.members[group], rank, count)
-
-    def serve_group(
-        self,
-        group: GroupId,
-        upstreams: tuple[Upstream, ...],
-        rank: int,
-        count: int,
-    ) -> None:
-        """Start a group's task, or adjust a running one."""
-        allowances = {
-            upstream["id"]: connection_allowance(upstream["connections"], count, rank)
-            for upstream in upstreams
-        }
-        running = self.groups.get(group)
-        if running is not None and running.serves(upstreams):
-            running.adjust(rank, allowances)
-            return
-        if running is not None:
-            self.stop_group(group)
-        options = GroupOptions(
-            instance=self.settings.instance,
-            promoter=f"{self.settings.instance}#{self.incarnation}",
-            place=self.settings.place,
-            rank=rank,
-            allowances=allowances,
-            queue=self.settings.limits.queue,
-            connect_seconds=self.settings.limits.connect_seconds,
-            ssl_context=self.upstream_context,
-            weights=self.weights(),
-        )
-        task = GroupTask(
-            group,
-            upstreams,
-            options,
-            live_peers=lambda: self.serving_peers(group),
-            send=self.links.send,
-            metrics=self.metrics,
-            log=Log("group", self.settings.instance),
-        )
-        task.start()
-        self.groups[group] = task
-        rng = random.Random(f"{self.me}/{group}")
-        self.dispatcher.executors[group] = Executor(task, self.metrics, rng)
-
-    def weights(self) -> dict[str, float]:
-        """Return the organisations' weights."""
-        organisations = self.index.organisations if self.index else {}
-        return {name: one.get("weight", 1.0) for name, one in organisations.items()}
-
-    def on_reach(self, sender: InstanceId, message: ReachReport) -> None:
-        """Hand a peer's evidence to the group's task."""
-        if message.group in self.groups:
-            self.groups[message.group].on_report(sender, message)
-
-    def stop_group(self, group: GroupId) -> None:
-        """Give a group to others and let what runs here end."""
-        executor = self.dispatcher.executors.pop(group)
-        gevent.spawn(self.retire, self.groups.pop(group), executor)
-
-    def retire(self, task: GroupTask, executor: Executor) -> None:
-        """Stop a group's task once nothing runs on it, or at the limit."""
-        ends_at = time.monotonic() + self.settings.limits.transaction_seconds
-        while time.monotonic() < ends_at and self.is_busy(executor):
-            task.close_idle()
-            gevent.sleep(RETIRE_PAUSE_SECONDS)
-        task.stop()
-
-    def is_busy(self, executor: Executor) -> bool:
-        """Tell whether statements or transactions still use a group here."""
-        return executor.active > 0 or self.transactions.count(executor) > 0
-
-    def serving_peers(self, group: GroupId) -> frozenset[InstanceId]:
-        """Return the other live instances that serve a group."""
-        return frozenset(self.fleet.serving(group)) - {self.settings.instance}
-
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
         if self.index is None or self.callers_app.leaving:
@@ -353,7 +281,7 @@
         gauge = self.metrics.gauge
         gauge("configuration_version", self.configuration.version)
         gauge("hub_lag_seconds", self.hub_lag)
-        for name, group in self.groups.items():
+        for name, group in self.groups.tasks.items():
             report = group.report()
             gauge("group_term", report["term"], group=name)
             for upstream, member in report["members"].items():
@@ -377,7 +305,9 @@
             "config_version": self.configuration.version,
             "roster_epoch": self.fleet.state.permit.roster.epoch,
             "keys_proven": self.configuration.is_fresh(),
-            "groups": {name: group.report() for name, group in self.groups.items()},
+            "groups": {
+                name: group.report() for name, group in self.groups.tasks.items()
+            },
             "shares": {
                 name: {"units": bucket.units, "tokens": bucket.tokens}
                 for name, bucket in self.fleet.state.rates.buckets.items()
