Drop connections that the platform closed while they were idle

Cause: after an outage the first swap went out on a connection that the service had closed meanwhile, and its outcome was unknown although it could have been known.

Change: an idle connection on which anything came is closed instead of used.

--- a/berylhinge/tasks/platform.py
+++ b/berylhinge/tasks/platform.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import msgspec
+from gevent.select import select
 from returns.result import Failure, Result, Success
 
 from ..wire.platform import (
@@ -188,7 +189,7 @@
     ) -> Result[Any, StoreError]:
         """Make one call at one address."""
         idle = self.idle.setdefault(address, [])
-        connection = idle.pop() if idle else Connection(address, headers={})
+        connection = self.take_connection(address)
         try:
             if not connection.is_open:
                 connection.open(min(wait, self.timeout_seconds))
@@ -204,6 +205,16 @@
                 connection.close()
         return decode_reply(address, reply, kind)
 
+    def take_connection(self, address: Address) -> Connection:
+        """Return an idle connection that the service has not closed, or a new one."""
+        idle = self.idle[address]
+        while idle:
+            connection = idle.pop()
+            if is_quiet(connection):
+                return connection
+            connection.close()
+        return Connection(address, headers={})
+
     def close(self) -> None:
         """Close every idle connection."""
         for idle in self.idle.values():
@@ -211,6 +222,12 @@
                 idle.pop().close()
 
 
+def is_quiet(connection: Connection) -> bool:
+    """Tell whether an idle connection is open and nothing came on it meanwhile."""
+    readable, _, _ = select([connection.sock], [], [], 0)
+    return not readable
+
+
 def decode_reply(address: Address, reply: Reply, kind: Any) -> Result[Any, StoreError]:
     """Decode an answer or tell why it is none."""
     if reply.status in OVERLOADED_STATUSES:
--- a/berylhinge/tasks/tests/test_platform.py
+++ b/berylhinge/tasks/tests/test_platform.py
@@ -117,6 +117,23 @@
     other.server.stop()
 
 
+def test_a_connection_that_the_service_closed_is_not_used() -> None:
+    first = FakePlatform()
+    client, counted = client_of(first.address)
+    assert swap(client).unwrap()["swapped"] is True
+    (connection,) = client.idle[first.address]
+    peer = connection.sock.getsockname()
+    first.server.stop()
+    for handler in list(first.server.pool):
+        handler.kill()
+    second = start_server(first.address, first.answer)
+    assert swap(client).unwrap()["swapped"] is True
+    assert counted == ["ok", "ok"]
+    (connection,) = client.idle[first.address]
+    assert connection.sock.getsockname() != peer
+    second.stop()
+
+
 def test_no_address_answers() -> None:
     client, _ = client_of(CLOSED)
     assert get(client).failure().kind is StoreErrorKind.NOT_APPLIED
