--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -93,6 +93,7 @@
             links=self.links,
             platform=self.platform,
             live=self.members.members,
+            is_gone=self.members.is_gone,
             is_suspect=self.members.is_suspect,
             serving_count=settings.serving_instances,
             news=lambda: self.configuration.news(),
