--- a/berylhinge/tasks/tests/test_fleet.py
+++ b/berylhinge/tasks/tests/test_fleet.py
@@ -26,6 +26,8 @@
         is_gone=lambda member: member in gone,
         is_suspect=lambda instance: False,
         serving_count=3,
+        news=lambda: (1, ()),
+        on_proof=lambda *proof: None,
         log=Log("fleet", "me"),
     )
 
