--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -14,6 +14,7 @@
 import click
 import msgspec
 
+from berylhinge.errors import BerylhingeError
 from berylhinge.load.baselines import (
     fared,
     first_come,
@@ -136,17 +137,22 @@
 @click.option("--only", default="", help="Run the scenarios whose name holds this.")
 @click.option("--out", type=click.Path(path_type=Path), help="Folder for the results.")
 def main(seconds: float | None, settle: float, only: str, out: Path | None) -> None:
-    """Run the scenarios and print the table; exit 1 on a broken promise."""
+    """Run the scenarios and print the table; exit 1 on a broken promise or a failed run."""
     print_row(HEAD)
     print_row(("---",) * len(HEAD))
-    broken = 0
+    broken = failed = 0
     for name in (f"{user}-{fault}" for user in USERS for fault in FAULTS):
         if only not in name:
             continue
         scenario = load_scenario(name)
         if seconds is not None:
             scenario = with_seconds(scenario, seconds)
-        run = run_scenario(scenario, settle_seconds=settle)
+        try:
+            run = run_scenario(scenario, settle_seconds=settle)
+        except BerylhingeError as error:
+            failed += 1
+            print_row((name, f"not ended: {error}"))
+            continue
         row = row_of(scenario, run)
         broken += row.broken
         print_row(cells(row))
@@ -158,7 +164,7 @@
     click.echo(f"runs begin {settle:g} s after the fleet's readiness")
     click.echo("* replayed over the same run's arrivals by a model")
     click.echo(f"machine load {os.getloadavg()[0]:.1f} of {os.cpu_count()} cores")
-    sys.exit(1 if broken else 0)
+    sys.exit(1 if broken or failed else 0)
 
 
 if __name__ == "__main__":
