--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -54,6 +54,7 @@
 ROSTER_TIMEOUT_SECONDS = 1.0
 PROPOSE_PAUSE_SECONDS = 0.5
 RENEW_WAIT_SECONDS = 0.5
+NEWS_FANOUT = 8
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
     VouchRequest,
@@ -72,6 +73,12 @@
     epoch: int
 
 
+class RosterNews(NamedTuple):
+    """Tell a peer of a roster that has just won."""
+
+    roster: Roster
+
+
 class RosterAnswer(NamedTuple):
     """Return a peer's roster."""
 
@@ -124,6 +131,7 @@
             links.register(kind, self.on_message)
         links.register(ProvenAnswer, self.on_proven)
         links.register(RosterAnswer)
+        links.register(RosterNews, self.on_roster_news)
         links.register_call(RosterRequest, self.on_roster_request)
 
     def start(self) -> None:
@@ -338,4 +346,18 @@
         if wanted is None or not self.save_roster(wanted, loaded[1]):
             return
         self.log.info("A roster was proposed.", epoch=wanted.epoch)
-        self.read_roster()
+        self.step(RosterRead(wanted, sent_at))
+        self.tell_roster(wanted)
+
+    def tell_roster(self, roster: Roster) -> None:
+        """Push a roster to some members; vouching spreads it to the others."""
+        others = [member for member in roster.members if member != self.me]
+        count = min(NEWS_FANOUT, len(others))
+        for member in self.rng.sample(others, count):
+            self.links.send(member.instance, RosterNews(roster))
+
+    def on_roster_news(self, sender: InstanceId, message: RosterNews) -> None:
+        """Adopt a newer roster and pass it on once."""
+        if message.roster.epoch > self.state.permit.roster.epoch:
+            self.step(Adopted(message.roster))
+            self.tell_roster(message.roster)
