Trust a peer again as soon as it speaks; ready once peers are known

Cause: (1) a new instance was ready before it knew any peer's address, so that its wishes for units went nowhere (2 to 4 s of rate-exceeded after each restart); (2) an idle instance that handed its units to a peer not yet reachable suspected that peer for seconds after the peer had answered; (3) a leaving instance that knew of no other gave its groups up at once. Change: readiness needs a majority of the other members among the known peers; any message clears a suspicion; the last server keeps serving; a planned stop closes callers only after they heard.

--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -82,6 +82,7 @@
     """Give what can be spared; a hub passes the rest of the wish on to holders."""
     if event.epoch != state.roster.epoch:
         return state, _behind(state, event.epoch, event.asker)
+    state.suspects.pop(event.asker, None)
     note(state, event.organisation, event.asker, event.held, event.demand)
     bucket = state.buckets.get(event.organisation)
     terms = state.terms.get(event.organisation)
@@ -132,6 +133,7 @@
     """Take the units once, under the very epoch that they were given in."""
     if event.epoch != state.roster.epoch or event.receiver != state.me:
         return state, _behind(state, event.epoch, event.giver)
+    state.suspects.pop(event.giver, None)
     taken = Taken(event.epoch, event.giver, state.me, event.sequence)
     state.outbox.append(Send(event.giver, taken))
     if not is_first(state, event):
@@ -153,7 +155,8 @@
 
 @handle.register(Taken)
 def on_taken(event: Taken, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
-    """Forget a transfer that arrived."""
+    """Forget a transfer that arrived, and trust who took it."""
+    state.suspects.pop(event.receiver, None)
     if event.giver == state.me and event.epoch == state.roster.epoch:
         state.pending.pop(event.sequence, None)
     return state, []
@@ -162,6 +165,7 @@
 @handle.register(Deny)
 def on_deny(event: Deny, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
     """Back off before the next wish."""
+    state.suspects.pop(event.denier, None)
     bucket = state.buckets.get(event.organisation)
     if bucket is None or bucket.asked is None or event.asker != state.me:
         return state, []
--- a/berylhinge/tasks/groups.py
+++ b/berylhinge/tasks/groups.py
@@ -66,6 +66,9 @@
         wanted = {}
         for group, upstreams in self.index.members.items():
             serving = self.options.serving(group)
+            if not serving and group in self.tasks:
+                # A leaving instance that knows of no other goes on serving.
+                serving = (self.instance,)
             if self.instance in serving and upstreams:
                 wanted[group] = (serving.index(self.instance), len(serving))
         for group in list(self.tasks):
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from ..core.requests import Timeouts
-from ..core.roster import Member
+from ..core.roster import majority, Member
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
 from . import shutdown
 from .callers import CallersApp
@@ -247,8 +247,18 @@
         """Tell whether requests can be served."""
         if self.index is None or self.callers_app.leaving:
             return False
-        member = self.me in self.fleet.state.permit.roster.members
-        return member and self.configuration.is_fresh()
+        members = self.fleet.state.permit.roster.members
+        return (
+            self.me in members
+            and self.knows_peers(members)
+            and self.configuration.is_fresh()
+        )
+
+    def knows_peers(self, members: tuple[Member, ...]) -> bool:
+        """Tell whether a majority of the other members can be asked for units."""
+        others = [member.instance for member in members if member != self.me]
+        known = sum(name in self.links.peers for name in others)
+        return known >= majority(len(others))
 
     def on_reload(self, errors: tuple[FieldError, ...]) -> None:
         """Log what came of changed certificate files."""
--- a/berylhinge/tasks/shutdown.py
+++ b/berylhinge/tasks/shutdown.py
@@ -13,6 +13,7 @@
 LINGER_SECONDS = 3.0
 POLL_SECONDS = 0.05
 HAND_BACK_SECONDS = 2.0
+CLOSE_SECONDS = 1.0
 
 
 def leave(proxy: Proxy) -> None:
@@ -38,4 +39,13 @@
         gevent.sleep(POLL_SECONDS)
     proxy.callers_app.refusing = True
     proxy.fleet.hand_back(time.monotonic() + HAND_BACK_SECONDS)
+    close_callers(proxy)
     proxy.log.info("The instance stopped.")
+
+
+def close_callers(proxy: Proxy) -> None:
+    """Accept no connection any more, and let the open ones hear that it is over."""
+    proxy.callers.stop_accepting()
+    deadline = time.monotonic() + CLOSE_SECONDS
+    while time.monotonic() < deadline and len(proxy.callers.pool):
+        gevent.sleep(POLL_SECONDS)
