Tell an asker of another epoch at once, and wish for all that wait

Cause: an Ask under another epoch was ignored, so the asker held a live hub for dead; a gift short of the wish by rounding was followed by a denial; a cold instance wished for three requests' worth however many waited. Change: such an Ask is denied with the own epoch, upon which the asker fetches the roster and asks again; wishes count waiting requests; nine tenths of a wish satisfy it; whoever sends a message is no suspect.

--- a/berylhinge/core/buckets.py
+++ b/berylhinge/core/buckets.py
@@ -161,4 +161,5 @@
 
 def target(bucket: Bucket) -> float:
     """Return the tokens to ask up to."""
-    return FLOOR_REQUESTS * bucket.cost + bucket.demand * TARGET_SECONDS
+    waiting = bucket.waiting * bucket.cost
+    return FLOOR_REQUESTS * bucket.cost + waiting + bucket.demand * TARGET_SECONDS
--- a/berylhinge/core/capacity.py
+++ b/berylhinge/core/capacity.py
@@ -104,6 +104,8 @@
     if permit.roster != units.roster:
         # Units and keeper move to the new epoch in the same step as the permit.
         units, mint = _adopt(units, mint, permit.roster, now, rng)
+    if (known := sender(event)) is not None:
+        units.suspects.pop(known, None)
     if isinstance(event, (*RATES_EVENTS, Tick)):
         units, moved = transfers.step(units, event, now, rng)
         effects += moved
@@ -114,6 +116,17 @@
     return CapacityState(permit, units, mint, until), effects
 
 
+def sender(event: Event) -> Member | None:
+    """Return who sent a message about units first-hand, hence answers."""
+    if isinstance(event, Ask):
+        return event.asker if event.hop == 0 else None
+    if isinstance(event, Give):
+        return event.giver
+    if isinstance(event, Taken):
+        return event.receiver
+    return event.denier if isinstance(event, Deny) else None
+
+
 def leave(state: CapacityState) -> CapacityState:
     """Begin to hand all units back; ``is_empty`` tells when that is done."""
     return state._replace(rates=state.rates._replace(leaving=True))
--- a/berylhinge/core/rates.py
+++ b/berylhinge/core/rates.py
@@ -36,7 +36,7 @@
 ASK_TIMEOUT_SECONDS = 0.1
 ASK_PAUSE_SECONDS = 0.01
 REVIEW_SECONDS = 0.25
-SUSPECT_SECONDS = 2.0
+SUSPECT_SECONDS = 1.0
 
 
 class Admitted(NamedTuple):
@@ -317,7 +317,7 @@
     """Return the hubs over which an organisation's scarce units are spread."""
     members = state.roster.members
     chosen = ranked(members, f"rate/{organisation}", 8)
-    found = [member for member in chosen if state.suspects.get(member, 0.0) <= now]
+    found = answering(state, list(chosen), now) or list(chosen)
     return found[: lenders(terms, cost, len(members))]
 
 
@@ -333,7 +333,11 @@
     ring = lending(state, organisation, terms, cost, now)
     if after in ring:
         ring = ring[ring.index(after) + 1 :] + ring[: ring.index(after)]
-        return ring[0] if ring else None
+        if ring:
+            return ring[0]
+        # Nobody else answers: ask the next all the same, rather than nobody.
+        others = ranked(state.roster.members, f"rate/{organisation}", 2)
+        return next((other for other in others if other != after), None)
     if not ring:
         return None
     return ring[seat(state.roster, after) % len(ring)]
@@ -358,11 +362,13 @@
     if not found:
         others = ranked(state.roster.members, f"rate/{organisation}", 8)
         found = [(0, other) for other in others if other not in (state.me, exclude)]
-    return [
-        member
-        for _, member in sorted(found, reverse=True)
-        if state.suspects.get(member, 0.0) <= now
-    ]
+    named = [member for _, member in sorted(found, reverse=True)]
+    return answering(state, named, now) or named
+
+
+def answering(state: RatesState, members: list[Member], now: Seconds) -> list[Member]:
+    """Return those that did not lately fail to answer."""
+    return [member for member in members if state.suspects.get(member, 0.0) <= now]
 
 
 def configure(
--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -53,6 +53,7 @@
 BACKOFF_LIMIT_SECONDS = 1.0
 FORWARDS = 2
 LEAST_PART = 0.1
+NEARLY = 0.9
 HOLD_SHARE = 0.3
 NOTHING_SEEN = Seen(0, frozenset())
 
@@ -81,6 +82,9 @@
 def on_ask(event: Ask, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
     """Give what can be spared; a hub passes the rest of the wish on to holders."""
     if event.epoch != state.roster.epoch:
+        # Tell the asker at once, who would otherwise wait and hold us for dead.
+        deny = Deny(state.roster.epoch, event.organisation, state.me, event.asker)
+        state.outbox.append(Send(event.asker, deny))
         return state, _behind(state, event.epoch, event.asker)
     note(state, event.organisation, event.asker, event.held, event.demand)
     bucket = state.buckets.get(event.organisation)
@@ -91,7 +95,7 @@
     if bucket and terms and units:
         tokens = bucket.tokens * units / bucket.units
         state = give(state, event.organisation, event.asker, units, now)
-    if units >= event.units and tokens >= event.tokens * (1 - 1e-9):
+    if units >= event.units * NEARLY and tokens >= event.tokens * NEARLY:
         return state, []
     rest = event._replace(
         units=max(0, event.units - units),
@@ -166,6 +170,9 @@
     if bucket is None or bucket.asked is None or event.asker != state.me:
         return state, []
     bucket.asked = None
+    if event.epoch != state.roster.epoch:
+        bucket.ask_after = now + ASK_PAUSE_SECONDS
+        return state, _behind(state, event.epoch, event.denier)
     bucket.backoff = min(
         BACKOFF_LIMIT_SECONDS, max(BACKOFF_SECONDS, 2 * bucket.backoff)
     )
@@ -264,7 +271,7 @@
     reserve = low_water(bucket) if bucket.demand > 0.0 else 0.0
     tokens = min(wish.tokens, (bucket.tokens - reserve) / 2)
     if tokens > 0.0:
-        by_tokens = int(tokens * bucket.units / bucket.tokens)
+        by_tokens = ceil(tokens * bucket.units / bucket.tokens)
         units = max(units, min(by_tokens, bucket.units))
     return units
 
