Answer callers that are new to the called, and end unclaimed transactions

Change: a call carries its caller's inbox; a transaction that is not claimed within 2 s, or idle for 10 s, is rolled back; a planned stop accepts whoever already waits before it closes the listener.

--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -33,11 +33,15 @@
 
 
 class Frame(NamedTuple):
-    """Wrap one message; ``call`` asks for an answer, ``reply`` answers a call."""
+    """Wrap one message; ``call`` asks for an answer, ``reply`` answers a call.
+
+    ``origin`` is the inbox of a caller, who may be new to the called.
+    """
 
     kind: str
     call: int
     reply: int
+    origin: str
     body: msgspec.Raw
 
 
@@ -84,8 +88,10 @@
         )
         self.envelopes = envelopes
         self.on_count = on_count
+        self.advertised = str(self.address)
         self.outboxes: dict[InstanceId, Outbox] = {}
         self.peers: dict[InstanceId, Peer] = {}
+        self.learned: dict[InstanceId, Peer] = {}
         self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
         self.kinds: dict[str, type] = {}
         self.calls: dict[int, AsyncResult] = {}
@@ -126,8 +132,10 @@
     def set_peers(self, peers: dict[InstanceId, Peer]) -> None:
         """Replace the known peers and drop outboxes that no longer fit."""
         self.peers = peers
+        for instance in peers:
+            self.learned.pop(instance, None)
         for instance, outbox in list(self.outboxes.items()):
-            peer = peers.get(instance)
+            peer = peers.get(instance) or self.learned.get(instance)
             if peer is None or peer.address != outbox.address:
                 del self.outboxes[instance]
                 outbox.socket.close()
@@ -150,13 +158,14 @@
         self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
     ) -> bool:
         """Send without waiting; return false when it certainly did not leave."""
-        peer = self.peers.get(instance)
+        peer = self.peers.get(instance) or self.learned.get(instance)
         if peer is None:
             self.on_count("unknown-peer", 0)
             return False
         outbox = self.outbox_for(instance, peer)
         body = msgspec.Raw(self.encoder.encode(message))
-        frame = Frame(type(message).__name__, call, reply, body)
+        origin = self.advertised if call else ""
+        frame = Frame(type(message).__name__, call, reply, origin, body)
         data = seal(
             self.envelopes,
             self.encoder.encode(frame),
@@ -244,6 +253,8 @@
             self.on_count("malformed", len(data))
             return
         self.on_count("received", len(data))
+        if frame.origin and sender not in self.peers:
+            self.learned[sender] = Peer(frame.origin, envelope.sender_incarnation)
         if frame.reply:
             waiting = self.calls.get(frame.reply)
             if waiting is not None:
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -182,6 +182,7 @@
         record["peer"] = settings.advertised_peers or str(self.links.address)
         record["callers"] = settings.advertised_callers or callers
         record["operators"] = settings.advertised_operators or operators
+        self.links.advertised = record["peer"]
         self.members.advertise(record["peer"])
 
     def start(self) -> None:
--- a/berylhinge/tasks/shutdown.py
+++ b/berylhinge/tasks/shutdown.py
@@ -8,6 +8,8 @@
 import gevent
 
 if TYPE_CHECKING:
+    from gevent.pywsgi import WSGIServer
+
     from .proxy import Proxy
 
 LINGER_SECONDS = 3.0
@@ -43,9 +45,17 @@
     proxy.log.info("The instance stopped.")
 
 
+def close_listener(server: WSGIServer) -> None:
+    """Take whoever already waits to be accepted, then accept nobody."""
+    server.stop_accepting()
+    while (accepted := server.do_read()) is not None:
+        server.do_handle(*accepted)
+    server.close()
+
+
 def close_callers(proxy: Proxy) -> None:
     """Accept no connection any more, and let the open ones hear that it is over."""
-    proxy.callers.stop_accepting()
+    close_listener(proxy.callers)
     deadline = time.monotonic() + CLOSE_SECONDS
     while time.monotonic() < deadline and len(proxy.callers.pool):
         gevent.sleep(POLL_SECONDS)
--- a/berylhinge/tasks/tests/test_links.py
+++ b/berylhinge/tasks/tests/test_links.py
@@ -82,3 +82,12 @@
     ]
     gevent.joinall(calls)
     assert [call.value.text for call in calls] == [f"{n}!" for n in range(200)]
+
+
+@pytest.mark.parametrize("pair", [[SECRET]], indirect=True)
+def test_a_caller_that_the_called_does_not_know_is_answered(pair):
+    first, _, _ = pair
+    stranger, _ = make_links("stranger", [SECRET])
+    stranger.set_peers({"first": Peer(str(first.address), 1)})
+    assert stranger.call("first", Question("hello"), 5.0) == Answer("hello!")
+    stranger.stop()
--- a/berylhinge/tasks/tests/test_transactions.py
+++ b/berylhinge/tasks/tests/test_transactions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..transactions import OpenTransaction
+from ..transactions import OpenTransaction, UNCLAIMED_SECONDS
 
 
 class FakeConnection:
@@ -50,3 +50,22 @@
         getattr(transaction, call)()
     assert given_back == [connection]
     assert connection.is_open is is_open
+
+
+@pytest.mark.parametrize(
+    ("seconds", "busy", "is_over"),
+    [
+        (0.0, False, False),
+        (UNCLAIMED_SECONDS + 1, False, True),
+        (UNCLAIMED_SECONDS + 1, True, False),
+        (100.0, True, True),
+    ],
+    ids=["begun", "unclaimed", "running", "past its limit"],
+)
+def test_when_a_transaction_is_over(seconds, busy, is_over):
+    transaction, _, _ = open_transaction()
+    started_at = transaction.idle_until - UNCLAIMED_SECONDS
+    transaction.ends_at = started_at + 60.0
+    if busy:
+        transaction.turn.acquire()
+    assert transaction.is_over(started_at + seconds) is is_over
--- a/berylhinge/tasks/transactions.py
+++ b/berylhinge/tasks/transactions.py
@@ -28,6 +28,8 @@
     from .member import MemberLink
 
 REAP_SECONDS = 0.25
+UNCLAIMED_SECONDS = 2.0
+IDLE_SECONDS = 10.0
 SEPARATOR = "."
 
 
@@ -60,9 +62,19 @@
         self.organisation = organisation
         self.key = key
         self.ends_at = ends_at
+        self.idle_until = time.monotonic() + UNCLAIMED_SECONDS
         self.turn = BoundedSemaphore(1)
         self.closed = False
 
+    def is_over(self, now: float) -> bool:
+        """Tell whether the caller has stayed away too long, or the limit has passed.
+
+        A caller that never got the answer to its begin never comes.
+        """
+        if now >= self.ends_at:
+            return True
+        return not self.turn.locked() and now >= self.idle_until
+
     def release(self) -> None:
         """Give the connection back once; a closed one rolls back upstream."""
         if not self.closed:
@@ -108,7 +120,7 @@
             gevent.sleep(REAP_SECONDS)
             now = time.monotonic()
             for transaction in list(self.open.values()):
-                if now >= transaction.ends_at:
+                if transaction.is_over(now):
                     self.forget(transaction)
                     transaction.abandon()
 
@@ -243,6 +255,7 @@
                 raise RefusedError(lost_transaction("it ended meanwhile"))
             return self.run_action(transaction, call, deadline)
         finally:
+            transaction.idle_until = time.monotonic() + IDLE_SECONDS
             transaction.turn.release()
 
     def run_action(
