--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -19,6 +19,7 @@
     Terms,
     UNITS,
 )
+from .passing import pass_on
 from .permits import Adopted, FetchRoster, Send, Tick
 from .rates import (
     Ask,
@@ -51,7 +52,6 @@
 RESEND_LIMIT_SECONDS = 2.0
 BACKOFF_SECONDS = 0.05
 BACKOFF_LIMIT_SECONDS = 1.0
-FORWARDS = 2
 LEAST_PART = 0.1
 NEARLY = 0.9
 HOLD_SHARE = 0.3
@@ -103,35 +103,13 @@
         tokens=max(0.0, event.tokens - tokens),
         hop=event.hop + 1,
     )
-    passed = _pass_on(state, rest, terms, now, rng)
+    passed = pass_on(state, rest, terms, now, rng)
     if not passed and not units:
         deny = Deny(state.roster.epoch, event.organisation, state.me, event.asker)
         state.outbox.append(Send(event.asker, deny))
     return state, []
 
 
-def _pass_on(
-    state: RatesState, rest: Ask, terms: Terms | None, now: Seconds, rng: Random
-) -> bool:
-    """Pass a wish on: along the lenders and then to who borrowed, or to two holders."""
-    name = rest.organisation
-    found = holders(state, name, now, exclude=rest.asker)
-    if not terms or not is_scarce(terms, rest.cost, len(state.roster.members)):
-        found = _two(found, rng) if rest.hop == 1 else []
-    else:
-        ring = lending(state, name, terms, rest.cost, now)
-        turn = ring.index(state.me) + 1 if state.me in ring else 0
-        others = [
-            m for m in ring[turn:] + ring[:turn] if m not in (state.me, rest.asker)
-        ]
-        visits = len(ring) - (rest.asker in ring)
-        borrowers = [member for member in found if member not in ring]
-        found = others[:1] if rest.hop < visits else borrowers[:1]
-        found = found if rest.hop <= visits else []
-    state.outbox.extend(Send(holder, rest) for holder in found)
-    return bool(found)
-
-
 @handle.register(Give)
 def on_give(event: Give, state: RatesState, now: Seconds, rng: Random) -> RatesStep:
     """Take the units once, under the very epoch that they were given in."""
@@ -391,13 +369,6 @@
     return True
 
 
-def _two(found: list[Member], rng: Random) -> list[Member]:
-    """Return the holder of most units, and one other by chance."""
-    if len(found) <= FORWARDS:
-        return found
-    return [found[0], rng.choice(found[1:])]
-
-
 def _behind(state: RatesState, epoch: int, peer: Member) -> list[RatesEffect]:
     """Fetch the roster when the peer has a newer one."""
     return [FetchRoster(peer, epoch)] if epoch > state.roster.epoch else []
