Tell hubs who holds units after a change of roster; write the operators' docs

Cause: a roster's change moves an organisation's hub to an instance that knows no holder, so that it denied wishes although units were idle elsewhere. Change: after each adoption holders tell the hubs what they hold (shell effect; the core gained announcements()). Readiness latches once peers were known. Serving instances are ranked once a change, not once a request.

--- a/berylhinge/core/passing.py
+++ b/berylhinge/core/passing.py
@@ -6,7 +6,7 @@
 
 from .buckets import is_scarce
 from .permits import Send
-from .rates import Ask, holders, lending, RatesState
+from .rates import Ask, holders, hub, lending, RatesState
 
 if TYPE_CHECKING:
     from random import Random
@@ -41,6 +41,31 @@
     return bool(found)
 
 
+def announcements(state: RatesState, now: Seconds) -> list[Send]:
+    """Tell each organisation's hub, which a new epoch may have moved, who holds units.
+
+    A wish for nothing carries the news and is never answered.
+    """
+    sends = []
+    for organisation, bucket in state.buckets.items():
+        to = hub(state, organisation, now)
+        if not bucket.units or to is None or to == state.me:
+            continue
+        wish = Ask(
+            state.roster.epoch,
+            organisation,
+            state.me,
+            0,
+            0.0,
+            bucket.units,
+            bucket.demand,
+            bucket.cost,
+            1,
+        )
+        sends.append(Send(to, wish))
+    return sends
+
+
 def _two(found: list[Member], rng: Random) -> list[Member]:
     """Return the holder of most units, and one other by chance."""
     if len(found) <= FORWARDS:
--- a/berylhinge/core/transfers.py
+++ b/berylhinge/core/transfers.py
@@ -88,6 +88,8 @@
         return state, _behind(state, event.epoch, event.asker)
     state.suspects.pop(event.asker, None)
     note(state, event.organisation, event.asker, event.held, event.demand)
+    if not event.units and not event.tokens:
+        return state, []
     bucket = state.buckets.get(event.organisation)
     terms = state.terms.get(event.organisation)
     members = len(state.roster.members)
--- a/berylhinge/docs.py
+++ b/berylhinge/docs.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Any, TYPE_CHECKING
 
 import msgspec
 
 from .core.concealed import Concealed
 from .core.documents import expected_of, fields_of, is_record, rules_of
+from .reasons import REFUSAL_KINDS, RetryReason
 from .settings import Settings
 
 if TYPE_CHECKING:
@@ -61,5 +63,32 @@
     return metas[-1].description or "" if metas else ""
 
 
+REFUSALS_HEAD = """# Refusals and retries
+
+Each refusal is `application/problem+json` with `reason`, `outcome`, `detail` and
+`remedy`. `outcome` is `not-run` only where nothing ran; otherwise `unknown`. The
+counters are `berylhinge_refusals_total{reason,outcome}` and
+`berylhinge_retries_total{reason}`.
+
+This page is made from the enumeration by `python -m berylhinge.docs refusals`; a
+test fails when it isn't current.
+
+"""
+
+
+def refusals_page() -> str:
+    """Return the refusals' and retries' reference page as Markdown."""
+    rows = [
+        f"| `{reason.value}` | {kind.status} | {kind.title} | {kind.remedy} |"
+        for reason, kind in REFUSAL_KINDS.items()
+    ]
+    head = "| reason | status | meaning | remedy |\n|---|---|---|---|\n"
+    retries = "\n".join(f"- `{reason.value}`" for reason in RetryReason)
+    table = "\n".join(rows)
+    return f"{REFUSALS_HEAD}{head}{table}\n\n## Retry reasons\n\n{retries}\n"
+
+
+PAGES = {"settings": settings_page, "refusals": refusals_page}
+
 if __name__ == "__main__":
-    print(settings_page(), end="")
+    print(PAGES[sys.argv[1] if sys.argv[1:] else "settings"](), end="")
--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -14,6 +14,7 @@
 from ..core.buckets import Terms
 from ..core.connections import forward_targets, serving_instances
 from ..core.minting import Settle
+from ..core.passing import announcements
 from ..core.permits import (
     Adopted,
     FetchRoster,
@@ -55,6 +56,7 @@
 PROPOSE_PAUSE_SECONDS = 0.5
 RENEW_WAIT_SECONDS = 0.5
 NEWS_FANOUT = 8
+ANNOUNCE_PAUSES_SECONDS = (0.05, 0.3, 1.0)
 RENEW_PAUSE_SECONDS = 0.01
 CAPACITY_MESSAGES = (
     VouchRequest,
@@ -126,6 +128,7 @@
         self.state = capacity.new_capacity(me)
         self.rng = random.Random(f"{me.instance}/{me.incarnation}")
         self.resigned: frozenset[Member] = frozenset()
+        self.ranks: dict[GroupId, tuple[InstanceId, ...]] = {}
         self.greenlets: list[gevent.Greenlet] = []
         for kind in CAPACITY_MESSAGES:
             links.register(kind, self.on_message)
@@ -192,15 +195,23 @@
 
     def serving(self, group: GroupId) -> tuple[InstanceId, ...]:
         """Return the live instances that serve a group, best first."""
-        live = sorted(member.instance for member in self.live())
-        return tuple(serving_instances(live, group, self.serving_count))
+        ranked = self.ranks.get(group)
+        if ranked is None:
+            live = sorted(member.instance for member in self.live())
+            ranked = tuple(serving_instances(live, group, self.serving_count))
+            self.ranks[group] = ranked
+        return ranked
 
     def targets(self, group: GroupId) -> tuple[InstanceId, ...]:
         """Return whom to forward to, suspects last."""
-        live = sorted(member.instance for member in self.live())
-        found = forward_targets(live, group, self.me.instance, self.serving_count)
+        serving = self.serving(group)
+        found = forward_targets(serving, group, self.me.instance, self.serving_count)
         return tuple(sorted(found, key=self.is_suspect))
 
+    def forget_ranks(self) -> None:
+        """Rank anew, since the live instances have changed."""
+        self.ranks.clear()
+
     def on_message(self, sender: InstanceId, message: Any) -> None:
         """Take one message of the capacity protocol."""
         self.step(message)
@@ -222,10 +233,18 @@
 
     def step(self, event: Any) -> None:
         """Step the core and carry out what it wants."""
+        epoch = self.state.permit.roster.epoch
         self.state, effects = capacity.step(
             self.state, event, time.monotonic(), self.rng
         )
         self.send_all(effects)
+        if self.state.permit.roster.epoch != epoch:
+            for pause in ANNOUNCE_PAUSES_SECONDS:
+                gevent.spawn_later(pause, self.announce_holdings)
+
+    def announce_holdings(self) -> None:
+        """Tell the hubs of the newest epoch what this instance holds."""
+        self.send_all(announcements(self.state.rates, time.monotonic()))
 
     def send_all(self, effects: Sequence[Any]) -> None:
         """Carry out effects."""
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -51,6 +51,7 @@
         self.log = Log("proxy", settings.instance)
         self.index: DeclarationIndex | None = None
         self.hub_lag = 0.0
+        self.introduced = False
         self.stopping = Event()
         self.reloader: TlsReloader | None = None
         self.upstream_context = upstream_context(settings.tls)
@@ -220,6 +221,7 @@
 
     def on_live(self) -> None:
         """Follow a changed list of instances."""
+        self.fleet.forget_ranks()
         peers = self.members.peers()
         self.links.set_peers(peers)
         self.configuration.set_peers(tuple(sorted(peers)))
@@ -256,10 +258,12 @@
         )
 
     def knows_peers(self, members: tuple[Member, ...]) -> bool:
-        """Tell whether a majority of the other members can be asked for units."""
-        others = [member.instance for member in members if member != self.me]
-        known = sum(name in self.links.peers for name in others)
-        return known >= majority(len(others))
+        """Tell whether a majority of the other members could once be asked for units."""
+        if not self.introduced:
+            others = [member.instance for member in members if member != self.me]
+            known = sum(name in self.links.peers for name in others)
+            self.introduced = known >= majority(len(others))
+        return self.introduced
 
     def on_reload(self, errors: tuple[FieldError, ...]) -> None:
         """Log what came of changed certificate files."""
--- a/berylhinge/tests/test_settings.py
+++ b/berylhinge/tests/test_settings.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from ..docs import settings_page
+from ..docs import refusals_page, settings_page
 from ..errors import DocumentError
+from ..reasons import REFUSAL_KINDS, RefusalReason
 from ..settings import load_settings, parse_settings
 
 SECRET = base64.b64encode(b"s" * 32).decode()
@@ -95,3 +96,12 @@
 
 def test_the_reference_page_is_current() -> None:
     assert PAGE.read_text() == settings_page()
+
+
+def test_the_page_of_refusals_is_current():
+    page = PAGE.with_name("refusals.md")
+    assert page.read_text() == refusals_page()
+
+
+def test_every_refusal_reason_is_described():
+    assert set(REFUSAL_KINDS) == set(RefusalReason)
