Follow the instance chart; share one address parameter; drop what nothing uses

Cause: the instance chart was only tested for reachability, the address type stood twice, some functions and constants had no user. Change: core/lifecycle follows the chart and gives readiness and the state in status; cli/params; unused code gone.

--- a/berylhinge/cli/ctl.py
+++ b/berylhinge/cli/ctl.py
@@ -24,7 +24,7 @@
 from ..core.documents import parse_json
 from ..core.keys import grant_key
 from ..core.validation import validate
-from ..tasks.http import Address, parse_address
+from ..tasks.http import Address
 from ..tasks.inspection import drain_instance, list_instances, view_instances
 from ..tasks.platform import PlatformClient
 from ..tasks.store import load_configuration, run_edit, StoredConfiguration
@@ -38,6 +38,7 @@
     store_report,
     Table,
 )
+from .params import ADDRESS
 from .status import status_report
 
 if TYPE_CHECKING:
@@ -51,26 +52,6 @@
 IN_FORCE_SECONDS = 9.0
 
 
-class AddressType(click.ParamType):
-    """Take IP:PORT."""
-
-    name = "ip:port"
-
-    def convert(
-        self,
-        value: object,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> Address:
-        """Parse an address or end with the misuse message."""
-        if isinstance(value, Address):
-            return value
-        try:
-            return parse_address(str(value))
-        except ValueError as error:
-            self.fail(str(error), param, ctx)
-
-
 class Context(NamedTuple):
     """Hold the options that all commands share."""
 
@@ -85,7 +66,6 @@
         return PlatformClient(self.addresses)
 
 
-ADDRESS = AddressType()
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
--- a/berylhinge/cli/standin.py
+++ b/berylhinge/cli/standin.py
@@ -15,7 +15,8 @@
 from ..standins.database import DatabaseSettings, start_database
 from ..standins.platform import PlatformSettings, start_platform
 from ..standins.statements import Costs
-from ..tasks.http import Address, parse_address
+from ..tasks.http import Address
+from .params import ADDRESS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,27 +29,6 @@
 PLATFORM = PlatformSettings()
 
 
-class AddressType(click.ParamType):
-    """Take IP:PORT; port 0 picks a free port."""
-
-    name = "ip:port"
-
-    def convert(
-        self,
-        value: object,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> Address:
-        """Parse an address or end with the misuse message."""
-        if isinstance(value, Address):
-            return value
-        try:
-            return parse_address(str(value))
-        except ValueError as error:
-            self.fail(str(error), param, ctx)
-
-
-ADDRESS = AddressType()
 SECONDS = click.FloatRange(min=0.0)
 RATE = click.FloatRange(min=1.0)
 
--- a/berylhinge/core/differences.py
+++ b/berylhinge/core/differences.py
@@ -16,7 +16,6 @@
 
 SECTIONS = ("organisations", "keys", "groups", "upstreams", "routes")
 CONCEALED_FIELDS = ("salt", "hash")
-MEMBERSHIP_FIELDS = ("data", "control")
 
 
 class Difference(NamedTuple):
--- a/berylhinge/core/roster.py
+++ b/berylhinge/core/roster.py
@@ -133,14 +133,6 @@
     return roster.joined[roster.members.index(member)]
 
 
-def catch_up(roster: Roster, changes: Iterable[Change]) -> Roster:
-    """Apply those changes that follow on from the roster, in order."""
-    for change in changes:
-        if change.epoch == roster.epoch + 1:
-            roster = advance(roster, change)
-    return roster
-
-
 def settle(roster: Roster, epoch: int) -> Roster:
     """Drop the changes up to an epoch whose units have all been accounted for."""
     if epoch <= roster.settled:
--- a/berylhinge/tasks/execution.py
+++ b/berylhinge/tasks/execution.py
@@ -24,8 +24,6 @@
     from .metrics import Metrics
 
 EXPECTED_SECONDS = 0.005
-SETTLE_PAUSE_SECONDS = 0.05
-SLOT_HOLD_SECONDS = 0.5
 
 
 class Executor:
--- a/berylhinge/tasks/platform.py
+++ b/berylhinge/tasks/platform.py
@@ -12,8 +12,6 @@
     GetRequest,
     InstanceList,
     InstanceRecord,
-    LeaseAnswer,
-    LeaseRequest,
     StoredValue,
     SwapAnswer,
     SwapRequest,
@@ -30,9 +28,6 @@
 GET_PATH = "/v1/get"
 SWAP_PATH = "/v1/swap"
 WATCH_PATH = "/v1/watch"
-LEASE_GRANT_PATH = "/v1/lease/grant"
-LEASE_RENEW_PATH = "/v1/lease/renew"
-LEASE_REVOKE_PATH = "/v1/lease/revoke"
 INSTANCES_PATH = "/v1/instances/list"
 ANNOUNCE_PATH = "/v1/instances/announce"
 
@@ -116,21 +111,6 @@
         wait = timeout_seconds + WATCH_MARGIN_SECONDS
         return self.read(WATCH_PATH, request, StoredValue, timeout_seconds=wait)
 
-    def grant_lease(self, ttl_seconds: float) -> Result[LeaseAnswer, StoreError]:
-        """Ask for a new lease; one whose answer is lost lapses by itself."""
-        request = LeaseRequest(ttl_seconds=ttl_seconds)
-        return self.write(LEASE_GRANT_PATH, request, LeaseAnswer)
-
-    def renew_lease(self, lease: str) -> Result[LeaseAnswer, StoreError]:
-        """Extend a lease by its term."""
-        request = LeaseRequest(lease=lease)
-        return self.read(LEASE_RENEW_PATH, request, LeaseAnswer)
-
-    def revoke_lease(self, lease: str) -> Result[LeaseAnswer, StoreError]:
-        """End a lease."""
-        request = LeaseRequest(lease=lease)
-        return self.read(LEASE_REVOKE_PATH, request, LeaseAnswer)
-
     def instances(self) -> Result[InstanceList, StoreError]:
         """Read the list of live and leaving instances."""
         return self.read(INSTANCES_PATH, {}, InstanceList)
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from ..core.lifecycle import CHART, Conditions, follow, READY
 from ..core.requests import Timeouts
 from ..core.roster import majority, Member
 from ..wire.operators import DRAIN_PATH, WITHDRAWALS_PATH
@@ -52,6 +53,7 @@
         self.index: DeclarationIndex | None = None
         self.hub_lag = 0.0
         self.introduced = False
+        self.stage = CHART.initial
         self.stopping = Event()
         self.reloader: TlsReloader | None = None
         self.upstream_context = upstream_context(settings.tls)
@@ -248,7 +250,23 @@
 
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
-        if self.index is None or self.callers_app.leaving:
+        return self.follow_stage() == READY
+
+    def follow_stage(self) -> str:
+        """Move along the instance chart by what holds now."""
+        conditions = Conditions(
+            listening=self.callers.started or self.callers_app.leaving,
+            synced=self.is_synced(),
+            stop_asked=self.callers_app.leaving,
+            drained=self.callers_app.refusing,
+            time_up=False,
+        )
+        self.stage = follow(self.stage, conditions)
+        return self.stage
+
+    def is_synced(self) -> bool:
+        """Tell whether configuration, keys and membership are in force here."""
+        if self.index is None:
             return False
         members = self.fleet.state.permit.roster.members
         return (
@@ -315,7 +333,7 @@
             "instance": self.settings.instance,
             "incarnation": self.incarnation,
             "place": self.settings.place,
-            "state": self.live.record["state"],
+            "state": self.follow_stage(),
             "ready": self.is_ready(),
             "config_version": self.configuration.version,
             "roster_epoch": self.fleet.state.permit.roster.epoch,
