--- a/berylhinge/core/admission.py
+++ b/berylhinge/core/admission.py
@@ -202,6 +202,11 @@
     return True
 
 
+def abandon(state: AdmissionState, request: RequestId) -> bool:
+    """Free the slot of a request whose answer was lost, and learn nothing from it."""
+    return state.running.pop(request, None) is not None
+
+
 def cancel(state: AdmissionState, request: RequestId, now: Seconds) -> bool:
     """Take a queued request out; a running one keeps its slot until ``finish``."""
     if request not in state.queued:
--- a/berylhinge/core/tests/test_admission.py
+++ b/berylhinge/core/tests/test_admission.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
 from ...reasons import RefusalReason
 from ...types import Access
 from ..admission import (
+    abandon,
     AdmissionState,
     cancel,
     Dropped,
@@ -144,3 +147,26 @@
     resize(state, 3)
     assert take(state, 0.0).request is not None
     assert not finish(state, "unknown", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("leave", "grows"),
+    [
+        (lambda state: finish(state, "a1", 3.0), True),
+        (lambda s: abandon(s, "a1"), False),
+    ],
+    ids=["finish", "abandon"],
+)
+def test_a_lost_answer_frees_its_slot_and_teaches_nothing(
+    leave: Callable[[AdmissionState], bool], grows: bool
+) -> None:
+    state = AdmissionState(slots=1, bound=9)
+    before = state.service[Access.READ].mean
+    for name in ("a1", "b1"):
+        offer(state, request(name), 0.0)
+    assert take(state, 0.0).request == request("a1")
+    assert take(state, 0.0).request is None
+    assert leave(state)
+    assert (state.service[Access.READ].mean > before) is grows
+    assert take(state, 3.0).request == request("b1")
+    assert not abandon(state, "a1")
--- a/berylhinge/tasks/gate.py
+++ b/berylhinge/tasks/gate.py
@@ -10,6 +10,7 @@
 from gevent.event import AsyncResult
 
 from ..core.admission import (
+    abandon,
     AdmissionState,
     cancel,
     finish,
@@ -97,6 +98,11 @@
         finish(self.state, ticket.number, time.monotonic())
         self.start_next()
 
+    def abandon(self, ticket: Ticket) -> None:
+        """Free the slot of a lost answer, whose time says nothing of others."""
+        abandon(self.state, ticket.number)
+        self.start_next()
+
     def start_next(self) -> None:
         """Start statements while slots are free."""
         while True:
--- a/berylhinge/tasks/turns.py
+++ b/berylhinge/tasks/turns.py
@@ -50,6 +50,6 @@
         finally:
             # A statement whose answer was lost may still hold the upstream's slot.
             if hold:
-                gevent.spawn_later(hold, link.gate.leave, ticket)
+                gevent.spawn_later(hold, link.gate.abandon, ticket)
             else:
                 link.gate.leave(ticket)
