--- a/berylhinge/tests/features/superseded_primary.feature
+++ b/berylhinge/tests/features/superseded_primary.feature
@@ -43,6 +43,18 @@
     And no promise about writes is broken
     And no term had two primaries
 
+  Scenario: A promoter stands still in the middle of its promotion
+    Given the first promoter stands still for 3 seconds after its vote
+    When the primary goes down
+    And 3 callers write 3 times each through every instance
+    Then another database leads within 14 seconds
+    And the promoter that stood still wakes up within 14 seconds
+    And every call ends within 60 seconds
+    And Kari can write "Miso" within 14 seconds
+    And a newer term than its own leads
+    And no promise about writes is broken
+    And no term had two primaries
+
   Scenario: The store is down during a failover
     Given the store is down
     When the primary goes down
--- a/berylhinge/tests/steps/calls.py
+++ b/berylhinge/tests/steps/calls.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 import pytest
+from gevent.event import Event
 from geventhttpclient import HTTPClient
 from pytest_bdd import given, parsers, when
 
@@ -160,6 +161,9 @@
         self.echoes: list[Any] = []
         self.gone: set[int] = set()
         self.loading = False
+        self.paused_term: int | None = None
+        self.paused: Any = None
+        self.wake = Event()
 
     def caller(self, name: str, organisation: str = "kattevakt") -> Caller:
         if name not in self.callers:
--- a/berylhinge/tests/steps/checks.py
+++ b/berylhinge/tests/steps/checks.py
@@ -7,7 +7,7 @@
 
 from ...tasks.connection import Connection
 from .calls import Result, World
-from .system import eventually, RATES, System
+from .system import eventually, FAILOVER_SECONDS, RATES, System
 
 SEARCH_SECONDS = 5.0
 LEAVING_SECONDS = 5.0
@@ -210,3 +210,16 @@
     refused = [one for one in world.flood if one.status != 200]
     assert {one.outcome for one in refused} == {"not-run"}
     assert "rate-exceeded" in {one.reason for one in refused}
+
+
+@then(
+    parsers.parse("the promoter that stood still wakes up within {seconds:g} seconds")
+)
+def promoter_wakes(world: World, seconds: float) -> None:
+    eventually(world.wake.is_set, seconds, "the promoter woke up")
+
+
+@then("a newer term than its own leads")
+def newer_term_leads(world: World, system: System) -> None:
+    primary = eventually(system.primary, FAILOVER_SECONDS, "one leads")
+    assert primary.member.state.term > world.paused_term
--- a/berylhinge/tests/steps/faults.py
+++ b/berylhinge/tests/steps/faults.py
@@ -5,6 +5,8 @@
 
 from ...core.configuration import MarkUpstream, WithdrawKey
 from ...standins.faults import FaultsRequest
+from ...tasks.member import MemberLink
+from ...tasks.promoter import Promoter
 from .calls import World
 from .system import eventually, FAILOVER_SECONDS, System
 
@@ -138,6 +140,32 @@
             group.promoter.set_rank(0)
 
 
+@given(
+    parsers.parse(
+        "the first promoter stands still for {seconds:g} seconds after its vote"
+    )
+)
+def pause_promoter(world: World, system: System, seconds: float) -> None:
+    for proxy in system.proxies.values():
+        for group in proxy.groups.tasks.values():
+            slow_down(world, group.promoter, seconds)
+
+
+def slow_down(world: World, promoter: Promoter, seconds: float) -> None:
+    promote = promoter.make_primary
+
+    def pause(link: MemberLink, term: int) -> None:
+        if world.paused is None:
+            world.paused = promoter
+            world.paused_term = term
+            gevent.spawn_later(seconds, world.wake.set)
+        if world.paused is promoter:
+            world.wake.wait()
+        promote(link, term)
+
+    promoter.make_primary = pause
+
+
 @when("all faults end")
 def end_faults(system: System) -> None:
     system.heal()
