Teach peers the sender's inbox until they have answered

Change: messages carry the sender's inbox until the recipient has sent something; an instance without any unit waits up to a second before it refuses for the rate.

--- a/berylhinge/tasks/fleet.py
+++ b/berylhinge/tasks/fleet.py
@@ -58,6 +58,8 @@
 NEWS_FANOUT = 8
 ANNOUNCE_PAUSES_SECONDS = (0.05, 0.3, 1.0)
 RENEW_PAUSE_SECONDS = 0.01
+BLIND_WAIT_SECONDS = 1.0
+BLIND_PAUSE_SECONDS = 0.02
 CAPACITY_MESSAGES = (
     VouchRequest,
     rates.Ask,
@@ -169,6 +171,11 @@
                 return
             if isinstance(verdict, Refused) and self.may_renew(verdict, waited):
                 verdict = Wait(RENEW_PAUSE_SECONDS)
+            elif isinstance(verdict, Refused) and self.is_blind(organisation, started):
+                # Without a unit it cannot know that the organisation is over its rate.
+                gevent.sleep(BLIND_PAUSE_SECONDS)
+                waited = BLIND_PAUSE_SECONDS
+                continue
             if isinstance(verdict, Refused):
                 raise RefusedError(self.refusal(organisation, verdict))
             if now + verdict.seconds >= deadline:
@@ -177,6 +184,13 @@
             gevent.sleep(verdict.seconds)
             waited = time.monotonic() - started
 
+    def is_blind(self, organisation: OrganisationId, started: float) -> bool:
+        """Tell whether this instance holds no unit yet and may still get one."""
+        if time.monotonic() - started >= BLIND_WAIT_SECONDS:
+            return False
+        bucket = self.state.rates.buckets.get(organisation)
+        return bucket is not None and not bucket.units
+
     def may_renew(self, verdict: Refused, waited: float) -> bool:
         """Tell whether a permit that lapsed in a pause may soon be held again."""
         if verdict.reason is not RefusalReason.RATE_UNPROVEN:
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -35,7 +35,7 @@
 class Frame(NamedTuple):
     """Wrap one message; ``call`` asks for an answer, ``reply`` answers a call.
 
-    ``origin`` is the inbox of a caller, who may be new to the called.
+    ``origin`` is the sender's inbox, until the recipient has sent something there.
     """
 
     kind: str
@@ -92,6 +92,7 @@
         self.outboxes: dict[InstanceId, Outbox] = {}
         self.peers: dict[InstanceId, Peer] = {}
         self.learned: dict[InstanceId, Peer] = {}
+        self.heard: dict[InstanceId, int] = {}
         self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
         self.kinds: dict[str, type] = {}
         self.calls: dict[int, AsyncResult] = {}
@@ -164,7 +165,9 @@
             return False
         outbox = self.outbox_for(instance, peer)
         body = msgspec.Raw(self.encoder.encode(message))
-        origin = self.advertised if call else ""
+        # A peer that has sent here knows this inbox already.
+        known = self.heard.get(instance) == peer.incarnation
+        origin = "" if known else self.advertised
         frame = Frame(type(message).__name__, call, reply, origin, body)
         data = seal(
             self.envelopes,
@@ -253,6 +256,7 @@
             self.on_count("malformed", len(data))
             return
         self.on_count("received", len(data))
+        self.heard[sender] = envelope.sender_incarnation
         if frame.origin and sender not in self.peers:
             self.learned[sender] = Peer(frame.origin, envelope.sender_incarnation)
         if frame.reply:
