Work out a route's bound of staleness in one place

Cause: the caller's identity carried a bound that nothing read, while the running instance worked it out again. Change: max_age_of serves, the dead field is gone; no behaviour.

--- a/berylhinge/tasks/dispatch.py
+++ b/berylhinge/tasks/dispatch.py
@@ -41,7 +41,6 @@
     key: KeyId
     route: RouteId
     group: GroupId
-    max_age_seconds: float
 
 
 class Fleet(Protocol):
@@ -98,13 +97,11 @@
         if isinstance(target, Failure):
             raise RefusedError(target.failure())
         found = target.unwrap()
-        age = found.max_age_seconds
         return Caller(
             organisation or NO_ORGANISATION,
             key,
             route,
             found.group,
-            DEFAULT_MAX_AGE_SECONDS if age is None else age,
         )
 
     def prove_key(
@@ -154,10 +151,7 @@
         """Run a statement on a group that this instance serves."""
         executor = self.executors[message.group]
         self.check_key(message.key)
-        age = DEFAULT_MAX_AGE_SECONDS
-        if self.index is not None and message.call.route in self.index.routes:
-            declared = self.index.routes[message.call.route].max_age_seconds
-            age = DEFAULT_MAX_AGE_SECONDS if declared is None else declared
+        age = max_age_of(self.index, message.call.route)
         served = executor.run(
             message.call, arrived_at, age, organisation=message.organisation
         )
@@ -260,6 +254,14 @@
     return message._replace(call=message.call._replace(timeout_seconds=seconds))
 
 
+def max_age_of(index: DeclarationIndex | None, route: RouteId) -> float:
+    """Return the greatest age (seconds) of a session's reads on a route."""
+    known = index.routes.get(route) if index is not None else None
+    if known is None or known.max_age_seconds is None:
+        return DEFAULT_MAX_AGE_SECONDS
+    return known.max_age_seconds
+
+
 def is_open(index: DeclarationIndex, route: RouteId) -> bool:
     """Tell whether a route exists and needs no key."""
     known = index.routes.get(route)
