--- /dev/null
+++ b/berylhinge/core/pooler/__init__.py
@@ -0,0 +1,1 @@
+"""Decide for session-oriented callers: where units run, who waits, who leads."""
--- /dev/null
+++ b/berylhinge/core/pooler/rates.py
@@ -0,0 +1,66 @@
+"""Count an organisation's operations on one instance, its rate keeper (token bucket).
+
+The keeper is the live instance that ranks first for the organisation. A new keeper
+does not know what its predecessor granted, so it starts without tokens. An instance
+that reaches no keeper spends a small share of its own.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from ..rendezvous import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ...types import InstanceId, OrganisationId, Seconds
+    from .catalogue import Quota
+
+# An instance on its own spends this part of an equal share, since the keeper goes on
+# granting the whole rate to the others.
+ALONE_PART = 0.5
+# A keeper that took over waits for tokens at most this long in place of refusing.
+PATIENCE_SECONDS = 0.1
+
+
+class Bucket(NamedTuple):
+    """Hold the tokens at a moment."""
+
+    tokens: float
+    at: Seconds
+
+
+class Grant(NamedTuple):
+    """Return the bucket left, what was granted, and when the next token comes."""
+
+    bucket: Bucket
+    granted: int
+    retry_after_seconds: Seconds
+
+
+def keeper_of(instances: Iterable[InstanceId], organisation: OrganisationId) -> str:
+    """Return the instance that counts for an organisation."""
+    return rank(instances, f"rate/{organisation}")[0]
+
+
+def new_bucket(quota: Quota, now: Seconds, *, full: bool) -> Bucket:
+    """Return a bucket that is full at the fleet's first start and empty later."""
+    return Bucket(quota.burst if full else 0.0, now)
+
+
+def grant(bucket: Bucket, quota: Quota, wanted: int, now: Seconds) -> Grant:
+    """Take whole tokens, as many as there are."""
+    passed = max(0.0, now - bucket.at)
+    tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
+    given = min(wanted, int(tokens))
+    left = tokens - given
+    missing = 1.0 - left
+    wait = missing / quota.rate if missing > 0.0 and quota.rate > 0.0 else 0.0
+    return Grant(Bucket(left, now), given, wait if given < wanted else 0.0)
+
+
+def alone(quota: Quota, instances: int) -> Quota:
+    """Return what an instance without a keeper may spend."""
+    part = ALONE_PART / max(1, instances)
+    return quota._replace(rate=quota.rate * part, burst=quota.burst * part)
--- /dev/null
+++ b/berylhinge/core/pooler/statements.py
@@ -0,0 +1,144 @@
+"""Define the statements of a session and what their answers tell."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, TypeAlias
+
+from ...types import Access, LogPoint, Seconds
+
+
+class Code(StrEnum):
+    """Name an error as callers and databases understand it."""
+
+    BUSY = "busy"
+    LAGGING = "lagging"
+    READ_ONLY = "read-only"
+    MISDIRECTED = "misdirected"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    FAILED = "failed"
+    UNKNOWN_STATEMENT = "unknown-statement"
+    TIMEOUT = "timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_DATABASE = "unknown-database"
+    TOO_LARGE = "too-large"
+    MALFORMED = "malformed"
+    ABORTED = "aborted"
+    IN_DOUBT = "in-doubt"
+
+
+class Begin(NamedTuple):
+    """Begin a transaction."""
+
+    request: str
+    read_only: bool
+
+
+class Commit(NamedTuple):
+    """Commit the open transaction."""
+
+    request: str
+
+
+class Rollback(NamedTuple):
+    """Roll the open transaction back."""
+
+    request: str
+
+
+class Run(NamedTuple):
+    """Read or write one item."""
+
+    request: str
+    access: Access
+    text: str
+
+
+class SetValue(NamedTuple):
+    """Give a session value."""
+
+    request: str
+    name: str
+    value: str
+
+
+class Shape(NamedTuple):
+    """Describe what a prepared name runs."""
+
+    access: Access
+    form: str
+
+
+class Prepare(NamedTuple):
+    """Bind a name to a shape."""
+
+    request: str
+    name: str
+    shape: Shape
+
+
+class Execute(NamedTuple):
+    """Run a prepared name; ``arguments`` is the text that follows it."""
+
+    request: str
+    name: str
+    arguments: str
+
+
+class Deallocate(NamedTuple):
+    """Release a prepared name."""
+
+    request: str
+    name: str
+
+
+class Malformed(NamedTuple):
+    """Stand for a text that is no statement."""
+
+    request: str
+    detail: str
+
+
+Statement: TypeAlias = (
+    Begin
+    | Commit
+    | Rollback
+    | Run
+    | SetValue
+    | Prepare
+    | Execute
+    | Deallocate
+    | Malformed
+)
+
+
+class Effect(StrEnum):
+    """Tell what is known of a unit's effect on the database."""
+
+    DONE = "done"
+    NONE = "none"
+    UNKNOWN = "unknown"
+
+
+class Result(NamedTuple):
+    """Hold what a statement came to.
+
+    ``signature`` is the database's proof that it ran the statement; ``NONE`` promises
+    that nothing of it is kept; ``ended`` tells that its transaction is over.
+    """
+
+    effect: Effect
+    code: Code | None = None
+    detail: str = ""
+    rows: tuple[str, ...] = ()
+    signature: str = ""
+    point: LogPoint | None = None
+    ended: bool = False
+    retry_after_seconds: Seconds = 0.0
+
+
+def refused(code: Code, detail: str, *, retry_after_seconds: Seconds = 0.0) -> Result:
+    """Return a result that promises that nothing is kept."""
+    return Result(
+        Effect.NONE, code, detail, ended=True, retry_after_seconds=retry_after_seconds
+    )
--- /dev/null
+++ b/berylhinge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product's own types."""
--- /dev/null
+++ b/berylhinge/platform/documents.py
@@ -0,0 +1,153 @@
+"""Decode what operators and databases write in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..core.pooler.catalogue import (
+    Consistency,
+    Database,
+    Declarations,
+    Quota,
+    Route,
+    Service,
+)
+from ..types import Role
+
+CONFIGURATION_KEY = "op/config"
+DATABASES_PREFIX = "servers/"
+
+CONSISTENCIES = {
+    "primary": Consistency.PRIMARY,
+    "bounded_stale": Consistency.BOUNDED,
+    "read_your_writes": Consistency.SESSION,
+}
+STATES = {"ready": False, "draining": True}
+
+# `host` is the database name that callers start a session on; `name` is not used.
+RouteDocument = TypedDict(
+    "RouteDocument",
+    {
+        "host": str,
+        "kind": str,
+        "service": str,
+        "timeout-ms": float,
+        "latency-goal-ms": float,
+        "priority": int,
+        "public": bool,
+        "max-staleness-ms": float,
+    },
+    total=False,
+)
+ServiceDocument = TypedDict(
+    "ServiceDocument", {"name": str, "max-conns": int}, total=False
+)
+TenantDocument = TypedDict(
+    "TenantDocument",
+    {"name": str, "api-keys": list[str], "rate-per-s": float, "burst": float},
+    total=False,
+)
+LimitsDocument = TypedDict("LimitsDocument", {"tx-idle-ms": float}, total=False)
+
+
+class ConfigurationDocument(TypedDict, total=False):
+    """Hold the operators' whole configuration."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    tenants: list[TenantDocument]
+    limits: LimitsDocument
+
+
+# `capacity` is the number of slots, `version` that of the software (not used).
+DatabaseDocument = TypedDict(
+    "DatabaseDocument",
+    {
+        "service": str,
+        "address": str,
+        "zone": str,
+        "capacity": int,
+        "state": str,
+        "db-role": str,
+        "born": int,
+    },
+    total=False,
+)
+
+# Used where a route names no time-out or goal.
+DEFAULT_TIMEOUT_MS = 1000.0
+DEFAULT_GOAL_MS = 500.0
+DEFAULT_IDLE_MS = 3000.0
+
+
+def decode_declarations(value: bytes) -> Result[Declarations, str]:
+    """Decode the operators' configuration, or say what is wrong."""
+    try:
+        document = msgspec.json.decode(value, type=ConfigurationDocument)
+        return Success(
+            Declarations(
+                version=document["version"],
+                routes={
+                    entry["host"]: decode_route(entry)
+                    for entry in document.get("routes", [])
+                },
+                services={
+                    entry["name"]: Service(entry["name"], entry.get("max-conns", 1))
+                    for entry in document.get("services", [])
+                },
+                keys={
+                    key: entry["name"]
+                    for entry in document.get("tenants", [])
+                    for key in entry.get("api-keys", [])
+                },
+                quotas={
+                    entry["name"]: Quota(entry["rate-per-s"], entry.get("burst", 1.0))
+                    for entry in document.get("tenants", [])
+                    if "rate-per-s" in entry
+                },
+                idle_transaction_seconds=document.get("limits", {}).get(
+                    "tx-idle-ms", DEFAULT_IDLE_MS
+                )
+                / 1000,
+            )
+        )
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def decode_route(entry: RouteDocument) -> Route:
+    """Return a route; raise KeyError for a kind that is not known."""
+    return Route(
+        name=entry["host"],
+        service=entry["service"],
+        consistency=CONSISTENCIES[entry["kind"]],
+        timeout_seconds=entry.get("timeout-ms", DEFAULT_TIMEOUT_MS) / 1000,
+        goal_seconds=entry.get("latency-goal-ms", DEFAULT_GOAL_MS) / 1000,
+        staleness_seconds=entry.get("max-staleness-ms", 0.0) / 1000,
+        priority=entry.get("priority", 0),
+        public=entry.get("public", False),
+    )
+
+
+def decode_database(identifier: str, value: bytes) -> Result[Database, str]:
+    """Decode a database's entry, or say why it names no database to use."""
+    try:
+        entry = msgspec.json.decode(value, type=DatabaseDocument)
+        return Success(
+            Database(
+                id=identifier,
+                service=entry["service"],
+                address=entry["address"],
+                place=entry["zone"],
+                slots=max(1, entry["capacity"]),
+                role=Role(entry["db-role"]),
+                leaving=STATES[entry["state"]],
+                born_ms=entry.get("born", 0),
+            )
+        )
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/berylhinge/platform/lines.py
@@ -0,0 +1,279 @@
+"""Translate the platform's line protocol for sessions.
+
+Callers and databases speak the same lines: a word, fields separated by blanks, CR LF.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..core.pooler.statements import (
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Execute,
+    Malformed,
+    Prepare,
+    Rollback,
+    Run,
+    SetValue,
+    Shape,
+    Statement,
+)
+from ..types import Access, LogPoint, Role
+
+# The platform's bound of one message.
+MAX_LINE_BYTES = 1 << 20
+NO_POINT = "-"
+
+CODES = {
+    "BUSY": Code.BUSY,
+    "LAGGING": Code.LAGGING,
+    "READONLY": Code.READ_ONLY,
+    "WRONGNODE": Code.MISDIRECTED,
+    "CONNLIMIT": Code.TOO_MANY_CONNECTIONS,
+    "FAILED": Code.FAILED,
+    "NOSTMT": Code.UNKNOWN_STATEMENT,
+    "TIMEOUT": Code.TIMEOUT,
+    "NOAUTH": Code.UNAUTHENTICATED,
+    "NODB": Code.UNKNOWN_DATABASE,
+    "TOOLARGE": Code.TOO_LARGE,
+    "MALFORMED": Code.MALFORMED,
+    "ABORTED": Code.ABORTED,
+    "INDOUBT": Code.IN_DOUBT,
+}
+WORDS = {code: word for word, code in CODES.items()}
+# The state letters of READY.
+IDLE, IN_TRANSACTION, FAILED = "I", "T", "E"
+STATES = {"idle": IDLE, "open": IN_TRANSACTION, "failed": FAILED}
+ACCESS = {"READ": Access.READ, "WRITE": Access.WRITE}
+ACCESS_WORDS = {access: word for word, access in ACCESS.items()}
+
+
+class Start(NamedTuple):
+    """Open a session on a database name with a caller's key."""
+
+    name: str
+    key: str
+
+
+class Query(NamedTuple):
+    """Ask for one statement."""
+
+    statement: Statement
+
+
+class Terminate(NamedTuple):
+    """End the session."""
+
+
+class LineTooLong(Exception):
+    """Report a message over the platform's bound."""
+
+
+class Lines:
+    """Cut a byte stream into lines."""
+
+    __slots__ = ("buffer", "scanned")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.buffer = bytearray()
+        self.scanned = 0
+
+    def feed(self, data: bytes) -> list[str]:
+        """Return the lines that are whole; raise LineTooLong."""
+        self.buffer += data
+        end = self.buffer.rfind(b"\n", self.scanned)
+        if end < 0:
+            self.scanned = len(self.buffer)
+            if self.scanned > MAX_LINE_BYTES:
+                raise LineTooLong
+            return []
+        whole = bytes(self.buffer[:end])
+        del self.buffer[: end + 1]
+        self.scanned = len(self.buffer)
+        text = whole.decode("utf-8", "surrogateescape")
+        lines = [line.removesuffix("\r") for line in text.split("\n")]
+        if any(len(line) > MAX_LINE_BYTES for line in lines):
+            raise LineTooLong
+        return lines
+
+
+def parse_caller(line: str) -> Start | Query | Terminate | Malformed:
+    """Return what a caller's line says."""
+    word, _, rest = line.partition(" ")
+    if word == "QUERY":
+        request, _, text = rest.partition(" ")
+        return Query(parse_statement(request, text))
+    if word == "START":
+        name, _, key = rest.partition(" ")
+        return Start(name, key.strip())
+    if word == "TERMINATE":
+        return Terminate()
+    return Malformed("", "expected START, QUERY or TERMINATE")
+
+
+def parse_statement(request: str, text: str) -> Statement:
+    """Return the statement of a query's text."""
+    if not request or request == "-":
+        return Malformed(request, "a query needs an id")
+    word, _, rest = text.partition(" ")
+    fields = rest.split(" ") if rest else []
+    if word in ACCESS:
+        expected = 1 if word == "READ" else 2
+        if len(fields) >= expected and (expected == 2 or len(fields) == 1):
+            return Run(request, ACCESS[word], text)
+    elif word == "EXECUTE" and len(fields) >= 2:
+        name, _, arguments = rest.partition(" ")
+        return Execute(request, name, arguments)
+    elif word == "BEGIN" and fields in ([], ["READ"]):
+        return Begin(request, bool(fields))
+    elif word == "COMMIT" and not fields:
+        return Commit(request)
+    elif word == "ROLLBACK" and not fields:
+        return Rollback(request)
+    elif word == "SET" and fields and fields[0]:
+        return SetValue(request, fields[0], rest[len(fields[0]) + 1 :])
+    elif word == "PREPARE" and len(fields) >= 3 and fields[1] in ACCESS:
+        form = rest.split(" ", 2)[2]
+        return Prepare(request, fields[0], Shape(ACCESS[fields[1]], form))
+    elif word == "DEALLOC" and len(fields) == 1 and fields[0]:
+        return Deallocate(request, fields[0])
+    return Malformed(request, f"got {word[:20]!r}, expected a statement's text")
+
+
+def encode(*parts: str) -> bytes:
+    """Return one line."""
+    return (" ".join(parts) + "\r\n").encode("utf-8", "surrogateescape")
+
+
+def ready(state: str, point: LogPoint | None) -> bytes:
+    """Return the line that ends an answer; ``state`` is the session's."""
+    return encode("READY", STATES[state], format_point(point))
+
+
+def error(code: Code, detail: str) -> bytes:
+    """Return an error line."""
+    return encode("ERROR", WORDS[code], detail.replace("\r", " ").replace("\n", " "))
+
+
+def complete(rows: tuple[str, ...], signature: str) -> bytes:
+    """Return the rows and the line that proves a success; no signature is ``-``."""
+    lines = [encode("ROW", row) for row in rows]
+    return b"".join([*lines, encode("COMPLETE", signature or NO_POINT)])
+
+
+def format_point(point: LogPoint | None) -> str:
+    """Return TERM.NUMBER."""
+    return NO_POINT if point is None else f"{point.term}.{point.position}"
+
+
+def parse_point(text: str) -> LogPoint | None:
+    """Read TERM.NUMBER; anything else names no position."""
+    term, _, number = text.partition(".")
+    if not (term.isdecimal() and number.isdecimal()):
+        return None
+    return LogPoint(int(term), int(number))
+
+
+# Towards databases.
+
+
+class Exchange(NamedTuple):
+    """Hold a database's whole answer to one statement."""
+
+    code: Code | None
+    detail: str
+    rows: tuple[str, ...]
+    signature: str
+    state: str
+    point: LogPoint | None
+
+
+class Status(NamedTuple):
+    """Hold what a database says of itself."""
+
+    role: Role
+    term: int
+    point: LogPoint | None
+
+
+def start_database(service: str, organisation: str, identifier: str) -> bytes:
+    """Return the line that opens a connection to one known database."""
+    return encode("START", service, organisation, identifier)
+
+
+def query(request: str, text: str, after: LogPoint | None = None) -> bytes:
+    """Return a statement's line; ``-`` is the id of the product's own statements."""
+    if after is None:
+        return encode("QUERY", request or "-", text)
+    return encode("QUERY", request or "-", "AFTER", format_point(after), text)
+
+
+def set_text(name: str, value: str) -> str:
+    """Return the text that gives a session value."""
+    return f"SET {name} {value}"
+
+
+def prepare_text(name: str, shape: Shape) -> str:
+    """Return the text that prepares a name."""
+    return f"PREPARE {name} {ACCESS_WORDS[shape.access]} {shape.form}"
+
+
+def begin_text(*, read_only: bool) -> str:
+    """Return the text that begins a transaction."""
+    return "BEGIN READ" if read_only else "BEGIN"
+
+
+ROLLBACK_TEXT = "ROLLBACK"
+RESET_TEXT = "RESET"
+STATUS_TEXT = "STATUS"
+
+
+def ends_answer(line: str) -> bool:
+    """Tell whether a line is the last one of an answer."""
+    return line.startswith("READY")
+
+
+def parse_started(line: str) -> Exchange:
+    """Return what a database answered to the opening line; raise ValueError."""
+    if line.startswith("ERROR"):
+        return parse_exchange([line, "READY I -"])
+    return parse_exchange([line])
+
+
+def parse_exchange(lines: list[str]) -> Exchange:
+    """Return the answer that lines up to READY make; raise ValueError."""
+    rows = []
+    code, detail, signature = None, "", ""
+    ended = False
+    for line in lines[:-1]:
+        word, _, rest = line.partition(" ")
+        if ended:
+            raise ValueError(f"got {word!r} after the end of the answer")
+        if word == "ROW":
+            rows.append(rest)
+        elif word == "COMPLETE":
+            signature, ended = rest, True
+        elif word == "ERROR":
+            name, _, detail = rest.partition(" ")
+            code, ended = CODES.get(name, Code.FAILED), True
+        else:
+            raise ValueError(f"got {word!r}, expected ROW, COMPLETE or ERROR")
+    word, _, rest = lines[-1].partition(" ")
+    state, _, point = rest.partition(" ")
+    if word != "READY":
+        raise ValueError(f"got {word!r}, expected READY")
+    return Exchange(code, detail, tuple(rows), signature, state, parse_point(point))
+
+
+def parse_status(row: str) -> Status | None:
+    """Read the row of a status: role, term, position, and figures not used here."""
+    fields = row.split(" ")
+    if len(fields) < 3 or fields[0] not in ("primary", "replica"):
+        return None
+    if not fields[1].isdecimal():
+        return None
+    return Status(Role(fields[0]), int(fields[1]), parse_point(fields[2]))
--- /dev/null
+++ b/berylhinge/platform/store.py
@@ -0,0 +1,271 @@
+"""Call the platform's metadata store and its call for promotions."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any, NamedTuple, NotRequired, TYPE_CHECKING, TypedDict
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..tasks.connection import Connection, ConnectionFailed
+from ..tasks.platform import (
+    ignore,
+    OVERLOADED_STATUSES,
+    store_failure,
+    StoreError,
+    StoreErrorKind,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from ..tasks.connection import Reply
+    from ..tasks.http import Address
+
+KEY_PATH = "/berylhinge/kv-key"
+RANGE_PATH = "/berylhinge/kv-range"
+WATCH_PATH = "/berylhinge/kv-watch"
+CHANGE_PATH = "/berylhinge/kv-txn"
+LEASE_PATH = "/berylhinge/kv-lease"
+KEEP_PATH = "/berylhinge/kv-keep"
+PROMOTIONS_PATH = "/promotions"
+HOLDER_HEADER = "Berylhinge-Duty-Holder"
+FENCE_HEADER = "Berylhinge-Fence-Token"
+
+# The store answers in milliseconds; a connection this silent has lost its answer.
+CALL_SECONDS = 1.0
+# How much longer than its wait a watch may take before its connection is given up.
+WATCH_MARGIN_SECONDS = 0.7
+MAX_IDLE_CONNECTIONS = 3
+
+
+class ItemDocument(TypedDict):
+    """Hold one stored item; ``value`` is base64, ``deleted`` marks a removal."""
+
+    key: str
+    revision: int
+    value: NotRequired[str]
+    lease: NotRequired[int]
+    deleted: NotRequired[bool]
+
+
+# `store-revision` is the revision of the whole store when it answered.
+RangeDocument = TypedDict(
+    "RangeDocument",
+    {"items": list[ItemDocument], "has-more": bool, "store-revision": int},
+)
+WatchDocument = TypedDict(
+    "WatchDocument", {"events": list[ItemDocument], "store-revision": int}
+)
+
+
+class ChangeDocument(TypedDict):
+    """Hold the revision that a change got."""
+
+    revision: int
+
+
+class LeaseDocument(TypedDict):
+    """Hold a lease's number."""
+
+    lease: int
+
+
+class Item(NamedTuple):
+    """Hold one key at its last change; no value when it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Snapshot(NamedTuple):
+    """Hold items and the store's revision at which they were read."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class HistoryLost(NamedTuple):
+    """Tell that a watch must start anew from a full read."""
+
+
+class Conflict(NamedTuple):
+    """Tell that a condition of a change did not hold."""
+
+
+class LeaseGone(NamedTuple):
+    """Tell that a lease has ended."""
+
+
+class Store:
+    """Hold connections to the platform's store."""
+
+    def __init__(
+        self, address: Address, *, on_call: Callable[[str], None] = ignore
+    ) -> None:
+        """Prepare without connecting."""
+        self.address = address
+        self.on_call = on_call
+        self.idle: list[Connection] = []
+
+    def read_all(self, prefix: str) -> Result[Snapshot, StoreError]:
+        """Read every key under a prefix, page by page."""
+        items: list[Item] = []
+        after, revision = "", 0
+        while True:
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            reply = self.call("GET", f"{RANGE_PATH}?{urlencode(query)}")
+            page = reply.bind(lambda found: decode(found, RangeDocument))
+            if isinstance(page, Failure):
+                return page
+            document = page.unwrap()
+            items += [to_item(entry) for entry in document["items"]]
+            # Changes made while later pages are read are seen again by a watch
+            # from the first page's revision.
+            revision = revision or document["store-revision"]
+            if not document["has-more"] or not items:
+                return Success(Snapshot(tuple(items), revision))
+            after = items[-1].key
+
+    def watch(
+        self, prefix: str, *, after: int, wait_seconds: float
+    ) -> Result[Snapshot | HistoryLost, StoreError]:
+        """Wait for changes after a revision, or until the time is over."""
+        query = urlencode(
+            {"prefix": prefix, "after": after, "wait-ms": int(wait_seconds * 1000)}
+        )
+        reply = self.call(
+            "GET",
+            f"{WATCH_PATH}?{query}",
+            timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
+        )
+        if isinstance(reply, Success) and reply.unwrap().status == 410:
+            return Success(HistoryLost())
+        return reply.bind(lambda found: decode(found, WatchDocument)).map(
+            lambda document: Snapshot(
+                tuple(to_item(entry) for entry in document["events"]),
+                document["store-revision"],
+            )
+        )
+
+    def change(
+        self,
+        *,
+        conditions: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        lease: int = 0,
+        deletes: tuple[str, ...] = (),
+    ) -> Result[int | Conflict | LeaseGone, StoreError]:
+        """Change keys if each named one is at its revision; return the new one."""
+        entries = [
+            {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+            for key, value in puts.items()
+        ]
+        body = {
+            "precondition": [
+                {"key": key, "revision": revision}
+                for key, revision in conditions.items()
+            ],
+            "puts": entries,
+            "deletes": list(deletes),
+        }
+        reply = self.call("POST", CHANGE_PATH, body)
+        if isinstance(reply, Success):
+            if reply.unwrap().status == 412:
+                return Success(Conflict())
+            if reply.unwrap().status == 404:
+                return Success(LeaseGone())
+        return reply.bind(lambda found: decode(found, ChangeDocument)).map(
+            lambda document: document["revision"]
+        )
+
+    def open_lease(self, ttl_seconds: float) -> Result[int, StoreError]:
+        """Open a lease."""
+        reply = self.call("POST", LEASE_PATH, {"ttl-ms": int(ttl_seconds * 1000)})
+        return reply.bind(lambda found: decode(found, LeaseDocument)).map(
+            lambda document: document["lease"]
+        )
+
+    def keep_lease(self, lease: int) -> Result[bool, StoreError]:
+        """Renew a lease; return whether it still stood."""
+        reply = self.call("POST", f"{KEEP_PATH}/{lease}", {})
+        if isinstance(reply, Success) and reply.unwrap().status == 404:
+            return Success(False)
+        return reply.bind(lambda found: decode(found, dict[str, Any])).map(
+            lambda _: True
+        )
+
+    def promote(
+        self, service: str, database: str, *, holder: str, fence: int
+    ) -> Result[bool, StoreError]:
+        """Name the database that is to lead; return whether that was accepted."""
+        headers = f"{HOLDER_HEADER}: {holder}\r\n{FENCE_HEADER}: {fence}\r\n"
+        body = {"service": service, "id": database}
+        reply = self.call("POST", PROMOTIONS_PATH, body, headers=headers)
+        if isinstance(reply, Success) and reply.unwrap().status == 409:
+            return Success(False)
+        return reply.bind(lambda found: decode(found, Any)).map(lambda _: True)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        timeout_seconds: float = CALL_SECONDS,
+        headers: str = "",
+    ) -> Result[Reply, StoreError]:
+        """Make one call on a connection of its own."""
+        connection = (
+            self.idle.pop() if self.idle else Connection(self.address, headers={})
+        )
+        if not connection.is_quiet():
+            connection.close()
+        data = b"" if body is None else msgspec.json.encode(body)
+        try:
+            if not connection.is_open:
+                connection.open(CALL_SECONDS)
+            reply = connection.exchange(
+                path, data, timeout_seconds, method=method, headers=headers
+            )
+        except ConnectionFailed as error:
+            self.on_call("failed")
+            kinds = StoreErrorKind
+            kind = kinds.UNKNOWN if error.sent else kinds.NOT_APPLIED
+            return store_failure(kind, f"{self.address}: {error}")
+        if connection.is_open and len(self.idle) < MAX_IDLE_CONNECTIONS:
+            self.idle.append(connection)
+        else:
+            connection.close()
+        self.on_call(str(reply.status))
+        if reply.status in OVERLOADED_STATUSES:
+            detail = f"{path}: status {reply.status}"
+            return store_failure(StoreErrorKind.OVERLOADED, detail)
+        return Success(reply)
+
+
+def decode(reply: Reply, kind: Any) -> Result[Any, StoreError]:
+    """Decode a body of the expected kind."""
+    if reply.status not in (200, 201, 202, 204):
+        return store_failure(StoreErrorKind.MALFORMED, f"status {reply.status}")
+    try:
+        return Success(msgspec.json.decode(reply.body or b"{}", type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return store_failure(StoreErrorKind.MALFORMED, str(error))
+
+
+def to_item(entry: ItemDocument) -> Item:
+    """Return an item with its bytes; a value that is no base64 reads as empty."""
+    if entry.get("deleted"):
+        return Item(entry["key"], None, entry["revision"])
+    try:
+        value = base64.b64decode(entry.get("value", ""), validate=True)
+    except (binascii.Error, ValueError):
+        value = b""
+    return Item(entry["key"], value, entry["revision"])
--- a/berylhinge/tasks/connection.py
+++ b/berylhinge/tasks/connection.py
@@ -84,19 +84,28 @@
             raise ConnectionFailed(str(error), sent=False, refused=refused) from error
         self.sock = sock
 
-    def exchange(self, path: str, body: bytes, timeout_seconds: float) -> Reply:
+    def exchange(
+        self,
+        path: str,
+        body: bytes,
+        timeout_seconds: float,
+        *,
+        method: str = "POST",
+        headers: str = "",
+    ) -> Reply:
         """Send one request and read its whole answer; close on any failure."""
         if self.sock is None:
             raise ConnectionFailed("the connection is closed", sent=False)
         request = (
-            f"POST {path} HTTP/1.1\r\n{self.head}Content-Length: {len(body)}\r\n\r\n"
+            f"{method} {path} HTTP/1.1\r\n{self.head}{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
         ).encode("ascii") + body
         finished = False
         try:
             with gevent.Timeout(timeout_seconds):
                 self.sock.sendall(request)
                 response = HTTPSocketResponse(
-                    self.sock, block_size=READ_BLOCK_BYTES, method="POST"
+                    self.sock, block_size=READ_BLOCK_BYTES, method=method
                 )
                 reply = Reply(response.status_code, bytes(response.read()))
             finished = response.should_keep_alive()
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -141,6 +141,12 @@
                 del self.outboxes[instance]
                 outbox.socket.close()
 
+    def forget(self, instance: InstanceId) -> None:
+        """Close the connection to a peer, so that the next message dials anew."""
+        outbox = self.outboxes.pop(instance, None)
+        if outbox is not None:
+            outbox.socket.close()
+
     def outbox_for(self, instance: InstanceId, peer: Peer) -> pynng.Push0:
         """Return the peer's outbox, dialling in the background at first use."""
         known = self.outboxes.get(instance)
--- /dev/null
+++ b/berylhinge/tasks/pooler/__init__.py
@@ -0,0 +1,1 @@
+"""Own the sockets by which an instance serves session-oriented callers."""
--- /dev/null
+++ b/berylhinge/tasks/pooler/callers.py
@@ -0,0 +1,316 @@
+"""Serve callers' sessions, one task for each connection."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import Any, TYPE_CHECKING
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from ...core.pooler.sessions import Answer, IDLE, new_session, plan, settle
+from ...core.pooler.statements import Code, Effect, Malformed, refused, Result
+from ...platform import lines
+from .router import Call
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Route
+    from ...core.pooler.sessions import Unit
+    from ...core.pooler.statements import Statement
+    from ...types import OrganisationId, Seconds
+    from ..http import Address
+    from ..logs import Log
+    from ..metrics import Metrics
+    from .rates import RatesTask
+    from .router import Binding, Router
+    from .view import View
+
+READ_BYTES = 65_536
+# Connections beyond this are closed at once; each costs a descriptor and a task.
+MAX_SESSIONS = 3_000
+# A caller that opens a connection must name its database within this time.
+START_SECONDS = 5.0
+# The kernel's queue of connections that wait to be accepted.
+BACKLOG = 512
+# Part of the revocation bound after which unconfirmed keys are no longer trusted;
+# the rest allows for clocks that differ in speed and for the confirming call.
+TRUST_PART = 0.9
+
+
+class SessionTask:
+    """Own one caller's connection and session."""
+
+    def __init__(self, callers: Callers, sock: Any) -> None:
+        """Start without a database name."""
+        self.callers = callers
+        self.view = callers.view
+        self.sock = sock
+        self.lines = lines.Lines()
+        self.session = new_session()
+        self.route_name = ""
+        self.key = ""
+        self.binding: Binding | None = None
+        self.busy = False
+        self.counted = False
+        self.used_at = now_seconds()
+
+    def serve(self) -> None:
+        """Serve until either side ends the session."""
+        try:
+            with gevent.Timeout(START_SECONDS, False):
+                pending = self.start()
+            if not self.route_name:
+                return
+            self.serve_lines(pending)
+        except OSError as error:
+            if self.session.state != IDLE:
+                self.callers.log.info(
+                    "A caller left inside a transaction.", error=str(error)
+                )
+        except lines.LineTooLong:
+            self.sock.sendall(lines.error(Code.TOO_LARGE, "a message is too long"))
+        finally:
+            self.release()
+            self.sock.close()
+
+    def release(self) -> None:
+        """Roll back what is open."""
+        if self.binding is not None:
+            self.callers.router.abandon(self.binding)
+            self.binding = None
+
+    def read(self) -> list[str]:
+        """Return the next lines; raise OSError at the end of the stream."""
+        while True:
+            data = self.sock.recv(READ_BYTES)
+            if not data:
+                raise ConnectionResetError("the caller closed the connection")
+            found = self.lines.feed(data)
+            if found:
+                return found
+
+    def start(self) -> list[str]:
+        """Answer the opening line; leave the route's name empty when refused."""
+        first, *pending = self.read()
+        opened = lines.parse_caller(first)
+        if not isinstance(opened, lines.Start):
+            self.sock.sendall(lines.error(Code.MALFORMED, "open a session first"))
+            return pending
+        refusal = self.callers.check(opened.name, opened.key)
+        if refusal is not None:
+            self.sock.sendall(lines.error(*refusal))
+            self.callers.refuse("", refusal[0], refusal[1], "start")
+            return pending
+        self.route_name, self.key = opened.name, opened.key
+        self.sock.sendall(lines.ready(IDLE, None))
+        return pending
+
+    def serve_lines(self, pending: list[str]) -> None:
+        """Answer statements in their order."""
+        while True:
+            while pending:
+                message = lines.parse_caller(pending.pop(0))
+                if isinstance(message, lines.Terminate):
+                    return
+                self.busy = True
+                statement = (
+                    message.statement if isinstance(message, lines.Query) else message
+                )
+                if isinstance(statement, lines.Start):
+                    statement = Malformed("", "the session is open already")
+                self.answer(statement)
+                self.busy = False
+                self.used_at = now_seconds()
+            if self.callers.closing and self.session.state == IDLE:
+                return
+            pending = self.read_patiently()
+
+    def read_patiently(self) -> list[str]:
+        """Read on; end a transaction whose caller rests for too long."""
+        if self.binding is None:
+            return self.read()
+        limit = self.view.declarations.idle_transaction_seconds
+        with gevent.Timeout(limit, False):
+            return self.read()
+        self.release()
+        self.session = self.session._replace(state="failed", transaction=None)
+        return self.read()
+
+    def answer(self, statement: Statement) -> None:
+        """Run one statement and send its answer."""
+        arrived_at = now_seconds()
+        self.session, planned = plan(statement, self.session)
+        if isinstance(planned, Answer):
+            if planned.abandon is not None:
+                self.release()
+            head = (
+                lines.complete((), "")
+                if planned.code is None
+                else lines.error(planned.code, planned.detail)
+            )
+        else:
+            result = self.run(planned, arrived_at)
+            self.session = settle(self.session, planned, result)
+            if result.effect is Effect.DONE and result.code is None:
+                head = lines.complete(result.rows, result.signature)
+            else:
+                head = lines.error(result.code or Code.FAILED, hint(result))
+        self.sock.sendall(head + lines.ready(self.session.state, self.session.point))
+
+    def run(self, unit: Unit, arrived_at: Seconds) -> Result:
+        """Run a unit if the declarations allow it."""
+        refusal = self.callers.check(self.route_name, self.key)
+        reason, attempts = "", 0
+        if refusal is not None:
+            self.release()
+            result, reason = refused(*refusal), "not-allowed"
+        else:
+            result, reason, attempts = self.run_allowed(unit, arrived_at)
+        self.callers.note(unit, result, reason, attempts, arrived_at, self)
+        return result
+
+    def run_allowed(self, unit: Unit, arrived_at: Seconds) -> tuple[Result, str, int]:
+        """Count an operation against its organisation's rate, then run its unit."""
+        route = self.view.declarations.routes[self.route_name]
+        organisation = self.organisation(route)
+        if self.binding is None:
+            admission = self.callers.rates.admit(organisation)
+            if not admission.admitted:
+                code = Code.BUSY if unit.transaction is None else Code.ABORTED
+                wait = admission.retry_after_seconds
+                detail = "the organisation is over its rate"
+                return refused(code, detail, retry_after_seconds=wait), "rate", 0
+        call = Call(
+            route,
+            organisation,
+            self.session,
+            unit,
+            next(self.callers.numbers),
+            arrived_at,
+        )
+        routed = self.callers.router.run(call, self.binding)
+        self.binding = routed.binding
+        return routed.result, routed.reason, routed.attempts
+
+    def organisation(self, route: Route) -> OrganisationId:
+        """Return whom the session's key belongs to."""
+        return self.view.declarations.keys.get(self.key, "-")
+
+
+def hint(result: Result) -> str:
+    """Return an error's text, with when to come back where that is known."""
+    if result.retry_after_seconds > 0.0:
+        wait_ms = round(result.retry_after_seconds * 1000)
+        return f"{result.detail}; retry after {wait_ms} ms"
+    return result.detail
+
+
+class Callers:
+    """Own the listener and know every open session."""
+
+    def __init__(
+        self,
+        address: Address,
+        view: View,
+        *,
+        router: Router,
+        rates: RatesTask,
+        metrics: Metrics,
+        log: Log,
+        revocation_seconds: Seconds,
+    ) -> None:
+        """Prepare without listening."""
+        self.view = view
+        self.router = router
+        self.rates = rates
+        self.metrics = metrics
+        self.log = log
+        self.trust_seconds = revocation_seconds * TRUST_PART
+        self.sessions: set[SessionTask] = set()
+        self.numbers = count(1)
+        self.closing = False
+        self.server = StreamServer(tuple(address), self.accept, backlog=BACKLOG)
+
+    def start(self) -> None:
+        """Listen."""
+        self.server.start()
+
+    def accept(self, sock: Any, _address: object) -> None:
+        """Serve one connection."""
+        if len(self.sessions) >= MAX_SESSIONS:
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        session = SessionTask(self, sock)
+        self.sessions.add(session)
+        try:
+            session.serve()
+        finally:
+            self.sessions.discard(session)
+
+    def check(self, name: str, key: str) -> tuple[Code, str] | None:
+        """Return why a key may not use a database name now, or None."""
+        declarations = self.view.declarations
+        age = now_seconds() - self.view.confirmed_at
+        if age >= self.trust_seconds:
+            return Code.BUSY, "the declarations could not be confirmed in time"
+        route = declarations.routes.get(name)
+        if route is None:
+            return Code.UNKNOWN_DATABASE, "no route has this name"
+        if not route.public and key not in declarations.keys:
+            return Code.UNAUTHENTICATED, "the key is not valid"
+        return None
+
+    def close_idle(self) -> None:
+        """Close sessions that neither run a statement nor hold a transaction."""
+        for session in list(self.sessions):
+            if not session.busy and session.session.state == IDLE:
+                session.sock.close()
+
+    def refuse(self, request: str, code: Code, detail: str, reason: str) -> None:
+        """Count and log a refusal."""
+        self.metrics.count("refusals_total", f"{reason}:{code.value}", "not-run")
+        self.log.info(
+            "A request was refused.",
+            request_id=request,
+            code=code.value,
+            reason=reason,
+            detail=detail,
+            version=self.view.declarations.version,
+            confirmed_age=round(now_seconds() - self.view.confirmed_at, 3),
+        )
+
+    def note(
+        self,
+        unit: Unit,
+        result: Result,
+        reason: str,
+        attempts: int,
+        arrived_at: Seconds,
+        session: SessionTask,
+    ) -> None:
+        """Count an answer, and log one that is no success."""
+        seconds = now_seconds() - arrived_at
+        self.metrics.latency.observe({"route": session.route_name}, seconds)
+        if result.code is None:
+            self.metrics.count("answers_total", unit.access.value)
+            return
+        outcome = "not-run" if result.effect is Effect.NONE else "unknown"
+        self.metrics.count(
+            "refusals_total", f"{reason or 'answer'}:{result.code.value}", outcome
+        )
+        self.log.info(
+            "A request failed.",
+            request_id=unit.request,
+            code=result.code.value,
+            outcome=outcome,
+            reason=reason,
+            detail=result.detail,
+            route=session.route_name,
+            attempts=attempts,
+            milliseconds=round(seconds * 1000, 1),
+            version=self.view.declarations.version,
+            confirmed_age=round(now_seconds() - self.view.confirmed_at, 3),
+        )
--- /dev/null
+++ b/berylhinge/tasks/pooler/database.py
@@ -0,0 +1,172 @@
+"""Own one stateful connection to a database."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import gevent
+from gevent import socket
+
+from ...core.pooler.pool import Idle, prepare
+from ...platform import lines
+from ..connection import ConnectionFailed
+from ..http import parse_address
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Database
+    from ...core.pooler.statements import Code
+    from ...platform.lines import Exchange
+    from ...types import LogPoint, OrganisationId, Seconds
+    from ...wire.pooling import RunUnit
+
+READ_BYTES = 65_536
+CONNECT_SECONDS = 0.5
+
+
+class ConnectRefused(Exception):
+    """Report that a database did not take a connection, and under which code."""
+
+    def __init__(self, code: Code | None, detail: str, *, refused: bool) -> None:
+        """Keep the reason; ``refused`` tells that nothing listened."""
+        super().__init__(detail)
+        self.code = code
+        self.refused = refused
+
+
+class DatabaseConnection:
+    """Hold one connection that belongs to an organisation."""
+
+    def __init__(self, number: int, organisation: OrganisationId) -> None:
+        """Prepare without connecting."""
+        self.number = number
+        self.organisation = organisation
+        self.values: dict[str, str] = {}
+        self.prepared: frozenset[str] = frozenset()
+        self.since = now_seconds()
+        self.sock: Any = None
+        self.lines = lines.Lines()
+        self.pending: list[str] = []
+
+    def idle(self) -> Idle:
+        """Describe it to the pool's decisions."""
+        return Idle(
+            self.number, self.organisation, self.values, self.prepared, self.since
+        )
+
+    def open(self, database: Database, timeout_seconds: Seconds) -> LogPoint | None:
+        """Connect to exactly this database; raise ConnectRefused."""
+        address = parse_address(database.address)
+        try:
+            with gevent.Timeout(timeout_seconds):
+                self.sock = socket.create_connection(tuple(address))
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.sock.sendall(
+                    lines.start_database(
+                        database.service, self.organisation, database.id
+                    )
+                )
+                first = self.read_line()
+        except gevent.Timeout as error:
+            self.close()
+            raise ConnectRefused(None, "no answer in time", refused=False) from error
+        except (OSError, ValueError) as error:
+            self.close()
+            refused = isinstance(error, ConnectionRefusedError | ConnectionResetError)
+            raise ConnectRefused(None, str(error), refused=refused) from error
+        started = lines.parse_started(first)
+        if started.code is not None:
+            self.close()
+            raise ConnectRefused(started.code, started.detail, refused=False)
+        return started.point
+
+    def exchange(
+        self,
+        request: str,
+        text: str,
+        timeout_seconds: Seconds,
+        *,
+        after: LogPoint | None = None,
+    ) -> Exchange:
+        """Run one statement; close and raise ConnectionFailed when it isn't clean."""
+        if self.sock is None:
+            raise ConnectionFailed("the connection is closed", sent=False)
+        finished = False
+        try:
+            with gevent.Timeout(max(0.001, timeout_seconds)):
+                self.sock.sendall(lines.query(request, text, after))
+                answer = self.read_answer()
+            finished = True
+        except gevent.Timeout as error:
+            raise ConnectionFailed("the answer timed out", sent=True) from error
+        except (OSError, ValueError, lines.LineTooLong) as error:
+            raise ConnectionFailed(str(error) or "closed", sent=True) from error
+        finally:
+            if not finished:
+                self.close()
+        return answer
+
+    def read_line(self) -> str:
+        """Return the next line; raise OSError at the end of the stream."""
+        while not self.pending:
+            data = self.sock.recv(READ_BYTES)
+            if not data:
+                raise ConnectionResetError("the database closed the connection")
+            self.pending = self.lines.feed(data)
+        return self.pending.pop(0)
+
+    def read_answer(self) -> Exchange:
+        """Read up to the line that ends an answer."""
+        found = [self.read_line()]
+        while not lines.ends_answer(found[-1]):
+            found.append(self.read_line())
+        return lines.parse_exchange(found)
+
+    def bring_to(self, unit: RunUnit, timeout_seconds: Seconds) -> None:
+        """Replay a session's values and prepared names; raise ConnectionFailed."""
+        steps = prepare(
+            self.values,
+            self.prepared,
+            wanted_values=unit.values,
+            wanted_prepared=unit.prepared,
+        )
+        if steps.reset:
+            self.run_own(lines.RESET_TEXT, timeout_seconds)
+            self.values, self.prepared = {}, frozenset()
+        for name, value in steps.values:
+            self.run_own(lines.set_text(name, value), timeout_seconds)
+            self.values = {**self.values, name: value}
+        for name, shape in steps.prepared:
+            self.run_own(lines.prepare_text(name, shape), timeout_seconds)
+            self.prepared |= {name}
+
+    def run_own(self, text: str, timeout_seconds: Seconds) -> Exchange:
+        """Run a statement of the product's own that must succeed."""
+        answer = self.exchange("", text, timeout_seconds)
+        if answer.code is not None:
+            self.close()
+            detail = f"{answer.code} for {text.partition(' ')[0]}"
+            raise ConnectionFailed(detail, sent=False)
+        return answer
+
+    def is_quiet(self) -> bool:
+        """Tell whether an idle connection was neither closed nor written to."""
+        if self.sock is None or self.pending:
+            return False
+        try:
+            return not self.peek()
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    def peek(self) -> bool:
+        """Tell that something can be read; raise BlockingIOError if nothing can."""
+        self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return True
+
+    def close(self) -> None:
+        """Close; safe to repeat."""
+        sock, self.sock = self.sock, None
+        if sock is not None:
+            sock.close()
--- /dev/null
+++ b/berylhinge/tasks/pooler/duty.py
@@ -0,0 +1,238 @@
+"""Replace primaries that lead no longer, under the fleet's promotion duty."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from returns.result import Failure
+
+from ...core.pooler.catalogue import databases_of, primary_of
+from ...core.pooler.failover import judge, PROMOTION_SECONDS, successor, Verdict
+from ...platform import lines
+from ...platform.store import Conflict
+from ...types import Role
+from ...wire.pooling import Reach, Reached
+from ..connection import ConnectionFailed
+from ..links import PeerLost
+from ..loops import spawn_loop
+from .database import ConnectRefused, DatabaseConnection
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Database
+    from ...platform.store import Store
+    from ...types import InstanceId, LogPoint, Seconds, UpstreamId
+    from ..links import Links
+    from ..logs import Log
+    from ..metrics import Metrics
+    from .holding import Holding
+    from .view import View
+
+DUTY_PREFIX = "berylhinge/duties/promotion/"
+CHECK_SECONDS = 0.1
+# Time to connect and to answer a status; longer is a database that does not serve.
+REACH_SECONDS = 0.35
+ASK_SECONDS = 0.5
+# Instances that are asked whether they reach a database that one has lost.
+WITNESSES = 3
+# This many instances in line for a service's duty look after it.
+IN_LINE = 3
+
+
+class DutyTask:
+    """Watch over the primaries of services whose databases this instance holds."""
+
+    def __init__(
+        self,
+        view: View,
+        holding: Holding,
+        links: Links,
+        *,
+        store: Store,
+        promotions: Store,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        """Prepare without watching."""
+        self.view = view
+        self.holding = holding
+        self.links = links
+        self.store = store
+        self.promotions = promotions
+        self.metrics = metrics
+        self.log = log
+        self.busy: set[str] = set()
+        self.quiet_until: dict[str, Seconds] = {}
+        self.missing_since: dict[str, Seconds] = {}
+        links.register_call(Reach, self.on_reach)
+
+    def start(self) -> None:
+        """Start watching."""
+        spawn_loop(self.watch, lambda: CHECK_SECONDS, self.log)
+
+    def watch(self) -> None:
+        """Judge the primary of every service."""
+        now = now_seconds()
+        if self.view.stopping:
+            return
+        for service in self.view.declarations.services:
+            quiet = self.quiet_until.get(service, 0.0) > now
+            if service in self.busy or quiet:
+                continue
+            verdict = self.judge(service, now)
+            if verdict is not Verdict.KEEP:
+                self.busy.add(service)
+                gevent.spawn(self.act, service, verdict)
+
+    def judge(self, service: str, now: Seconds) -> Verdict:
+        """Return what is to be done about a service's primary."""
+        entries = databases_of(self.view.databases, service)
+        if not entries:
+            return Verdict.KEEP
+        primary = primary_of(self.view.databases, service)
+        line = self.view.holders(primary or entries[0])
+        if self.view.me not in line[:IN_LINE]:
+            return Verdict.KEEP
+        place = line.index(self.view.me)
+        if primary is None:
+            since = self.missing_since.setdefault(service, now)
+            if now - since < 0.5 + place:
+                return Verdict.KEEP
+        else:
+            self.missing_since.pop(service, None)
+        if primary is not None and primary.leaving and place > 0:
+            return Verdict.KEEP
+        task = self.holding.tasks.get(primary.id) if primary else None
+        own = task.health if task is not None else None
+        health = self.view.health_of(primary.id if primary else "", own)
+        return judge(health, primary, place_in_line=place, now=now)
+
+    def act(self, service: str, verdict: Verdict) -> None:
+        """Check what others see, and promote the best replica."""
+        try:
+            primary = primary_of(self.view.databases, service)
+            if verdict is Verdict.CHECK and primary is not None:
+                if self.anyone_reaches(primary):
+                    self.quiet_until[service] = now_seconds() + 0.5
+                    return
+            self.promote(service, primary)
+        finally:
+            self.busy.discard(service)
+
+    def anyone_reaches(self, primary: Database) -> bool:
+        """Ask this instance and some others for a new connection to a database."""
+        names = [peer.instance for peer in self.view.peers()]
+        witnesses = [name for name in names if name != self.view.me][:WITNESSES]
+        jobs = [gevent.spawn(self.ask_reach, name, primary) for name in witnesses]
+        own = self.reach(primary)
+        gevent.joinall(jobs, timeout=ASK_SECONDS)
+        answers = {
+            name: bool(job.value) for name, job in zip(witnesses, jobs, strict=True)
+        }
+        self.log.info(
+            "A primary was looked at.",
+            database=primary.id,
+            reached=own.reachable,
+            witnesses=answers,
+        )
+        if not own.reachable and any(answers.values()):
+            self.view.give_up(primary.id)
+        return own.reachable or any(answers.values())
+
+    def ask_reach(self, name: InstanceId, primary: Database) -> bool:
+        """Ask one witness; silence is no evidence that it reaches the database."""
+        try:
+            reached = self.links.call(name, Reach(primary.id), ASK_SECONDS)
+        except PeerLost:
+            return False
+        return bool(reached.reachable)
+
+    def on_reach(self, sender: InstanceId, message: Reach) -> Reached:
+        """Answer whether this instance reaches a database."""
+        database = self.view.databases.get(message.database)
+        if database is None:
+            return Reached(False, False, None)
+        return self.reach(database)
+
+    def reach(self, database: Database) -> Reached:
+        """Ask a database for its status on a connection of its own."""
+        organisation = next(iter(self.view.declarations.quotas), "")
+        task = self.holding.tasks.get(database.id)
+        if task is not None and task.idle:
+            task.ask_status()
+            if task.health.failed_since > now_seconds():
+                leading = task.proven is not None
+                return Reached(True, leading, task.point)
+        connection = DatabaseConnection(0, organisation)
+        try:
+            point = connection.open(database, REACH_SECONDS)
+            answer = connection.run_own(lines.STATUS_TEXT, REACH_SECONDS)
+            status = lines.parse_status(answer.rows[0]) if answer.rows else None
+            leading = status is not None and status.role is Role.PRIMARY
+            return Reached(True, leading, answer.point or point)
+        except ConnectRefused as error:
+            # A database that turns a connection away is alive.
+            return Reached(error.code is not None, False, None)
+        except ConnectionFailed:
+            return Reached(False, False, None)
+        finally:
+            connection.close()
+
+    def promote(self, service: str, primary: Database | None) -> None:
+        """Let the replica with the longest log lead."""
+        others = [
+            entry
+            for entry in databases_of(self.view.databases, service)
+            if primary is None or entry.id != primary.id
+        ]
+        jobs = {entry.id: gevent.spawn(self.reach, entry) for entry in others}
+        gevent.joinall(list(jobs.values()), timeout=ASK_SECONDS)
+        points: dict[UpstreamId, LogPoint] = {
+            name: job.value.point
+            for name, job in jobs.items()
+            if job.value is not None and job.value.point is not None
+        }
+        chosen = successor(others, points)
+        if chosen is None:
+            self.log.info("No replica can lead.", service=service, reached=len(points))
+            self.quiet_until[service] = now_seconds() + 0.3
+            return
+        fence = self.take_duty(service, chosen)
+        if fence is None:
+            self.quiet_until[service] = now_seconds() + 0.3
+            return
+        self.quiet_until[service] = now_seconds() + PROMOTION_SECONDS
+        result = self.promotions.promote(
+            service, chosen.id, holder=self.view.me, fence=fence
+        )
+        outcome = "unknown"
+        if not isinstance(result, Failure):
+            outcome = "accepted" if result.unwrap() else "refused"
+        self.metrics.count("promotions_total", outcome)
+        self.log.info(
+            "A promotion was asked for.",
+            service=service,
+            database=chosen.id,
+            replaced=primary.id if primary else None,
+            fence=fence,
+            points={name: str(point) for name, point in points.items()},
+            outcome=outcome,
+        )
+
+    def take_duty(self, service: str, chosen: Database) -> int | None:
+        """Take the duty for one promotion; its key's revision fences older holders."""
+        key = DUTY_PREFIX + service
+        known = self.view.duties.get(key, 0)
+        value = f"{self.view.me} {chosen.id}".encode()
+        result = self.store.change(conditions={key: known}, puts={key: value})
+        if isinstance(result, Failure):
+            detail = result.failure().detail
+            self.log.info("The duty was not taken.", service=service, error=detail)
+            return None
+        outcome = result.unwrap()
+        if isinstance(outcome, Conflict) or not isinstance(outcome, int):
+            self.log.info("Another instance has the duty.", service=service)
+            return None
+        self.view.duties[key] = outcome
+        return outcome
--- /dev/null
+++ b/berylhinge/tasks/pooler/instance.py
@@ -0,0 +1,184 @@
+"""Run one pooler instance from its start to its planned stop."""
+
+from __future__ import annotations
+
+from random import Random, SystemRandom
+from typing import Any, TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from ...core.envelopes import new_envelopes
+from ...core.pooler.sessions import IDLE
+from ...platform.store import Store
+from ...wire.pooling import Abandon, Look, RunUnit, TakeTokens
+from ..http import respond, start_server
+from ..links import Links
+from ..logs import Log
+from ..metrics import Metrics
+from .callers import Callers
+from .duty import DutyTask
+from .holding import Holding
+from .peers import PeerTask, register_kinds
+from .rates import RatesTask
+from .registry import Registry
+from .router import Router
+from .view import now_seconds, View
+
+if TYPE_CHECKING:
+    from .settings import PoolerSettings
+
+# The balancer takes an instance out after two probes a second apart; until then new
+# callers still arrive.
+LINGER_SECONDS = 2.5
+# Open transactions may end by themselves during this part of the grace period.
+GRACE_PART = 0.85
+POLL_SECONDS = 0.05
+
+
+class Pooler:
+    """Own every task of one instance."""
+
+    def __init__(self, settings: PoolerSettings) -> None:
+        """Prepare without sockets."""
+        self.settings = settings
+        self.metrics = Metrics()
+        self.view = View(settings.instance, settings.place)
+        self.log = Log("pooler", settings.instance)
+        self.stopping = Event()
+        self.ready = False
+        self.links: Links | None = None
+        self.store = Store(settings.store, on_call=self.count_call)
+        self.promotions = Store(settings.promotions, on_call=self.count_call)
+        self.registry = Registry(
+            settings,
+            self.store,
+            self.view,
+            log=Log("registry", settings.instance),
+            on_change=self.on_change,
+            rng=Random(SystemRandom().getrandbits(64)),
+        )
+
+    def count_call(self, result: str) -> None:
+        """Count one call to the platform."""
+        self.metrics.count("store_calls_total", result)
+
+    def start(self) -> None:
+        """Learn the declarations, then listen."""
+        settings = self.settings
+        self.log.info("The instance starts.", place=settings.place)
+        self.readiness = start_server(settings.readiness, self.answer_readiness)
+        self.scraping = start_server(settings.metrics, self.answer_scrape)
+        self.registry.start()
+        self.open_links()
+        self.callers.start()
+        self.ready = True
+        self.log.info(
+            "The instance serves.",
+            version=self.view.declarations.version,
+            databases=len(self.view.databases),
+        )
+
+    def open_links(self) -> None:
+        """Open the links and the tasks that speak over them."""
+        settings, view = self.settings, self.view
+        assert self.registry.secret is not None
+        links = Links(
+            settings.peers,
+            envelopes=new_envelopes(
+                settings.instance, self.registry.incarnation, [self.registry.secret]
+            ),
+            on_count=self.metrics.count_peer,
+        )
+        register_kinds(links)
+        self.holding = Holding(view, Log("holder", settings.instance))
+        links.register_call(RunUnit, self.holding.run)
+        links.register(Abandon, self.holding.abandon)
+        links.register_call(Look, self.holding.look)
+        self.rates = RatesTask(view, links, first_start=settings.first_start)
+        links.register_call(TakeTokens, self.rates.on_take)
+        self.peers = PeerTask(view, links, Log("peers", settings.instance))
+        self.duty = DutyTask(
+            view,
+            self.holding,
+            links,
+            store=self.store,
+            promotions=self.promotions,
+            metrics=self.metrics,
+            log=Log("duty", settings.instance),
+        )
+        self.router = Router(
+            view,
+            self.holding,
+            links,
+            metrics=self.metrics,
+            log=Log("router", settings.instance),
+        )
+        self.callers = Callers(
+            settings.callers,
+            view,
+            router=self.router,
+            rates=self.rates,
+            metrics=self.metrics,
+            log=Log("callers", settings.instance),
+            revocation_seconds=settings.revocation_ms / 1000,
+        )
+        self.links = links
+        self.on_change()
+        links.start()
+        self.holding.start()
+        self.peers.start()
+        self.duty.start()
+
+    def on_change(self) -> None:
+        """Pass on what the registry has learned."""
+        if self.links is not None:
+            envelopes = self.links.envelopes
+            if envelopes.incarnation != self.registry.incarnation:
+                self.links.envelopes = envelopes._replace(
+                    incarnation=self.registry.incarnation
+                )
+            self.peers.refresh()
+        self.view.changed.notify()
+
+    def answer_readiness(self, environ: Any, start_response: Any) -> list[bytes]:
+        """Tell the balancer whether to send new callers here."""
+        age = now_seconds() - self.view.confirmed_at
+        fresh = age * 1000 < self.settings.revocation_ms
+        serving = self.ready and fresh and not self.view.stopping
+        return respond(start_response, 200 if serving else 503, b"{}")
+
+    def answer_scrape(self, environ: Any, start_response: Any) -> list[bytes]:
+        """Return the metrics."""
+        body, content_type = self.metrics.render()
+        return respond(start_response, 200, body, content_type=content_type)
+
+    def shut_down(self) -> None:
+        """Leave without cutting a request."""
+        started_at = now_seconds()
+        self.log.info("The instance is leaving.")
+        self.view.stopping = True
+        if self.links is None:
+            return
+        gevent.spawn(self.registry.leave)
+        end_at = started_at + self.settings.grace_seconds * GRACE_PART
+        while now_seconds() < end_at:
+            if now_seconds() - started_at >= LINGER_SECONDS:
+                self.callers.closing = True
+                self.callers.close_idle()
+                if not self.callers.sessions and not self.is_holding():
+                    break
+            gevent.sleep(POLL_SECONDS)
+        self.log.info(
+            "The instance stopped.",
+            sessions=len(self.callers.sessions),
+            open=sum(
+                session.session.state != IDLE for session in self.callers.sessions
+            ),
+        )
+
+    def is_holding(self) -> bool:
+        """Tell whether units of others still run here."""
+        return any(
+            task.pinned or task.queue.running for task in self.holding.tasks.values()
+        )
--- /dev/null
+++ b/berylhinge/tasks/pooler/rates.py
@@ -0,0 +1,147 @@
+"""Admit operations within each organisation's rate over the whole fleet."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult
+
+from ...core.pooler.rates import (
+    alone,
+    Bucket,
+    grant,
+    keeper_of,
+    new_bucket,
+    PATIENCE_SECONDS,
+)
+from ...wire.pooling import TakeTokens, Tokens
+from ..links import PeerLost
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Quota
+    from ...types import InstanceId, OrganisationId, Seconds
+    from ..links import Links
+    from .view import View
+
+# A keeper answers in a round trip; one that takes longer is passed over.
+ASK_SECONDS = 0.25
+# At the fleet's first start buckets are full; later a new keeper's are empty.
+FIRST_START_SECONDS = 20.0
+
+
+class Admission(NamedTuple):
+    """Tell whether an operation may run, or when to come back."""
+
+    admitted: bool
+    retry_after_seconds: Seconds
+
+
+class RatesTask:
+    """Own the buckets that this instance keeps, and ask other keepers."""
+
+    def __init__(self, view: View, links: Links, *, first_start: bool) -> None:
+        """Start without buckets."""
+        self.view = view
+        self.links = links
+        self.full_until = now_seconds() + (FIRST_START_SECONDS if first_start else 0.0)
+        self.kept: dict[OrganisationId, Bucket] = {}
+        self.own: dict[OrganisationId, Bucket] = {}
+        self.waiting: dict[OrganisationId, list[AsyncResult]] = {}
+
+    def admit(self, organisation: OrganisationId) -> Admission:
+        """Count one operation."""
+        quota = self.view.declarations.quotas.get(organisation)
+        if quota is None:
+            return Admission(True, 0.0)
+        keeper = self.keeper(organisation)
+        if keeper == self.view.me:
+            return self.admit_kept(organisation, quota)
+        turn = AsyncResult()
+        queue = self.waiting.get(organisation)
+        if queue is not None:
+            queue.append(turn)
+        else:
+            self.waiting[organisation] = [turn]
+            gevent.spawn(self.ask, organisation, keeper)
+        admission: Admission = turn.get()
+        return admission
+
+    def keeper(self, organisation: OrganisationId) -> InstanceId:
+        """Return who counts for an organisation."""
+        names = [peer.instance for peer in self.view.peers()]
+        return keeper_of(names, organisation)
+
+    def admit_kept(self, organisation: OrganisationId, quota: Quota) -> Admission:
+        """Take a token here, waiting a moment for one that comes soon."""
+        tokens = self.take(organisation, quota, 1)
+        if tokens.granted:
+            return Admission(True, 0.0)
+        if tokens.retry_after_seconds <= PATIENCE_SECONDS:
+            gevent.sleep(tokens.retry_after_seconds)
+            tokens = self.take(organisation, quota, 1)
+        return Admission(bool(tokens.granted), tokens.retry_after_seconds)
+
+    def ask(self, organisation: OrganisationId, keeper: InstanceId) -> None:
+        """Ask for all that wait, and once more for those that came meanwhile."""
+        while turns := self.waiting.get(organisation):
+            self.waiting[organisation] = []
+            try:
+                admissions = self.asked(organisation, keeper, len(turns))
+            except Exception:
+                for turn in turns:
+                    turn.set(Admission(False, ASK_SECONDS))
+                raise
+            for turn, admission in zip(turns, admissions, strict=True):
+                turn.set(admission)
+        del self.waiting[organisation]
+
+    def asked(
+        self, organisation: OrganisationId, keeper: InstanceId, count: int
+    ) -> list[Admission]:
+        """Return what the keeper granted, or what may be spent without one."""
+        try:
+            tokens: Tokens = self.links.call(
+                keeper, TakeTokens(organisation, count), ASK_SECONDS
+            )
+        except PeerLost:
+            self.view.suspect(keeper)
+            self.links.forget(keeper)
+            tokens = self.take_alone(organisation, count)
+        refused = Admission(False, tokens.retry_after_seconds)
+        granted = [Admission(True, 0.0)] * tokens.granted
+        return granted + [refused] * (count - tokens.granted)
+
+    def take_alone(self, organisation: OrganisationId, count: int) -> Tokens:
+        """Spend from a small share of this instance's own."""
+        quota = self.view.declarations.quotas.get(organisation)
+        if quota is None:
+            return Tokens(count, 0.0)
+        quota = alone(quota, len(self.view.members))
+        now = now_seconds()
+        bucket = self.own.get(organisation) or new_bucket(quota, now, full=True)
+        found = grant(bucket, quota, count, now)
+        self.own[organisation] = found.bucket
+        return Tokens(found.granted, found.retry_after_seconds)
+
+    def take(self, organisation: OrganisationId, quota: Quota, count: int) -> Tokens:
+        """Take tokens from a bucket kept here."""
+        now = now_seconds()
+        bucket = self.kept.get(organisation)
+        if bucket is None:
+            bucket = new_bucket(quota, now, full=now < self.full_until)
+        found = grant(bucket, quota, count, now)
+        self.kept[organisation] = found.bucket
+        return Tokens(found.granted, found.retry_after_seconds)
+
+    def on_take(self, sender: InstanceId, message: TakeTokens) -> Tokens:
+        """Grant what another instance asks for."""
+        quota = self.view.declarations.quotas.get(message.organisation)
+        if quota is None:
+            return Tokens(message.count, 0.0)
+        tokens = self.take(message.organisation, quota, message.count)
+        if not tokens.granted and tokens.retry_after_seconds <= PATIENCE_SECONDS:
+            gevent.sleep(tokens.retry_after_seconds)
+            tokens = self.take(message.organisation, quota, message.count)
+        return tokens
--- /dev/null
+++ b/berylhinge/tasks/pooler/registry.py
@@ -0,0 +1,351 @@
+"""Follow the store: declarations, databases and instances; register this one."""
+
+from __future__ import annotations
+
+import secrets
+from random import Random
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import gevent
+import msgspec
+from returns.result import Failure
+
+from ...platform.documents import (
+    CONFIGURATION_KEY,
+    DATABASES_PREFIX,
+    decode_database,
+    decode_declarations,
+)
+from ...platform.store import Conflict, HistoryLost, LeaseGone, Snapshot
+from ...types import Role
+from .view import Member, now_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...platform.store import Item, Store
+    from ...types import Seconds
+    from ..logs import Log
+    from .settings import PoolerSettings
+    from .view import View
+
+INSTANCES_PREFIX = "berylhinge/instances/"
+SECRET_KEY = "berylhinge/secret"
+DUTIES_PREFIX = "berylhinge/duties/"
+SECRET_BYTES = 32
+# A watch ends this soon even without changes, since its answer proves that the
+# declarations are current; two of them fit well into the bound for withdrawn keys.
+WATCH_SECONDS = 1.5
+# After a failure the next answer is wanted sooner.
+FIRST_WATCH_SECONDS = 0.05
+# Changes that come together are read together.
+BATCH_SECONDS = 0.02
+RETRY_MIN_SECONDS = 0.1
+RETRY_MAX_SECONDS = 0.4
+# The lease outlives short outages of the store; peers notice a death by themselves.
+LEASE_SECONDS = 5.0
+KEEP_SECONDS = 1.5
+# Entries that lapsed during an outage return within two seconds of its end.
+MISSING_SECONDS = 2.5
+
+
+class Registration(NamedTuple):
+    """Hold what an instance says of itself in the store."""
+
+    address: str
+    place: str
+    leaving: bool
+
+
+class Registry:
+    """Own the watch and the registration."""
+
+    def __init__(
+        self,
+        settings: PoolerSettings,
+        store: Store,
+        view: View,
+        *,
+        log: Log,
+        on_change: Callable[[], None],
+        rng: Random,
+    ) -> None:
+        """Prepare without calling."""
+        self.settings = settings
+        self.store = store
+        self.view = view
+        self.log = log
+        self.on_change = on_change
+        self.rng = rng
+        self.revision = 0
+        self.secret: bytes | None = None
+        self.lease = 0
+        self.own_key = INSTANCES_PREFIX + settings.instance
+        self.incarnation = 0
+        self.gone: dict[str, Seconds] = {}
+        self.reachable = True
+        self.revisions: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Read everything, register, and go on watching."""
+        self.read_everything()
+        while self.secret is None:
+            self.make_secret()
+        while not self.register():
+            self.pause()
+        gevent.spawn(self.watch_forever)
+        gevent.spawn(self.keep_forever)
+        gevent.spawn(self.sweep_forever)
+
+    def pause(self) -> None:
+        """Wait before the next try."""
+        gevent.sleep(self.rng.uniform(RETRY_MIN_SECONDS, RETRY_MAX_SECONDS))
+
+    def note_call(self, result: Any) -> None:
+        """Log when the store is lost or regained."""
+        failed = isinstance(result, Failure)
+        if failed == self.reachable:
+            self.reachable = not failed
+            if failed:
+                self.log.info("The store is lost.", error=result.failure().detail)
+            else:
+                self.log.info("The store is back.", revision=self.revision)
+
+    def read_everything(self) -> None:
+        """Replace all beliefs by a full read, however long that takes."""
+        while True:
+            asked_at = now_seconds()
+            result = self.store.read_all("")
+            self.note_call(result)
+            if not isinstance(result, Failure):
+                snapshot = result.unwrap()
+                self.take_snapshot(snapshot)
+                self.revision = snapshot.revision
+                self.confirm(asked_at)
+                return
+            self.pause()
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take every item, and drop what is no longer there."""
+        present = {item.key for item in snapshot.items}
+        for identifier in self.view.databases:
+            if DATABASES_PREFIX + identifier not in present:
+                self.gone.setdefault(DATABASES_PREFIX + identifier, now_seconds())
+        for name in self.view.members:
+            if INSTANCES_PREFIX + name not in present:
+                self.gone.setdefault(INSTANCES_PREFIX + name, now_seconds())
+        for item in snapshot.items:
+            self.take_item(item)
+        self.on_change()
+
+    def confirm(self, asked_at: Seconds) -> None:
+        """Note that the declarations were current when the question was sent."""
+        if self.view.declarations.version:
+            self.view.confirmed_at = max(self.view.confirmed_at, asked_at)
+
+    def take_item(self, item: Item) -> None:
+        """Take one item; older revisions than the one known change nothing."""
+        if item.revision <= self.revisions.get(item.key, 0):
+            return
+        self.revisions[item.key] = item.revision
+        key = item.key
+        if key == CONFIGURATION_KEY:
+            self.take_declarations(item)
+        elif key.startswith(DATABASES_PREFIX):
+            self.take_database(item, key.removeprefix(DATABASES_PREFIX))
+        elif key.startswith(INSTANCES_PREFIX):
+            self.take_member(item, key.removeprefix(INSTANCES_PREFIX))
+        elif key.startswith(DUTIES_PREFIX):
+            self.view.duties[key] = item.revision
+        elif key == SECRET_KEY and item.value:
+            self.secret = item.value
+
+    def take_declarations(self, item: Item) -> None:
+        """Put a newer version of the declarations in force."""
+        result = decode_declarations(item.value or b"")
+        if isinstance(result, Failure):
+            self.log.info("Declarations were not understood.", error=result.failure())
+            return
+        declarations = result.unwrap()
+        known = self.view.declarations.version
+        if declarations.version > known:
+            self.view.declarations = declarations
+            self.log.info(
+                "Declarations are in force.",
+                version=declarations.version,
+                previous=known,
+                revision=item.revision,
+            )
+
+    def take_database(self, item: Item, identifier: str) -> None:
+        """Take a database's entry, or start to miss it."""
+        if item.value is None:
+            self.gone.setdefault(item.key, now_seconds())
+            return
+        result = decode_database(identifier, item.value)
+        if isinstance(result, Failure):
+            self.log.info(
+                "An entry names no database.",
+                database=identifier,
+                error=result.failure(),
+            )
+            return
+        database = result.unwrap()
+        self.gone.pop(item.key, None)
+        known = self.view.databases.get(identifier)
+        if database.role is Role.PRIMARY:
+            led = known is not None and known.role is Role.PRIMARY
+            since = known.led_since if known and led else item.revision
+            database = database._replace(led_since=since)
+        self.view.databases[identifier] = database
+        if database.leaving:
+            self.view.leaving_since.setdefault(identifier, now_seconds())
+        else:
+            self.view.leaving_since.pop(identifier, None)
+        if known is None or known != database:
+            self.log.info(
+                "A database announced itself.",
+                database=identifier,
+                service=database.service,
+                role=database.role.value,
+                leaving=database.leaving,
+                revision=item.revision,
+            )
+
+    def take_member(self, item: Item, name: str) -> None:
+        """Take an instance's registration, or start to miss it."""
+        if item.value is None:
+            self.gone.setdefault(item.key, now_seconds())
+            return
+        try:
+            found = msgspec.json.decode(item.value, type=Registration)
+        except msgspec.MsgspecError as error:
+            self.log.info("A registration is malformed.", peer=name, error=str(error))
+            return
+        self.gone.pop(item.key, None)
+        known = self.view.members.get(name)
+        incarnation = item.revision
+        if known is not None and known.address == found.address and found.leaving:
+            incarnation = known.incarnation
+        if name == self.settings.instance:
+            self.incarnation = incarnation
+        member = Member(name, found.place, found.address, incarnation, found.leaving)
+        if known != member:
+            self.view.trust(name)
+            self.log.info(
+                "An instance registered.",
+                peer=name,
+                leaving=found.leaving,
+                revision=item.revision,
+            )
+        self.view.members[name] = member
+
+    def make_secret(self) -> None:
+        """Create the secret that instances share, unless another was quicker."""
+        value = secrets.token_bytes(SECRET_BYTES)
+        result = self.store.change(conditions={SECRET_KEY: 0}, puts={SECRET_KEY: value})
+        self.note_call(result)
+        if not isinstance(result, Failure) and isinstance(result.unwrap(), int):
+            self.secret = value
+            return
+        # The answer may have been lost, or another instance won: read it back.
+        self.pause()
+        self.read_everything()
+
+    def register(self, *, leaving: bool = False) -> bool:
+        """Write this instance's registration; return whether that is certain."""
+        if not self.lease:
+            opened = self.store.open_lease(LEASE_SECONDS)
+            self.note_call(opened)
+            if isinstance(opened, Failure):
+                return False
+            self.lease = opened.unwrap()
+        address = str(self.settings.peers)
+        value = msgspec.json.encode(Registration(address, self.settings.place, leaving))
+        result = self.store.change(
+            conditions={}, puts={self.own_key: value}, lease=self.lease
+        )
+        self.note_call(result)
+        if isinstance(result, Failure):
+            return False
+        outcome = result.unwrap()
+        if isinstance(outcome, LeaseGone | Conflict):
+            self.lease = 0
+            return False
+        if not leaving:
+            self.incarnation = outcome
+        self.on_change()
+        return True
+
+    def watch_forever(self) -> None:
+        """Follow changes until killed."""
+        wait = WATCH_SECONDS
+        while True:
+            asked_at = now_seconds()
+            result = self.store.watch("", after=self.revision, wait_seconds=wait)
+            self.note_call(result)
+            if isinstance(result, Failure):
+                wait = FIRST_WATCH_SECONDS
+                self.pause()
+                continue
+            wait = WATCH_SECONDS
+            found = result.unwrap()
+            if isinstance(found, HistoryLost):
+                self.log.info("The store's history is lost.", revision=self.revision)
+                self.read_everything()
+                continue
+            for item in found.items:
+                self.take_item(item)
+            self.revision = max(self.revision, found.revision)
+            self.confirm(asked_at)
+            if found.items:
+                self.on_change()
+                gevent.sleep(BATCH_SECONDS)
+
+    def keep_forever(self) -> None:
+        """Renew the lease, and register anew when it was lost."""
+        while not self.view.stopping:
+            gevent.sleep(KEEP_SECONDS)
+            if self.lease:
+                kept = self.store.keep_lease(self.lease)
+                self.note_call(kept)
+                if isinstance(kept, Failure):
+                    continue
+                if kept.unwrap() and self.own_key not in self.gone:
+                    continue
+                self.lease = 0
+            if not self.view.stopping and self.register():
+                self.log.info("Registered again.", incarnation=self.incarnation)
+
+    def sweep_forever(self) -> None:
+        """Drop what has been missing for too long."""
+        while True:
+            gevent.sleep(0.25)
+            horizon = now_seconds() - MISSING_SECONDS
+            # Absence counts only while this instance hears the store.
+            if now_seconds() - self.view.confirmed_at > MISSING_SECONDS:
+                continue
+            due = [key for key, since in self.gone.items() if since <= horizon]
+            for key in due:
+                self.drop(key)
+            if due:
+                self.on_change()
+
+    def drop(self, key: str) -> None:
+        """Forget a database or an instance."""
+        del self.gone[key]
+        if key.startswith(DATABASES_PREFIX):
+            identifier = key.removeprefix(DATABASES_PREFIX)
+            self.view.databases.pop(identifier, None)
+            self.view.leaving_since.pop(identifier, None)
+            self.view.sights.pop(identifier, None)
+            self.log.info("A database is gone.", database=identifier)
+        else:
+            name = key.removeprefix(INSTANCES_PREFIX)
+            if name != self.settings.instance:
+                self.view.members.pop(name, None)
+                self.log.info("An instance is gone.", peer=name)
+
+    def leave(self) -> None:
+        """Tell the others that this instance takes no new databases."""
+        self.register(leaving=True)
--- /dev/null
+++ b/berylhinge/tasks/pooler/router.py
@@ -0,0 +1,306 @@
+"""Send each unit to a database that can serve it, and try again where it may."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from ...core.pooler.catalogue import Consistency, databases_of, primary_of, Route
+from ...core.pooler.floors import floor_for, lag_of
+from ...core.pooler.placement import read_order, ReadNeed
+from ...core.pooler.statements import Code, Effect, refused, Result
+from ...types import Access
+from ...wire.pooling import Abandon, RunUnit, UnitDone
+from ..links import PeerLost
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Database
+    from ...core.pooler.sessions import Session, Unit
+    from ...types import InstanceId, LogPoint, OrganisationId, Seconds, UpstreamId
+    from ..links import Links
+    from ..logs import Log
+    from ..metrics import Metrics
+    from .holding import Holding
+    from .view import View
+
+# How long a replica that refused a read for its position is passed over.
+LAGGING_SECONDS = 0.15
+# How long a database that was not reached is passed over for reads.
+AVOID_SECONDS = 0.5
+# Longest pause before a unit looks for another place; a change wakes it sooner.
+LOOK_AGAIN_SECONDS = 0.03
+# An answer of a peer may take this much longer than the unit's own time.
+PEER_MARGIN_SECONDS = 0.05
+# Reasons after which a unit that did not run may be tried at another place.
+ELSEWHERE = frozenset(
+    {
+        "answer-lost",
+        "connection-lost",
+        "unreachable",
+        "not-holding",
+        "no-connection",
+        "peer-lost",
+        "answer-lagging",
+        "answer-read-only",
+        "answer-busy",
+        "answer-misdirected",
+        "answer-failed",
+        "answer-timeout",
+        "begin-lagging",
+        "begin-read-only",
+        "begin-busy",
+        "begin-misdirected",
+        "begin-aborted",
+    }
+)
+
+
+class Binding(NamedTuple):
+    """Name where an open transaction runs."""
+
+    holder: InstanceId
+    database: UpstreamId
+    number: int
+
+
+class Call(NamedTuple):
+    """Hold what a unit needs besides its text."""
+
+    route: Route
+    organisation: OrganisationId
+    session: Session
+    unit: Unit
+    number: int
+    arrived_at: Seconds
+
+    @property
+    def give_up_at(self) -> Seconds:
+        """Return when the route's timeout ends the unit."""
+        return self.arrived_at + self.route.timeout_seconds
+
+
+class Routed(NamedTuple):
+    """Hold a result, and where the transaction runs from now on."""
+
+    result: Result
+    reason: str
+    binding: Binding | None
+    attempts: int
+
+
+class Router:
+    """Run units for the callers of this instance."""
+
+    def __init__(
+        self,
+        view: View,
+        holding: Holding,
+        links: Links,
+        *,
+        metrics: Metrics,
+        log: Log,
+    ) -> None:
+        """Keep what units are sent by."""
+        self.view = view
+        self.holding = holding
+        self.links = links
+        self.metrics = metrics
+        self.log = log
+
+    def run(self, call: Call, binding: Binding | None) -> Routed:
+        """Run a unit until it has a result that stands."""
+        if binding is not None:
+            done = self.send(binding.holder, self.bound(call, binding), call)
+            kept = None if done.result.ended else binding
+            return Routed(done.result, done.reason, kept, 1)
+        return self.run_first(call)
+
+    def bound(self, call: Call, binding: Binding) -> RunUnit:
+        """Return a later statement of an open transaction."""
+        return self.message(call, binding.database, binding.number, "", None)
+
+    def run_first(self, call: Call) -> Routed:
+        """Run a statement on its own, or the first of a transaction."""
+        attempts = 0
+        tried: set[tuple[InstanceId, UpstreamId]] = set()
+        last = UnitDone(
+            self.not_run(call, "no database is known"), "no-database", None, None, 0.0
+        )
+        while True:
+            place = self.choose(call, tried)
+            if place is None:
+                left = call.give_up_at - now_seconds()
+                if left <= LOOK_AGAIN_SECONDS:
+                    break
+                self.view.changed.wait(min(left, LOOK_AGAIN_SECONDS))
+                tried.clear()
+                continue
+            holder, database, after, begin = place
+            number = call.number if call.unit.transaction else 0
+            message = self.message(call, database.id, number, begin, after)
+            attempts += 1
+            sent_at = now_seconds()
+            last = self.send(holder, message, call)
+            self.learn(database, last, sent_at)
+            result = last.result
+            if result.effect is not Effect.NONE or last.reason not in ELSEWHERE:
+                bound = Binding(holder, database.id, number)
+                keeps = call.unit.transaction is not None and not result.ended
+                return Routed(result, last.reason, bound if keeps else None, attempts)
+            self.metrics.count("retries_total", last.reason)
+            self.log.info(
+                "A statement did not run and is tried elsewhere.",
+                request_id=call.unit.request,
+                reason=last.reason,
+                database=database.id,
+                holder=holder,
+                detail=result.detail,
+            )
+            tried.add((holder, database.id))
+        return Routed(last.result, last.reason, None, attempts)
+
+    def not_run(self, call: Call, detail: str) -> Result:
+        """Return a promise that nothing is kept."""
+        code = Code.BUSY if call.unit.transaction is None else Code.ABORTED
+        return refused(code, detail)
+
+    def choose(
+        self, call: Call, tried: set[tuple[InstanceId, UpstreamId]]
+    ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
+        """Return where to run a unit next, from which position, and how to begin."""
+        reads = call.unit.access is Access.READ
+        transaction = call.unit.transaction
+        if transaction is not None:
+            reads = transaction.read_only
+        if not reads or call.route.consistency is Consistency.PRIMARY:
+            return self.choose_primary(call, tried, None)
+        return self.choose_read(call, tried)
+
+    def choose_primary(
+        self,
+        call: Call,
+        tried: set[tuple[InstanceId, UpstreamId]],
+        after: LogPoint | None,
+    ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
+        """Return the primary's holder; a read proves by a transaction who leads."""
+        database = primary_of(self.view.databases, call.route.service)
+        if database is None:
+            return None
+        lone_write = call.unit.transaction is None and call.unit.access is Access.WRITE
+        begin = "" if lone_write or after is not None else "plain"
+        for holder in self.view.holders(database):
+            if (holder, database.id) not in tried:
+                return holder, database, after, begin
+        return None
+
+    def choose_read(
+        self, call: Call, tried: set[tuple[InstanceId, UpstreamId]]
+    ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
+        """Return the best database whose log is surely long enough, or the primary."""
+        now = now_seconds()
+        route = call.route
+        floors = self.view.floors_of(route.service)
+        floor = floor_for(floors, call.arrived_at, route.staleness_seconds)
+        session = None
+        if route.consistency is Consistency.SESSION:
+            session = call.session.point
+        need = ReadNeed(route.consistency, floor, session, route.staleness_seconds)
+        order = read_order(
+            [
+                database
+                for database in databases_of(self.view.databases, route.service)
+                if not database.leaving
+            ],
+            self.view.sights,
+            need,
+            place=self.view.place,
+            lag=lambda point: lag_of(floors, point, now),
+            now=now,
+        )
+        points = [point for point in (floor, session) if point is not None]
+        after = max(points) if floor is not None else None
+        for database in order:
+            holder = self.view.holders(database)[0]
+            if (holder, database.id) in tried:
+                continue
+            if after is None or database.role.value == "primary":
+                break
+            begin = "read" if call.unit.transaction else ""
+            return holder, database, after, begin
+        return self.choose_primary(call, tried, None)
+
+    def message(
+        self,
+        call: Call,
+        database: UpstreamId,
+        number: int,
+        begin: str,
+        after: LogPoint | None,
+    ) -> RunUnit:
+        """Return the message that runs a unit."""
+        now = now_seconds()
+        goal_at = call.arrived_at + call.route.goal_seconds
+        return RunUnit(
+            database=database,
+            organisation=call.organisation,
+            request=call.unit.request,
+            text=call.unit.text,
+            access=call.unit.access,
+            after=after,
+            transaction=number,
+            begin=begin,
+            commits=call.unit.commits,
+            values=call.session.values,
+            prepared=call.unit.prepared,
+            goal_seconds=goal_at - now,
+            give_up_seconds=call.give_up_at - now,
+            idle_seconds=self.view.declarations.idle_transaction_seconds,
+        )
+
+    def send(self, holder: InstanceId, message: RunUnit, call: Call) -> UnitDone:
+        """Run a unit at its holder, which may be this instance."""
+        if holder == self.view.me:
+            return self.holding.run(self.view.me, message)
+        timeout = message.give_up_seconds + PEER_MARGIN_SECONDS
+        try:
+            done: UnitDone = self.links.call(holder, message, timeout)
+        except PeerLost as error:
+            self.view.suspect(holder)
+            self.links.forget(holder)
+            return UnitDone(self.peer_lost(call, error), "peer-lost", None, None, 0.0)
+        return done
+
+    def peer_lost(self, call: Call, error: PeerLost) -> Result:
+        """Return what is true after a holder was lost."""
+        detail = str(error)
+        unit = call.unit
+        alone = unit.transaction is None and unit.access is Access.WRITE
+        if error.sent and (unit.commits or alone):
+            return Result(Effect.UNKNOWN, Code.IN_DOUBT, detail, ended=True)
+        return self.not_run(call, detail)
+
+    def learn(self, database: Database, done: UnitDone, sent_at: Seconds) -> None:
+        """Note what an answer showed of its database.
+
+        The holder counts a proof's age from the unit's arrival, which was not before
+        it was sent; so the proof is never taken for younger than it is.
+        """
+        reason = done.reason
+        if reason in ("answer-lagging", "begin-lagging"):
+            self.view.avoid(database.id, seconds=LAGGING_SECONDS, lagging=True)
+        elif reason in ("unreachable", "answer-lost", "connection-lost"):
+            self.view.avoid(database.id, seconds=AVOID_SECONDS, lagging=False)
+        self.view.see(
+            database,
+            done.point,
+            wait_seconds=done.wait_seconds,
+            proof_asked_at=None if done.proof_age is None else sent_at - done.proof_age,
+        )
+
+    def abandon(self, binding: Binding) -> None:
+        """Let the holder roll back a transaction."""
+        message = Abandon(binding.database, binding.number)
+        if binding.holder == self.view.me:
+            self.holding.abandon(self.view.me, message)
+        else:
+            self.links.send(binding.holder, message)
--- /dev/null
+++ b/berylhinge/tasks/pooler/view.py
@@ -0,0 +1,158 @@
+"""Hold what one pooler instance believes of the fleet and the databases."""
+
+from __future__ import annotations
+
+import time
+from typing import NamedTuple, TYPE_CHECKING
+
+from ...core.pooler.catalogue import NO_DECLARATIONS
+from ...core.pooler.failover import answered, failed, Health, UNKNOWN_HEALTH
+from ...core.pooler.floors import Floors, Proof, record
+from ...core.pooler.placement import holders, Peer, Sight, UNSEEN
+from ..signal import Broadcast
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ...core.pooler.catalogue import Database, Declarations
+    from ...types import InstanceId, LogPoint, PlaceId, Seconds, UpstreamId
+    from ...wire.pooling import Seen
+
+# A peer that did not answer is passed over for this long before it is tried again.
+SUSPECT_SECONDS = 1.0
+# An instance that lost a database which others reach leaves it to them this long.
+GIVE_UP_SECONDS = 3.0
+
+
+def now_seconds() -> Seconds:
+    """Return the time since the machine's start, counting suspensions."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Member(NamedTuple):
+    """Describe a registered instance."""
+
+    instance: InstanceId
+    place: PlaceId
+    address: str
+    incarnation: int
+    leaving: bool
+
+
+class View:
+    """Hold beliefs; changed by the tasks that learn, read by those that decide."""
+
+    def __init__(self, me: InstanceId, place: PlaceId) -> None:
+        """Start without knowledge."""
+        self.me = me
+        self.place = place
+        self.declarations: Declarations = NO_DECLARATIONS
+        self.databases: dict[UpstreamId, Database] = {}
+        self.members: dict[InstanceId, Member] = {}
+        self.suspects: dict[InstanceId, Seconds] = {}
+        self.confirmed_at: Seconds = float("-inf")
+        self.floors: dict[str, Floors] = {}
+        self.sights: dict[UpstreamId, Sight] = {}
+        self.leaving_since: dict[UpstreamId, Seconds] = {}
+        self.changed = Broadcast()
+        self.stopping = False
+        self.duties: dict[str, int] = {}
+        self.reported: dict[UpstreamId, Health] = {}
+        self.given_up: dict[UpstreamId, Seconds] = {}
+
+    def peers(self) -> list[Peer]:
+        """Return the instances that may hold databases."""
+        now = now_seconds()
+        found = [
+            Peer(member.instance, member.place)
+            for member in self.members.values()
+            if not member.leaving
+            and self.suspects.get(member.instance, 0.0) <= now
+            and member.instance != self.me
+        ]
+        if not self.stopping or not found:
+            found.append(Peer(self.me, self.place))
+        return found
+
+    def holders(self, database: Database) -> list[InstanceId]:
+        """Return who holds a database, the rightful one first."""
+        found = holders(database, self.peers())
+        if self.given_up.get(database.id, 0.0) > now_seconds() and self.me in found:
+            found.remove(self.me)
+            found.append(self.me)
+        return found
+
+    def suspect(self, instance: InstanceId) -> None:
+        """Pass an instance over for a while."""
+        if instance != self.me:
+            self.suspects[instance] = now_seconds() + SUSPECT_SECONDS
+
+    def trust(self, instance: InstanceId) -> None:
+        """Use an instance again."""
+        self.suspects.pop(instance, None)
+
+    def floors_of(self, service: str) -> Floors:
+        """Return a service's proofs."""
+        found = self.floors.get(service)
+        if found is None:
+            found = self.floors[service] = Floors()
+        return found
+
+    def see(
+        self,
+        database: Database,
+        point: LogPoint | None,
+        *,
+        wait_seconds: Seconds,
+        proof_asked_at: Seconds | None,
+    ) -> None:
+        """Note what an answer showed of a database."""
+        now = now_seconds()
+        known = self.sights.get(database.id, UNSEEN)
+        self.sights[database.id] = known._replace(
+            point=point or known.point, heard_at=now, wait_seconds=wait_seconds
+        )
+        if proof_asked_at is not None and point is not None:
+            proof = Proof(proof_asked_at, point)
+            record(self.floors_of(database.service), proof, now)
+
+    def see_all(self, seen: Iterable[Seen], asked_at: Seconds) -> None:
+        """Note what a holder told of its databases when asked at a moment."""
+        for entry in seen:
+            database = self.databases.get(entry.database)
+            if database is None:
+                continue
+            age = entry.proof_age
+            self.see(
+                database,
+                entry.point,
+                wait_seconds=entry.wait_seconds,
+                proof_asked_at=None if age is None else asked_at - age,
+            )
+
+    def note_reach(self, seen: Seen, asked_at: Seconds) -> None:
+        """Note whether a holder reaches its database."""
+        known = self.reported.get(seen.database, UNKNOWN_HEALTH)
+        if seen.reachable:
+            self.reported[seen.database] = answered(known, asked_at)
+        else:
+            self.reported[seen.database] = failed(known, asked_at, refused=False)
+
+    def health_of(self, database: UpstreamId, own: Health | None) -> Health:
+        """Return what this instance saw itself, else what the holder reported."""
+        if own is not None:
+            return own
+        return self.reported.get(database, UNKNOWN_HEALTH)
+
+    def give_up(self, database: UpstreamId) -> None:
+        """Leave a database that others reach to them for a while."""
+        self.given_up[database] = now_seconds() + GIVE_UP_SECONDS
+
+    def avoid(self, database: UpstreamId, *, seconds: Seconds, lagging: bool) -> None:
+        """Pass a database over for reads for a while."""
+        until = now_seconds() + seconds
+        known = self.sights.get(database, UNSEEN)
+        if lagging:
+            self.sights[database] = known._replace(lagging_until=until)
+        else:
+            self.sights[database] = known._replace(avoided_until=until)
