--- a/berylhinge/core/pooler/rates.py
+++ b/berylhinge/core/pooler/rates.py
@@ -20,8 +20,9 @@
 # An instance on its own spends this part of an equal share, since the keeper goes on
 # granting the whole rate to the others.
 ALONE_PART = 0.5
-# A keeper that took over waits for tokens at most this long in place of refusing.
-PATIENCE_SECONDS = 0.1
+# An operation may wait this long for a token of its own: enough to even out jitter,
+# and short beside any latency goal. What would wait longer is refused at once.
+PATIENCE_SECONDS = 0.03
 
 
 class Bucket(NamedTuple):
@@ -32,10 +33,14 @@
 
 
 class Grant(NamedTuple):
-    """Return the bucket left, what was granted, and when the next token comes."""
+    """Return the bucket left and what was granted, to be used after a wait.
+
+    ``retry_after_seconds`` tells when those refused may find a token.
+    """
 
     bucket: Bucket
     granted: int
+    wait_seconds: Seconds
     retry_after_seconds: Seconds
 
 
@@ -50,14 +55,17 @@
 
 
 def grant(bucket: Bucket, quota: Quota, wanted: int, now: Seconds) -> Grant:
-    """Take whole tokens, as many as there are."""
+    """Take whole tokens, reserving those that come within the patience."""
     passed = max(0.0, now - bucket.at)
     tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
-    given = min(wanted, int(tokens))
+    reserved = quota.rate * PATIENCE_SECONDS
+    given = max(0, min(wanted, int(tokens + reserved)))
     left = tokens - given
-    missing = 1.0 - left
-    wait = missing / quota.rate if missing > 0.0 and quota.rate > 0.0 else 0.0
-    return Grant(Bucket(left, now), given, wait if given < wanted else 0.0)
+    if quota.rate <= 0.0:
+        return Grant(Bucket(left, now), given, 0.0, 1.0)
+    wait = max(0.0, -left) / quota.rate if given else 0.0
+    retry = max(0.0, 1.0 - reserved - left) / quota.rate if given < wanted else 0.0
+    return Grant(Bucket(left, now), given, wait, retry)
 
 
 def alone(quota: Quota, instances: int) -> Quota:
--- a/berylhinge/tasks/pooler/duty.py
+++ b/berylhinge/tasks/pooler/duty.py
@@ -112,10 +112,10 @@
         """Check what others see, and promote the best replica."""
         try:
             primary = primary_of(self.view.databases, service)
-            if verdict is Verdict.CHECK and primary is not None:
-                if self.anyone_reaches(primary):
-                    self.quiet_until[service] = now_seconds() + 0.5
-                    return
+            checks = verdict is Verdict.CHECK and primary is not None
+            if checks and self.anyone_reaches(primary):
+                self.quiet_until[service] = now_seconds() + 0.5
+                return
             self.promote(service, primary)
         finally:
             self.busy.discard(service)
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -13,7 +13,6 @@
     grant,
     keeper_of,
     new_bucket,
-    PATIENCE_SECONDS,
 )
 from ...wire.pooling import TakeTokens, Tokens
 from ..links import PeerLost
@@ -74,13 +73,10 @@
         return keeper_of(names, organisation)
 
     def admit_kept(self, organisation: OrganisationId, quota: Quota) -> Admission:
-        """Take a token here, waiting a moment for one that comes soon."""
+        """Take a token here."""
         tokens = self.take(organisation, quota, 1)
-        if tokens.granted:
-            return Admission(True, 0.0)
-        if tokens.retry_after_seconds <= PATIENCE_SECONDS:
-            gevent.sleep(tokens.retry_after_seconds)
-            tokens = self.take(organisation, quota, 1)
+        if tokens.wait_seconds > 0.0:
+            gevent.sleep(tokens.wait_seconds)
         return Admission(bool(tokens.granted), tokens.retry_after_seconds)
 
     def ask(self, organisation: OrganisationId, keeper: InstanceId) -> None:
@@ -109,6 +105,8 @@
             self.view.suspect(keeper)
             self.links.forget(keeper)
             tokens = self.take_alone(organisation, count)
+        if tokens.wait_seconds > 0.0:
+            gevent.sleep(tokens.wait_seconds)
         refused = Admission(False, tokens.retry_after_seconds)
         granted = [Admission(True, 0.0)] * tokens.granted
         return granted + [refused] * (count - tokens.granted)
@@ -117,13 +115,13 @@
         """Spend from a small share of this instance's own."""
         quota = self.view.declarations.quotas.get(organisation)
         if quota is None:
-            return Tokens(count, 0.0)
+            return Tokens(count, 0.0, 0.0)
         quota = alone(quota, len(self.view.members))
         now = now_seconds()
         bucket = self.own.get(organisation) or new_bucket(quota, now, full=True)
         found = grant(bucket, quota, count, now)
         self.own[organisation] = found.bucket
-        return Tokens(found.granted, found.retry_after_seconds)
+        return Tokens(found.granted, found.wait_seconds, found.retry_after_seconds)
 
     def take(self, organisation: OrganisationId, quota: Quota, count: int) -> Tokens:
         """Take tokens from a bucket kept here."""
@@ -133,15 +131,11 @@
             bucket = new_bucket(quota, now, full=now < self.full_until)
         found = grant(bucket, quota, count, now)
         self.kept[organisation] = found.bucket
-        return Tokens(found.granted, found.retry_after_seconds)
+        return Tokens(found.granted, found.wait_seconds, found.retry_after_seconds)
 
     def on_take(self, sender: InstanceId, message: TakeTokens) -> Tokens:
         """Grant what another instance asks for."""
         quota = self.view.declarations.quotas.get(message.organisation)
         if quota is None:
-            return Tokens(message.count, 0.0)
-        tokens = self.take(message.organisation, quota, message.count)
-        if not tokens.granted and tokens.retry_after_seconds <= PATIENCE_SECONDS:
-            gevent.sleep(tokens.retry_after_seconds)
-            tokens = self.take(message.organisation, quota, message.count)
-        return tokens
+            return Tokens(message.count, 0.0, 0.0)
+        return self.take(message.organisation, quota, message.count)
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -84,9 +84,10 @@
 
 
 class Tokens(NamedTuple):
-    """Grant operations."""
+    """Grant operations, the last of them after a wait."""
 
     granted: int
+    wait_seconds: Seconds
     retry_after_seconds: Seconds
 
 
