--- a/berylhinge/core/pooler/failover.py
+++ b/berylhinge/core/pooler/failover.py
@@ -16,11 +16,10 @@
     from ...types import LogPoint, Seconds, UpstreamId
     from .catalogue import Database
 
-# A refused connection shows a stopped process; a second one rules out a restart
-# that was under way.
-REFUSED_SECONDS = 0.2
-# Silence is longer than any statement and than a pause of a busy machine.
-SILENT_SECONDS = 0.7
+# A refused connection shows a stopped process; others are asked soon after.
+REFUSED_SECONDS = 0.1
+# Silence that outlasts nearly every statement; a check by new connections follows.
+SILENT_SECONDS = 0.25
 # Each further instance in line for the duty waits this much longer.
 STAND_BY_SECONDS = 0.6
 # A promotion is over within this time, or it is asked for again.
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -34,9 +34,6 @@
 START_SECONDS = 5.0
 # The kernel's queue of connections that wait to be accepted.
 BACKLOG = 512
-# Part of the revocation bound after which unconfirmed keys are no longer trusted;
-# the rest allows for clocks that differ in speed and for the confirming call.
-TRUST_PART = 0.9
 
 
 class SessionTask:
@@ -219,7 +216,6 @@
         rates: RatesTask,
         metrics: Metrics,
         log: Log,
-        revocation_seconds: Seconds,
     ) -> None:
         """Prepare without listening."""
         self.view = view
@@ -227,7 +223,6 @@
         self.rates = rates
         self.metrics = metrics
         self.log = log
-        self.trust_seconds = revocation_seconds * TRUST_PART
         self.sessions: set[SessionTask] = set()
         self.numbers = count(1)
         self.closing = False
@@ -253,8 +248,7 @@
     def check(self, name: str, key: str) -> tuple[Code, str] | None:
         """Return why a key may not use a database name now, or None."""
         declarations = self.view.declarations
-        age = now_seconds() - self.view.confirmed_at
-        if age >= self.trust_seconds:
+        if not self.view.is_confirmed():
             return Code.BUSY, "the declarations could not be confirmed in time"
         route = declarations.routes.get(name)
         if route is None:
--- a/berylhinge/tasks/pooler/holder.py
+++ b/berylhinge/tasks/pooler/holder.py
@@ -29,10 +29,14 @@
 # A read that takes this many mean running times has probably lost its answer.
 LOST_ANSWER_TIMES = 12.0
 LOST_ANSWER_MIN_SECONDS = 0.25
+# A database that answers nothing for this long while asked is looked at.
+SILENCE_SECONDS = 0.2
 # A database that refused one more connection is not asked again this soon.
-CROWDED_SECONDS = 0.05
+CROWDED_SECONDS = 0.1
+# Those that wait for a connection look again this often even if none came back.
+LOOK_AGAIN_SECONDS = 0.05
 # A status is asked for when nothing proved for this long that the primary leads.
-PROOF_SECONDS = 0.3
+PROOF_SECONDS = 0.6
 STATUS_SECONDS = 0.3
 # Codes by which a database says that a statement did not run.
 NOT_RUN_CODES = (
@@ -89,6 +93,7 @@
         self.proven: Proven | None = None
         self.health: Health = UNKNOWN_HEALTH
         self.probing = False
+        self.asked: dict[int, Seconds] = {}
 
     @property
     def limit(self) -> int:
@@ -233,7 +238,7 @@
                 continue
             waiting = AsyncResult()
             self.returned.append(waiting)
-            waiting.wait(min(left, CROWDED_SECONDS))
+            waiting.wait(min(left, LOOK_AGAIN_SECONDS))
         raise UnitFailed(self.not_run(unit, "no connection came free"), "no-connection")
 
     def not_run(self, unit: RunUnit, detail: str) -> Result:
@@ -280,12 +285,15 @@
                 timeout = min(timeout, self.answer_seconds)
             sent_at = now_seconds()
             after = unit.after if alone and not unit.begin else None
+            self.asked[connection.number] = sent_at
             answer = connection.exchange(unit.request, unit.text, timeout, after=after)
             self.note_answer()
             result = self.take_answer(connection, unit, answer, sent_at)
         except ConnectionFailed as error:
             self.note_failure(asked_at, refused=False)
             raise self.lost(unit, error) from error
+        finally:
+            self.asked.pop(connection.number, None)
         if alone and unit.begin:
             self.end_by_rollback(connection)
         return result
@@ -431,6 +439,9 @@
     def tend(self, *, holding: bool) -> None:
         """End what is overdue, and prove that a primary leads."""
         now = now_seconds()
+        oldest = min(self.asked.values(), default=now)
+        if now - oldest >= SILENCE_SECONDS and self.health.answered_at < oldest:
+            self.note_failure(oldest, refused=False)
         for key, pinned in list(self.pinned.items()):
             if pinned.until <= now:
                 del self.pinned[key]
@@ -440,10 +451,8 @@
             self.drop(self.idle.pop(number))
         if holding:
             proven_at = self.proven.asked_at if self.proven else float("-inf")
-            fresh_at = max(proven_at, self.health.answered_at)
-            primary = self.database.role is Role.PRIMARY
-            due = proven_at if primary else fresh_at
-            if now - due >= PROOF_SECONDS and not self.probing:
+            leads = self.database.role is Role.PRIMARY
+            if leads and now - proven_at >= PROOF_SECONDS and not self.probing:
                 self.probing = True
                 gevent.spawn(self.probe_once)
 
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -80,9 +80,14 @@
         )
 
     def holds(self, database: UpstreamId) -> bool:
-        """Tell whether this instance is a database's rightful holder."""
+        """Tell whether this instance is a database's rightful holder.
+
+        One that cannot confirm its keys leaves the connections to the others.
+        """
         known = self.view.databases.get(database)
-        return known is not None and self.view.holders(known)[0] == self.view.me
+        if known is None or not self.view.is_confirmed():
+            return False
+        return self.view.holders(known)[0] == self.view.me
 
     def tend(self) -> None:
         """Open, prove and close what is due."""
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -34,6 +34,9 @@
 # Open transactions may end by themselves during this part of the grace period.
 GRACE_PART = 0.85
 POLL_SECONDS = 0.05
+# Part of the revocation bound after which unconfirmed keys are no longer trusted;
+# the rest allows for clocks that differ in speed and for the confirming call.
+TRUST_PART = 0.9
 
 
 class Pooler:
@@ -43,7 +46,11 @@
         """Prepare without sockets."""
         self.settings = settings
         self.metrics = Metrics()
-        self.view = View(settings.instance, settings.place)
+        self.view = View(
+            settings.instance,
+            settings.place,
+            trust_seconds=settings.revocation_ms / 1000 * TRUST_PART,
+        )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
         self.ready = False
@@ -121,7 +128,6 @@
             rates=self.rates,
             metrics=self.metrics,
             log=Log("callers", settings.instance),
-            revocation_seconds=settings.revocation_ms / 1000,
         )
         self.links = links
         self.on_change()
@@ -133,19 +139,12 @@
     def on_change(self) -> None:
         """Pass on what the registry has learned."""
         if self.links is not None:
-            envelopes = self.links.envelopes
-            if envelopes.incarnation != self.registry.incarnation:
-                self.links.envelopes = envelopes._replace(
-                    incarnation=self.registry.incarnation
-                )
             self.peers.refresh()
         self.view.changed.notify()
 
     def answer_readiness(self, environ: Any, start_response: Any) -> list[bytes]:
         """Tell the balancer whether to send new callers here."""
-        age = now_seconds() - self.view.confirmed_at
-        fresh = age * 1000 < self.settings.revocation_ms
-        serving = self.ready and fresh and not self.view.stopping
+        serving = self.ready and self.view.is_confirmed() and not self.view.stopping
         return respond(start_response, 200 if serving else 503, b"{}")
 
     def answer_scrape(self, environ: Any, start_response: Any) -> list[bytes]:
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -50,11 +50,15 @@
 
 
 class Registration(NamedTuple):
-    """Hold what an instance says of itself in the store."""
+    """Hold what an instance says of itself in the store.
+
+    ``incarnation`` is the revision of its first registration, 0 in that one itself.
+    """
 
     address: str
     place: str
     leaving: bool
+    incarnation: int
 
 
 class Registry:
@@ -224,11 +228,7 @@
             return
         self.gone.pop(item.key, None)
         known = self.view.members.get(name)
-        incarnation = item.revision
-        if known is not None and known.address == found.address and found.leaving:
-            incarnation = known.incarnation
-        if name == self.settings.instance:
-            self.incarnation = incarnation
+        incarnation = found.incarnation or item.revision
         member = Member(name, found.place, found.address, incarnation, found.leaving)
         if known != member:
             self.view.trust(name)
@@ -261,7 +261,9 @@
                 return False
             self.lease = opened.unwrap()
         address = str(self.settings.peers)
-        value = msgspec.json.encode(Registration(address, self.settings.place, leaving))
+        value = msgspec.json.encode(
+            Registration(address, self.settings.place, leaving, self.incarnation)
+        )
         result = self.store.change(
             conditions={}, puts={self.own_key: value}, lease=self.lease
         )
@@ -272,8 +274,9 @@
         if isinstance(outcome, LeaseGone | Conflict):
             self.lease = 0
             return False
-        if not leaving:
-            self.incarnation = outcome
+        # Links know a process by its first registration; a later one must not make
+        # peers start their sequences anew.
+        self.incarnation = self.incarnation or outcome
         self.on_change()
         return True
 
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -42,10 +42,13 @@
 class View:
     """Hold beliefs; changed by the tasks that learn, read by those that decide."""
 
-    def __init__(self, me: InstanceId, place: PlaceId) -> None:
+    def __init__(
+        self, me: InstanceId, place: PlaceId, *, trust_seconds: Seconds
+    ) -> None:
         """Start without knowledge."""
         self.me = me
         self.place = place
+        self.trust_seconds = trust_seconds
         self.declarations: Declarations = NO_DECLARATIONS
         self.databases: dict[UpstreamId, Database] = {}
         self.members: dict[InstanceId, Member] = {}
@@ -60,6 +63,10 @@
         self.reported: dict[UpstreamId, Health] = {}
         self.given_up: dict[UpstreamId, Seconds] = {}
 
+    def is_confirmed(self) -> bool:
+        """Tell whether the declarations were proven current lately enough."""
+        return now_seconds() - self.confirmed_at < self.trust_seconds
+
     def peers(self) -> list[Peer]:
         """Return the instances that may hold databases."""
         now = now_seconds()
