--- a/berylhinge/core/pooler/pool.py
+++ b/berylhinge/core/pooler/pool.py
@@ -15,9 +15,12 @@
     from ...types import OrganisationId, Seconds
     from .statements import Shape
 
-# Part of a database's connections that one instance may hold; the rest lets a
-# successor start while the connections of a dead holder still count.
-HELD_PART = 0.75
+# Parts of a database's connections that one instance may hold, from few organisations
+# to many; the rest lets a successor start while those of a dead holder still count.
+MIN_HELD_PART = 0.5
+MAX_HELD_PART = 0.75
+# Connections beside one for each organisation, for transactions that rest.
+SPARE_CONNECTIONS = 2
 # Connections that the rightful holder of a database keeps open while idle.
 IDLE_SECONDS = 45.0
 # An instance that no longer holds a database gives its connections up this soon.
@@ -60,9 +63,11 @@
     prepared: tuple[tuple[str, Shape], ...]
 
 
-def held_limit(max_connections: int) -> int:
+def held_limit(max_connections: int, organisations: int) -> int:
     """Return how many connections one instance may hold to one database."""
-    return max(1, int(max_connections * HELD_PART))
+    wanted = organisations + SPARE_CONNECTIONS
+    low, high = max_connections * MIN_HELD_PART, max_connections * MAX_HELD_PART
+    return max(1, int(min(max(wanted, low), high)))
 
 
 def choose(
--- a/berylhinge/core/pooler/rates.py
+++ b/berylhinge/core/pooler/rates.py
@@ -20,6 +20,10 @@
 # An instance on its own spends this part of an equal share, since the keeper goes on
 # granting the whole rate to the others.
 ALONE_PART = 0.5
+# A bucket this young stands for one whose tokens are unknown: operations wait longer
+# for the first tokens, since those of an organisation inside its rate soon catch up.
+YOUNG_SECONDS = 3.0
+YOUNG_PATIENCE_SECONDS = 0.12
 # An operation may wait this long for a token of its own: enough to even out jitter,
 # and short beside any latency goal. What would wait longer is refused at once.
 PATIENCE_SECONDS = 0.03
@@ -30,6 +34,7 @@
 
     tokens: float
     at: Seconds
+    born_at: Seconds = float("-inf")
 
 
 class Grant(NamedTuple):
@@ -51,21 +56,24 @@
 
 def new_bucket(quota: Quota, now: Seconds, *, full: bool) -> Bucket:
     """Return a bucket that is full at the fleet's first start and empty later."""
-    return Bucket(quota.burst if full else 0.0, now)
+    if full:
+        return Bucket(quota.burst, now)
+    return Bucket(0.0, now, now)
 
 
 def grant(bucket: Bucket, quota: Quota, wanted: int, now: Seconds) -> Grant:
     """Take whole tokens, reserving those that come within the patience."""
     passed = max(0.0, now - bucket.at)
     tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
-    reserved = quota.rate * PATIENCE_SECONDS
+    young = now - bucket.born_at < YOUNG_SECONDS
+    reserved = quota.rate * (YOUNG_PATIENCE_SECONDS if young else PATIENCE_SECONDS)
     given = max(0, min(wanted, int(tokens + reserved)))
     left = tokens - given
     if quota.rate <= 0.0:
-        return Grant(Bucket(left, now), given, 0.0, 1.0)
+        return Grant(bucket._replace(tokens=left, at=now), given, 0.0, 1.0)
     wait = max(0.0, -left) / quota.rate if given else 0.0
     retry = max(0.0, 1.0 - reserved - left) / quota.rate if given < wanted else 0.0
-    return Grant(Bucket(left, now), given, wait, retry)
+    return Grant(bucket._replace(tokens=left, at=now), given, wait, retry)
 
 
 def alone(quota: Quota, instances: int) -> Quota:
--- a/berylhinge/tasks/links.py
+++ b/berylhinge/tasks/links.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from contextlib import contextmanager
 from itertools import count
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -19,7 +20,7 @@
 from .http import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 SEND_BUFFER_MESSAGES = 4_096
 RECEIVE_BUFFER_MESSAGES = 4_096
@@ -96,6 +97,8 @@
         self.handlers: dict[str, tuple[type, Callable[..., Any], bool]] = {}
         self.kinds: dict[str, type] = {}
         self.calls: dict[int, AsyncResult] = {}
+        self.heard_at: dict[InstanceId, float] = {}
+        self.expected: dict[InstanceId, list[float]] = {}
         self.call_ids = count(1)
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Frame)
@@ -208,8 +211,32 @@
             gevent.sleep(CONNECT_POLL_SECONDS)
         return True
 
-    def call(self, instance: InstanceId, message: Any, timeout_seconds: float) -> Any:
-        """Send and wait for the answer; raise PeerLost."""
+    @contextmanager
+    def expecting(self, instance: InstanceId) -> Iterator[None]:
+        """Note that an answer of a peer is awaited, for ``silent_seconds``."""
+        since = time.monotonic()
+        awaited = self.expected.setdefault(instance, [])
+        awaited.append(since)
+        try:
+            yield
+        finally:
+            awaited.remove(since)
+
+    def silent_seconds(self, instance: InstanceId) -> float:
+        """Return for how long a peer has said nothing while answers are awaited."""
+        awaited = self.expected.get(instance)
+        if not awaited or self.heard_at.get(instance, 0.0) >= awaited[0]:
+            return 0.0
+        return time.monotonic() - awaited[0]
+
+    def call(
+        self,
+        instance: InstanceId,
+        message: Any,
+        timeout_seconds: float,
+        is_lost: Callable[[], bool] | None = None,
+    ) -> Any:
+        """Send and wait for the answer until ``is_lost``; raise PeerLost."""
         deadline = time.monotonic() + timeout_seconds
         if not self.connect(instance):
             raise PeerLost(instance, sent=False)
@@ -218,18 +245,22 @@
         try:
             if not self.send(instance, message, call=number):
                 raise PeerLost(instance, sent=False)
-            return self.await_answer(instance, waiting, deadline)
+            return self.await_answer(instance, waiting, deadline, is_lost)
         finally:
             del self.calls[number]
 
     def await_answer(
-        self, instance: InstanceId, waiting: AsyncResult, deadline: float
+        self,
+        instance: InstanceId,
+        waiting: AsyncResult,
+        deadline: float,
+        is_lost: Callable[[], bool] | None,
     ) -> Any:
         """Wait for an answer while the peer stays connected; raise PeerLost."""
         while (remaining := deadline - time.monotonic()) > 0:
             if waiting.wait(min(remaining, LOOK_SECONDS)) or waiting.ready():
                 return waiting.get()
-            if not self.is_connected(instance):
+            if not self.is_connected(instance) or (is_lost and is_lost()):
                 break
         raise PeerLost(instance, sent=True)
 
@@ -263,6 +294,7 @@
             return
         self.on_count("received", len(data))
         self.heard[sender] = envelope.sender_incarnation
+        self.heard_at[sender] = time.monotonic()
         if frame.origin and sender not in self.peers:
             self.learned[sender] = Peer(frame.origin, envelope.sender_incarnation)
         if frame.reply:
--- a/berylhinge/tasks/pooler/duty.py
+++ b/berylhinge/tasks/pooler/duty.py
@@ -9,6 +9,7 @@
 
 from ...core.pooler.catalogue import databases_of, primary_of
 from ...core.pooler.failover import judge, PROMOTION_SECONDS, successor, Verdict
+from ...core.pooler.placement import UNSEEN
 from ...platform import lines
 from ...platform.store import Conflict
 from ...types import Role
@@ -32,8 +33,8 @@
 DUTY_PREFIX = "berylhinge/duties/promotion/"
 CHECK_SECONDS = 0.1
 # Time to connect and to answer a status; longer is a database that does not serve.
-REACH_SECONDS = 0.35
-ASK_SECONDS = 0.5
+REACH_SECONDS = 0.3
+ASK_SECONDS = 0.4
 # Instances that are asked whether they reach a database that one has lost.
 WITNESSES = 3
 # This many instances in line for a service's duty look after it.
@@ -125,8 +126,9 @@
         names = [peer.instance for peer in self.view.peers()]
         witnesses = [name for name in names if name != self.view.me][:WITNESSES]
         jobs = [gevent.spawn(self.ask_reach, name, primary) for name in witnesses]
-        own = self.reach(primary)
-        gevent.joinall(jobs, timeout=ASK_SECONDS)
+        own_job = gevent.spawn(self.reach, primary)
+        gevent.joinall([own_job, *jobs], timeout=ASK_SECONDS)
+        own = own_job.value or Reached(False, False, None)
         answers = {
             name: bool(job.value) for name, job in zip(witnesses, jobs, strict=True)
         }
@@ -158,22 +160,17 @@
     def reach(self, database: Database) -> Reached:
         """Ask a database for its status on a connection of its own."""
         organisation = next(iter(self.view.declarations.quotas), "")
-        task = self.holding.tasks.get(database.id)
-        if task is not None and task.idle:
-            task.ask_status()
-            if task.health.failed_since > now_seconds():
-                leading = task.proven is not None
-                return Reached(True, leading, task.point)
+        known = self.view.sights.get(database.id, UNSEEN).point
         connection = DatabaseConnection(0, organisation)
         try:
             point = connection.open(database, REACH_SECONDS)
             answer = connection.run_own(lines.STATUS_TEXT, REACH_SECONDS)
             status = lines.parse_status(answer.rows[0]) if answer.rows else None
             leading = status is not None and status.role is Role.PRIMARY
-            return Reached(True, leading, answer.point or point)
+            return Reached(True, leading, answer.point or point or known)
         except ConnectRefused as error:
             # A database that turns a connection away is alive.
-            return Reached(error.code is not None, False, None)
+            return Reached(error.code is not None, False, known)
         except ConnectionFailed:
             return Reached(False, False, None)
         finally:
@@ -191,7 +188,7 @@
         points: dict[UpstreamId, LogPoint] = {
             name: job.value.point
             for name, job in jobs.items()
-            if job.value is not None and job.value.point is not None
+            if job.value is not None and job.value.reachable and job.value.point
         }
         chosen = successor(others, points)
         if chosen is None:
--- a/berylhinge/tasks/pooler/holder.py
+++ b/berylhinge/tasks/pooler/holder.py
@@ -32,7 +32,7 @@
 # A database that answers nothing for this long while asked is looked at.
 SILENCE_SECONDS = 0.2
 # A database that refused one more connection is not asked again this soon.
-CROWDED_SECONDS = 0.1
+CROWDED_SECONDS = 0.25
 # Those that wait for a connection look again this often even if none came back.
 LOOK_AGAIN_SECONDS = 0.05
 # A status is asked for when nothing proved for this long that the primary leads.
@@ -98,8 +98,10 @@
     @property
     def limit(self) -> int:
         """Return how many connections this instance may hold."""
-        service = self.view.declarations.services.get(self.database.service)
-        return pool.held_limit(service.max_connections if service else 1)
+        declarations = self.view.declarations
+        service = declarations.services.get(self.database.service)
+        most = service.max_connections if service else 1
+        return pool.held_limit(most, len(declarations.quotas))
 
     def run(self, sender: InstanceId, unit: RunUnit) -> UnitDone:
         """Run one unit and tell what it came to."""
@@ -147,11 +149,13 @@
         try:
             self.take_turn(unit, pinned is not None, arrived_at, give_up_at)
             started_at = now_seconds()
+            ran_seconds = None
             try:
                 connection = connection or self.lease(unit, give_up_at)
                 result = self.run_on(connection, unit, give_up_at)
+                ran_seconds = now_seconds() - started_at
             finally:
-                self.end_turn(now_seconds() - started_at)
+                self.end_turn(ran_seconds)
             if unit.transaction and not result.ended:
                 until = now_seconds() + unit.idle_seconds
                 self.pinned[key] = Pinned(connection, until)
@@ -165,6 +169,8 @@
         self, unit: RunUnit, pinned: bool, arrived_at: Seconds, give_up_at: Seconds
     ) -> None:
         """Wait for a slot; raise UnitFailed when none comes in time."""
+        if self.is_failing:
+            raise self.unreachable(unit)
         waiter = queueing.enter(
             self.queue,
             pinned=pinned,
@@ -180,23 +186,40 @@
             raise UnitFailed(result, "queue-full")
         turn = self.turns[waiter.number] = AsyncResult()
         self.start_waiting()
+        started = None
         try:
-            if not turn.wait(max(0.0, give_up_at - now_seconds())):
+            started = turn.wait(max(0.0, give_up_at - now_seconds()))
+        finally:
+            if not started:
                 self.drop_waiter(waiter)
-                result = refused(code, "no slot came free in time")
-                raise UnitFailed(result, "no-slot")
-        except BaseException:
-            self.drop_waiter(waiter)
-            raise
+        if started is False:
+            raise self.unreachable(unit)
+        if started is None:
+            result = refused(code, "no slot came free in time")
+            raise UnitFailed(result, "no-slot")
+
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the database has been silent or away for a while."""
+        return now_seconds() - self.health.failed_since >= SILENCE_SECONDS
+
+    def unreachable(self, unit: RunUnit) -> UnitFailed:
+        """Return the refusal of a unit while the database does not answer."""
+        silent = now_seconds() - self.health.failed_since
+        detail = f"{self.database.id} has not answered for {silent:.2f} s"
+        return UnitFailed(self.not_run(unit, detail), "unreachable")
+
+    def turn_away(self) -> None:
+        """Let those that wait for a slot look for another place."""
+        turns, self.turns = self.turns, {}
+        for turn in turns.values():
+            turn.set(False)
+        self.queue.heap.clear()
+        self.queue.gone.clear()
 
     def drop_waiter(self, waiter: Waiter) -> None:
         """Take a waiter out, or free the slot that it was just given."""
-        turn = self.turns.pop(waiter.number, None)
-        if turn is None:
-            return
-        if turn.ready():
-            self.end_turn(None)
-        else:
+        if self.turns.pop(waiter.number, None) is not None:
             queueing.leave(self.queue, waiter)
 
     def start_waiting(self) -> None:
@@ -216,12 +239,15 @@
     def lease(self, unit: RunUnit, give_up_at: Seconds) -> DatabaseConnection:
         """Return a connection of the organisation; raise UnitFailed."""
         while (left := give_up_at - now_seconds()) > 0.0:
+            if self.is_failing:
+                raise self.unreachable(unit)
+            crowded = now_seconds() < self.crowded_until
             choice = pool.choose(
                 [entry.idle() for entry in self.idle.values()],
                 unit.organisation,
                 unit.values,
                 held=self.held,
-                limit=self.limit,
+                limit=min(self.held, self.limit) if crowded else self.limit,
             )
             if isinstance(choice, pool.Take):
                 connection = self.idle.pop(choice.number)
@@ -229,7 +255,7 @@
                     return connection
                 self.drop(connection)
                 continue
-            if isinstance(choice, pool.Open) and now_seconds() >= self.crowded_until:
+            if isinstance(choice, pool.Open):
                 if choice.evicted is not None:
                     self.drop(self.idle.pop(choice.evicted))
                 opened = self.connect(unit.organisation, min(left, CONNECT_SECONDS))
@@ -442,6 +468,8 @@
         oldest = min(self.asked.values(), default=now)
         if now - oldest >= SILENCE_SECONDS and self.health.answered_at < oldest:
             self.note_failure(oldest, refused=False)
+        if self.is_failing and self.turns:
+            self.turn_away()
         for key, pinned in list(self.pinned.items()):
             if pinned.until <= now:
                 del self.pinned[key]
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -58,7 +58,7 @@
         if fresh and self.view.given_up.get(unit.database, 0.0) > now_seconds():
             code = Code.ABORTED if unit.transaction else Code.BUSY
             result = refused(code, f"{unit.database} is not reached from here")
-            return UnitDone(result, "unreachable", None, None, 0.0)
+            return UnitDone(result, "given-up", None, None, 0.0)
         return task.run(sender, unit)
 
     def abandon(self, sender: InstanceId, message: Abandon) -> None:
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -22,14 +22,17 @@
 from .view import now_seconds
 
 if TYPE_CHECKING:
-    from ...types import InstanceId
+    from ...types import InstanceId, Seconds
     from ..logs import Log
     from .view import View
 
+CHECK_SECONDS = 0.1
 # How often holders are asked; proofs of positions must stay young enough for reads.
 LOOK_SECONDS = 0.4
-# A peer that is silent for this long is passed over.
-LOOK_TIMEOUT_SECONDS = 0.5
+# A holder that owes answers and says nothing for this long is asked at once.
+SILENCE_SECONDS = 0.15
+# A peer that does not answer a look within this time is passed over.
+LOOK_TIMEOUT_SECONDS = 0.3
 
 ANSWERS = (Looked, Reached, Tokens, UnitDone)
 CALLS = (Look, Reach, RunUnit, TakeTokens)
@@ -51,10 +54,11 @@
         self.links = links
         self.log = log
         self.looking: set[InstanceId] = set()
+        self.looked_at: dict[InstanceId, Seconds] = {}
 
     def start(self) -> None:
         """Start looking."""
-        spawn_loop(self.look_at_holders, lambda: LOOK_SECONDS, self.log)
+        spawn_loop(self.look_at_holders, lambda: CHECK_SECONDS, self.log)
 
     def refresh(self) -> None:
         """Tell the links which peers there are."""
@@ -67,11 +71,16 @@
         )
 
     def look_at_holders(self) -> None:
-        """Ask every holder, each in a task of its own."""
-        for database in list(self.view.databases.values()):
-            holder = self.view.holders(database)[0]
-            if holder != self.view.me and holder not in self.looking:
+        """Ask every holder that is due, each in a task of its own."""
+        now = now_seconds()
+        databases = list(self.view.databases.values())
+        for holder in {self.view.holders(database)[0] for database in databases}:
+            if holder == self.view.me or holder in self.looking:
+                continue
+            due = now - self.looked_at.get(holder, 0.0) >= LOOK_SECONDS
+            if due or self.links.silent_seconds(holder) >= SILENCE_SECONDS:
                 self.looking.add(holder)
+                self.looked_at[holder] = now
                 gevent.spawn(self.look_at, holder)
 
     def look_at(self, holder: InstanceId) -> None:
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -37,6 +37,7 @@
         "answer-lost",
         "connection-lost",
         "unreachable",
+        "given-up",
         "not-holding",
         "no-connection",
         "peer-lost",
@@ -157,6 +158,8 @@
                 detail=result.detail,
             )
             tried.add((holder, database.id))
+            if last.reason in ("given-up", "peer-lost", "not-holding"):
+                tried.add((holder, ""))
         return Routed(last.result, last.reason, None, attempts)
 
     def not_run(self, call: Call, detail: str) -> Result:
@@ -191,6 +194,9 @@
         for holder in self.view.holders(database):
             if (holder, database.id) not in tried:
                 return holder, database, after, begin
+            if (holder, "") not in tried:
+                # Its holder will say when it leaves the database to others.
+                return None
         return None
 
     def choose_read(
@@ -262,8 +268,14 @@
         if holder == self.view.me:
             return self.holding.run(self.view.me, message)
         timeout = message.give_up_seconds + PEER_MARGIN_SECONDS
+        effects = call.unit.commits or (
+            call.unit.access is Access.WRITE and not message.transaction
+        )
+        # An answer that says whether a write was kept is worth waiting for.
+        lost = None if effects else lambda: self.view.is_suspect(holder)
         try:
-            done: UnitDone = self.links.call(holder, message, timeout)
+            with self.links.expecting(holder):
+                done: UnitDone = self.links.call(holder, message, timeout, lost)
         except PeerLost as error:
             self.view.suspect(holder)
             self.links.forget(holder)
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -94,6 +94,10 @@
         if instance != self.me:
             self.suspects[instance] = now_seconds() + SUSPECT_SECONDS
 
+    def is_suspect(self, instance: InstanceId) -> bool:
+        """Tell whether an instance is passed over now."""
+        return self.suspects.get(instance, 0.0) > now_seconds()
+
     def trust(self, instance: InstanceId) -> None:
         """Use an instance again."""
         self.suspects.pop(instance, None)
