--- a/berylhinge/core/pooler/rates.py
+++ b/berylhinge/core/pooler/rates.py
@@ -17,6 +17,10 @@
     from ...types import InstanceId, OrganisationId, Seconds
     from .catalogue import Quota
 
+# Tokens for operations to come save round trips. They are handed out from the upper
+# part of a bucket only, so that they never lack elsewhere, and lapse unused.
+SPARE_ABOVE_PART = 0.5
+SPARE_SECONDS = 1.0
 # An instance on its own spends this part of an equal share, since the keeper goes on
 # granting the whole rate to the others.
 ALONE_PART = 0.5
@@ -76,6 +80,12 @@
     return Grant(bucket._replace(tokens=left, at=now), given, wait, retry)
 
 
+def spare(bucket: Bucket, quota: Quota, wanted: int, instances: int) -> int:
+    """Return how many tokens for operations to come a bucket can do without."""
+    free = bucket.tokens - quota.burst * SPARE_ABOVE_PART
+    return max(0, min(wanted, int(free / max(1, instances))))
+
+
 def alone(quota: Quota, instances: int) -> Quota:
     """Return what an instance without a keeper may spend."""
     part = ALONE_PART / max(1, instances)
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -138,6 +138,7 @@
 
     def on_change(self) -> None:
         """Pass on what the registry has learned."""
+        self.view.forget_ranks()
         if self.links is not None:
             self.peers.refresh()
         self.view.changed.notify()
@@ -157,6 +158,7 @@
         started_at = now_seconds()
         self.log.info("The instance is leaving.")
         self.view.stopping = True
+        self.view.forget_ranks()
         if self.links is None:
             return
         gevent.spawn(self.registry.leave)
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -6,6 +6,9 @@
 
 import gevent
 
+from ...core.pooler.floors import newest
+from ...core.pooler.placement import UNSEEN
+from ...types import Role
 from ...wire.pooling import (
     Abandon,
     Look,
@@ -22,13 +25,18 @@
 from .view import now_seconds
 
 if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Database
     from ...types import InstanceId, Seconds
     from ..logs import Log
     from .view import View
 
 CHECK_SECONDS = 0.1
-# How often holders are asked; proofs of positions must stay young enough for reads.
-LOOK_SECONDS = 0.4
+# Proofs of a primary's position must stay young enough for reads of bounded age.
+PROOF_AGE_SECONDS = 0.5
+# What is known of a replica's position and queue may be this old.
+SIGHT_AGE_SECONDS = 1.0
+# One holder is not asked more often than this.
+LOOK_SECONDS = 0.25
 # A holder that owes answers and says nothing for this long is asked at once.
 SILENCE_SECONDS = 0.15
 # A peer that does not answer a look within this time is passed over.
@@ -73,16 +81,27 @@
     def look_at_holders(self) -> None:
         """Ask every holder that is due, each in a task of its own."""
         now = now_seconds()
-        databases = list(self.view.databases.values())
-        for holder in {self.view.holders(database)[0] for database in databases}:
-            if holder == self.view.me or holder in self.looking:
-                continue
-            due = now - self.looked_at.get(holder, 0.0) >= LOOK_SECONDS
-            if due or self.links.silent_seconds(holder) >= SILENCE_SECONDS:
+        due = {}
+        for database in list(self.view.databases.values()):
+            holder = self.view.holders(database)[0]
+            if holder != self.view.me and holder not in self.looking:
+                due[holder] = due.get(holder, False) or self.is_due(database, now)
+        for holder, is_due in due.items():
+            rested = now - self.looked_at.get(holder, 0.0) >= LOOK_SECONDS
+            silent = self.links.silent_seconds(holder) >= SILENCE_SECONDS
+            if (is_due and rested) or silent:
                 self.looking.add(holder)
                 self.looked_at[holder] = now
                 gevent.spawn(self.look_at, holder)
 
+    def is_due(self, database: Database, now: Seconds) -> bool:
+        """Tell whether what is known of a database has grown old."""
+        if database.role is Role.PRIMARY:
+            proof = newest(self.view.floors_of(database.service))
+            return proof is None or now - proof.asked_at >= PROOF_AGE_SECONDS
+        heard_at = self.view.sights.get(database.id, UNSEEN).heard_at
+        return now - heard_at >= SIGHT_AGE_SECONDS
+
     def look_at(self, holder: InstanceId) -> None:
         """Ask one holder; pass it over when it is silent."""
         asked_at = now_seconds()
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -13,6 +13,8 @@
     grant,
     keeper_of,
     new_bucket,
+    spare,
+    SPARE_SECONDS,
 )
 from ...wire.pooling import TakeTokens, Tokens
 from ..links import PeerLost
@@ -30,6 +32,24 @@
 FIRST_START_SECONDS = 20.0
 
 
+class Spare(NamedTuple):
+    """Hold tokens for operations to come, until they lapse."""
+
+    tokens: int
+    until: Seconds
+
+
+class Demand(NamedTuple):
+    """Count an organisation's operations here since a moment."""
+
+    since: Seconds
+    count: int
+    per_second: float
+
+
+NO_SPARE = Spare(0, 0.0)
+
+
 class Admission(NamedTuple):
     """Tell whether an operation may run, or when to come back."""
 
@@ -47,6 +67,8 @@
         self.full_until = now_seconds() + (FIRST_START_SECONDS if first_start else 0.0)
         self.kept: dict[OrganisationId, Bucket] = {}
         self.own: dict[OrganisationId, Bucket] = {}
+        self.spares: dict[OrganisationId, Spare] = {}
+        self.demands: dict[OrganisationId, Demand] = {}
         self.waiting: dict[OrganisationId, list[AsyncResult]] = {}
 
     def admit(self, organisation: OrganisationId) -> Admission:
@@ -57,6 +79,8 @@
         keeper = self.keeper(organisation)
         if keeper == self.view.me:
             return self.admit_kept(organisation, quota)
+        if self.use_spare(organisation):
+            return Admission(True, 0.0)
         turn = AsyncResult()
         queue = self.waiting.get(organisation)
         if queue is not None:
@@ -67,6 +91,21 @@
         admission: Admission = turn.get()
         return admission
 
+    def use_spare(self, organisation: OrganisationId) -> bool:
+        """Note the demand, and take a token granted earlier if one is left."""
+        now = now_seconds()
+        known = self.demands.get(organisation, Demand(now, 0, 0.0))
+        known = known._replace(count=known.count + 1)
+        passed = now - known.since
+        if passed >= SPARE_SECONDS:
+            known = Demand(now, 0, known.count / passed)
+        self.demands[organisation] = known
+        kept = self.spares.get(organisation, NO_SPARE)
+        if kept.tokens < 1 or kept.until <= now:
+            return False
+        self.spares[organisation] = kept._replace(tokens=kept.tokens - 1)
+        return True
+
     def keeper(self, organisation: OrganisationId) -> InstanceId:
         """Return who counts for an organisation."""
         names = [peer.instance for peer in self.view.peers()]
@@ -97,14 +136,20 @@
         self, organisation: OrganisationId, keeper: InstanceId, count: int
     ) -> list[Admission]:
         """Return what the keeper granted, or what may be spent without one."""
+        asked_at = now_seconds()
+        demand = self.demands.get(organisation)
+        to_come = int(demand.per_second * SPARE_SECONDS) if demand else 0
         try:
             tokens: Tokens = self.links.call(
-                keeper, TakeTokens(organisation, count), ASK_SECONDS
+                keeper, TakeTokens(organisation, count, to_come), ASK_SECONDS
             )
         except PeerLost:
             self.view.suspect(keeper)
             self.links.forget(keeper)
             tokens = self.take_alone(organisation, count)
+        if tokens.spare:
+            until = asked_at + SPARE_SECONDS
+            self.spares[organisation] = Spare(tokens.spare, until)
         if tokens.wait_seconds > 0.0:
             gevent.sleep(tokens.wait_seconds)
         refused = Admission(False, tokens.retry_after_seconds)
@@ -115,13 +160,13 @@
         """Spend from a small share of this instance's own."""
         quota = self.view.declarations.quotas.get(organisation)
         if quota is None:
-            return Tokens(count, 0.0, 0.0)
+            return Tokens(count, 0, 0.0, 0.0)
         quota = alone(quota, len(self.view.members))
         now = now_seconds()
         bucket = self.own.get(organisation) or new_bucket(quota, now, full=True)
         found = grant(bucket, quota, count, now)
         self.own[organisation] = found.bucket
-        return Tokens(found.granted, found.wait_seconds, found.retry_after_seconds)
+        return Tokens(found.granted, 0, found.wait_seconds, found.retry_after_seconds)
 
     def take(self, organisation: OrganisationId, quota: Quota, count: int) -> Tokens:
         """Take tokens from a bucket kept here."""
@@ -131,11 +176,17 @@
             bucket = new_bucket(quota, now, full=now < self.full_until)
         found = grant(bucket, quota, count, now)
         self.kept[organisation] = found.bucket
-        return Tokens(found.granted, found.wait_seconds, found.retry_after_seconds)
+        return Tokens(found.granted, 0, found.wait_seconds, found.retry_after_seconds)
 
     def on_take(self, sender: InstanceId, message: TakeTokens) -> Tokens:
         """Grant what another instance asks for."""
         quota = self.view.declarations.quotas.get(message.organisation)
         if quota is None:
-            return Tokens(message.count, 0.0, 0.0)
-        return self.take(message.organisation, quota, message.count)
+            return Tokens(message.count, 0, 0.0, 0.0)
+        tokens = self.take(message.organisation, quota, message.count)
+        bucket = self.kept[message.organisation]
+        extra = spare(bucket, quota, message.spare, len(self.view.members))
+        if extra:
+            left = bucket._replace(tokens=bucket.tokens - extra)
+            self.kept[message.organisation] = left
+        return tokens._replace(spare=extra)
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -35,13 +35,15 @@
 SECRET_BYTES = 32
 # A watch ends this soon even without changes, since its answer proves that the
 # declarations are current; two of them fit well into the bound for withdrawn keys.
-WATCH_SECONDS = 1.5
+WATCH_SECONDS = 1.8
 # After a failure the next answer is wanted sooner.
 FIRST_WATCH_SECONDS = 0.05
 # Changes that come together are read together.
-BATCH_SECONDS = 0.02
+BATCH_SECONDS = 0.05
+# Pauses between tries grow to the second figure while the store does not answer.
 RETRY_MIN_SECONDS = 0.1
-RETRY_MAX_SECONDS = 0.4
+RETRY_MAX_SECONDS = 0.8
+RETRY_GROWTH = 1.6
 # The lease outlives short outages of the store; peers notice a death by themselves.
 LEASE_SECONDS = 5.0
 KEEP_SECONDS = 1.5
@@ -88,6 +90,7 @@
         self.incarnation = 0
         self.gone: dict[str, Seconds] = {}
         self.reachable = True
+        self.retry_seconds = RETRY_MIN_SECONDS
         self.revisions: dict[str, int] = {}
 
     def start(self) -> None:
@@ -103,11 +106,14 @@
 
     def pause(self) -> None:
         """Wait before the next try."""
-        gevent.sleep(self.rng.uniform(RETRY_MIN_SECONDS, RETRY_MAX_SECONDS))
+        gevent.sleep(self.rng.uniform(0.5, 1.0) * self.retry_seconds)
+        self.retry_seconds = min(RETRY_MAX_SECONDS, self.retry_seconds * RETRY_GROWTH)
 
     def note_call(self, result: Any) -> None:
         """Log when the store is lost or regained."""
         failed = isinstance(result, Failure)
+        if not failed:
+            self.retry_seconds = RETRY_MIN_SECONDS
         if failed == self.reachable:
             self.reachable = not failed
             if failed:
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -20,6 +20,8 @@
 
 # A peer that did not answer is passed over for this long before it is tried again.
 SUSPECT_SECONDS = 1.0
+# Suspicions end with time, so a ranking is worked out anew after this long.
+RANK_SECONDS = 0.1
 # An instance that lost a database which others reach leaves it to them this long.
 GIVE_UP_SECONDS = 3.0
 
@@ -39,6 +41,14 @@
     leaving: bool
 
 
+class Ranking(NamedTuple):
+    """Remember who holds a database, until that may have changed with time."""
+
+    place: PlaceId
+    holders: list[InstanceId]
+    until: Seconds
+
+
 class View:
     """Hold beliefs; changed by the tasks that learn, read by those that decide."""
 
@@ -59,6 +69,7 @@
         self.leaving_since: dict[UpstreamId, Seconds] = {}
         self.changed = Broadcast()
         self.stopping = False
+        self.ranked: dict[UpstreamId, Ranking] = {}
         self.duties: dict[str, int] = {}
         self.reported: dict[UpstreamId, Health] = {}
         self.given_up: dict[UpstreamId, Seconds] = {}
@@ -83,14 +94,29 @@
 
     def holders(self, database: Database) -> list[InstanceId]:
         """Return who holds a database, the rightful one first."""
+        now = now_seconds()
+        known = self.ranked.get(database.id)
+        if known is not None and known.until > now and known.place == database.place:
+            return list(known.holders)
+        found = self.rank_holders(database)
+        self.ranked[database.id] = Ranking(database.place, found, now + RANK_SECONDS)
+        return list(found)
+
+    def rank_holders(self, database: Database) -> list[InstanceId]:
+        """Return who holds a database, worked out anew."""
         found = holders(database, self.peers())
         if self.given_up.get(database.id, 0.0) > now_seconds() and self.me in found:
             found.remove(self.me)
             found.append(self.me)
         return found
 
+    def forget_ranks(self) -> None:
+        """Work holders out anew after a change of what they depend on."""
+        self.ranked.clear()
+
     def suspect(self, instance: InstanceId) -> None:
         """Pass an instance over for a while."""
+        self.forget_ranks()
         if instance != self.me:
             self.suspects[instance] = now_seconds() + SUSPECT_SECONDS
 
@@ -100,6 +126,7 @@
 
     def trust(self, instance: InstanceId) -> None:
         """Use an instance again."""
+        self.forget_ranks()
         self.suspects.pop(instance, None)
 
     def floors_of(self, service: str) -> Floors:
@@ -157,6 +184,7 @@
 
     def give_up(self, database: UpstreamId) -> None:
         """Leave a database that others reach to them for a while."""
+        self.forget_ranks()
         self.given_up[database] = now_seconds() + GIVE_UP_SECONDS
 
     def avoid(self, database: UpstreamId, *, seconds: Seconds, lagging: bool) -> None:
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -77,16 +77,18 @@
 
 
 class TakeTokens(NamedTuple):
-    """Ask an organisation's rate keeper for operations."""
+    """Ask an organisation's rate keeper for operations, and for some to come."""
 
     organisation: OrganisationId
     count: int
+    spare: int
 
 
 class Tokens(NamedTuple):
-    """Grant operations, the last of them after a wait."""
+    """Grant operations, the last of them after a wait; ``spare`` soon lapse."""
 
     granted: int
+    spare: int
     wait_seconds: Seconds
     retry_after_seconds: Seconds
 
