--- a/berylhinge/core/pooler/placement.py
+++ b/berylhinge/core/pooler/placement.py
@@ -92,8 +92,11 @@
     """Tell whether a replica has probably reached what a read must see."""
     if need.consistency is Consistency.PRIMARY or need.floor is None:
         return False
-    if sight.point is None or now < sight.lagging_until:
+    if now < sight.lagging_until:
         return False
+    if sight.point is None:
+        # A replica that lags says so before it runs anything.
+        return True
     if need.session is not None and sight.point < need.session:
         return False
     if sight.point >= need.floor:
--- a/berylhinge/core/pooler/queueing.py
+++ b/berylhinge/core/pooler/queueing.py
@@ -1,12 +1,14 @@
 """Order the units that wait for a slot of one database.
 
 A database runs ``slots`` statements at a time. Statements of open transactions go
-first, since they hold a connection; the others go by deadline (EDF; Liu and Layland,
-1973), and those that are late already go after all that can still be in time.
+first, since they hold a connection; the others go by priority and then by latency goal
+(EDF; Liu and Layland, 1973). A unit that can no longer meet its goal goes after all
+that can, newest last: under overload EDF alone would make every unit late.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from heapq import heappop, heappush
 from typing import NamedTuple, TYPE_CHECKING
 
@@ -26,6 +28,7 @@
 
     number: int
     pinned: bool
+    priority: int
     goal_at: Seconds
     give_up_at: Seconds
 
@@ -33,13 +36,22 @@
 class SlotQueue:
     """Hold one database's running and waiting units; changed in place."""
 
-    __slots__ = ("gone", "heap", "mean_seconds", "numbers", "running", "slots")
+    __slots__ = (
+        "gone",
+        "late",
+        "mean_seconds",
+        "numbers",
+        "running",
+        "slots",
+        "timely",
+    )
 
     def __init__(self, slots: int) -> None:
         """Start idle."""
         self.slots = slots
         self.running = 0
-        self.heap: list[tuple[tuple[int, float, int], Waiter]] = []
+        self.timely: list[tuple[tuple[int, float, int], Waiter]] = []
+        self.late: deque[Waiter] = deque()
         self.gone: set[int] = set()
         self.numbers = 0
         self.mean_seconds = FIRST_SECONDS
@@ -52,7 +64,7 @@
 
 def waiting(queue: SlotQueue) -> int:
     """Return how many units wait."""
-    return len(queue.heap) - len(queue.gone)
+    return len(queue.timely) + len(queue.late) - len(queue.gone)
 
 
 def expected_wait(queue: SlotQueue) -> Seconds:
@@ -65,6 +77,7 @@
     queue: SlotQueue,
     *,
     pinned: bool,
+    priority: int,
     goal_at: Seconds,
     give_up_at: Seconds,
     now: Seconds,
@@ -73,10 +86,9 @@
     if not pinned and now + expected_wait(queue) >= give_up_at:
         return None
     queue.numbers += 1
-    waiter = Waiter(queue.numbers, pinned, goal_at, give_up_at)
-    late = not pinned and goal_at <= now
-    rank = 0 if pinned else 2 if late else 1
-    heappush(queue.heap, ((rank, goal_at, waiter.number), waiter))
+    waiter = Waiter(queue.numbers, pinned, priority, goal_at, give_up_at)
+    first = -1 if pinned else priority
+    heappush(queue.timely, ((first, goal_at, waiter.number), waiter))
     return waiter
 
 
@@ -85,10 +97,14 @@
     queue.gone.add(waiter.number)
 
 
-def start_next(queue: SlotQueue) -> Waiter | None:
+def start_next(queue: SlotQueue, now: Seconds) -> Waiter | None:
     """Start the first waiting unit if a place is free."""
-    while queue.heap and queue.running < width(queue):
-        _, waiter = heappop(queue.heap)
+    while queue.running < width(queue):
+        waiter = _next_timely(queue, now)
+        if waiter is None and queue.late:
+            waiter = queue.late.popleft()
+        if waiter is None:
+            return None
         if waiter.number in queue.gone:
             queue.gone.discard(waiter.number)
             continue
@@ -97,6 +113,23 @@
     return None
 
 
+def _next_timely(queue: SlotQueue, now: Seconds) -> Waiter | None:
+    """Return the first unit that can meet its goal; set late ones aside."""
+    while queue.timely:
+        _, waiter = heappop(queue.timely)
+        if waiter.pinned or now + queue.mean_seconds <= waiter.goal_at:
+            return waiter
+        queue.late.append(waiter)
+    return None
+
+
+def clear(queue: SlotQueue) -> None:
+    """Drop all that wait."""
+    queue.timely.clear()
+    queue.late.clear()
+    queue.gone.clear()
+
+
 def finish(queue: SlotQueue, seconds: Seconds | None) -> None:
     """Free a place; learn from how long the statement ran, if it is known."""
     queue.running -= 1
--- a/berylhinge/core/pooler/rates.py
+++ b/berylhinge/core/pooler/rates.py
@@ -1,7 +1,7 @@
 """Count an organisation's operations on one instance, its rate keeper (token bucket).
 
 The keeper is the live instance that ranks first for the organisation. A new keeper
-does not know what its predecessor granted, so it starts without tokens. An instance
+does not know what its predecessor granted, so it starts with few tokens. An instance
 that reaches no keeper spends a small share of its own.
 """
 
@@ -26,6 +26,7 @@
 ALONE_PART = 0.5
 # A bucket this young stands for one whose tokens are unknown: operations wait longer
 # for the first tokens, since those of an organisation inside its rate soon catch up.
+YOUNG_PART = 0.5
 YOUNG_SECONDS = 3.0
 YOUNG_PATIENCE_SECONDS = 0.12
 # An operation may wait this long for a token of its own: enough to even out jitter,
@@ -58,11 +59,29 @@
     return rank(instances, f"rate/{organisation}")[0]
 
 
-def new_bucket(quota: Quota, now: Seconds, *, full: bool) -> Bucket:
-    """Return a bucket that is full at the fleet's first start and empty later."""
-    if full:
+class Tolerance(NamedTuple):
+    """State by how much operators accept that an organisation exceeds its rate.
+
+    In a window of ``window_seconds`` that is a part of what it may send, and a number
+    of operations.
+    """
+
+    window_seconds: Seconds
+    part: float
+    operations: float
+
+
+def new_bucket(quota: Quota, now: Seconds, tolerance: Tolerance | None) -> Bucket:
+    """Return a full bucket, or with a tolerance one whose predecessor is unknown.
+
+    The predecessor may have granted all there was, so the new bucket starts with what
+    may be granted too often. A part of that stays back for a second change of keeper.
+    """
+    if tolerance is None:
         return Bucket(quota.burst, now)
-    return Bucket(0.0, now, now)
+    allowed = quota.rate * tolerance.window_seconds + quota.burst
+    excess = allowed * tolerance.part + tolerance.operations
+    return Bucket(min(quota.burst, excess * YOUNG_PART), now, now)
 
 
 def grant(bucket: Bucket, quota: Quota, wanted: int, now: Seconds) -> Grant:
--- a/berylhinge/platform/store.py
+++ b/berylhinge/platform/store.py
@@ -40,6 +40,8 @@
 # How much longer than its wait a watch may take before its connection is given up.
 WATCH_MARGIN_SECONDS = 0.7
 MAX_IDLE_CONNECTIONS = 3
+# An absent key answers 404 with the store's revision, as a present one does.
+ACCEPTED_STATUSES = (200, 201, 202, 204, 404)
 
 
 class ItemDocument(TypedDict):
@@ -62,6 +64,9 @@
 )
 
 
+RevisionDocument = TypedDict("RevisionDocument", {"store-revision": int})
+
+
 class ChangeDocument(TypedDict):
     """Hold the revision that a change got."""
 
@@ -133,6 +138,13 @@
                 return Success(Snapshot(tuple(items), revision))
             after = items[-1].key
 
+    def newest_revision(self, key: str) -> Result[int, StoreError]:
+        """Return the store's revision by a linearizable read of a small key."""
+        reply = self.call("GET", f"{KEY_PATH}?{urlencode({'key': key})}")
+        return reply.bind(lambda found: decode(found, RevisionDocument)).map(
+            lambda document: document["store-revision"]
+        )
+
     def watch(
         self, prefix: str, *, after: int, wait_seconds: float
     ) -> Result[Snapshot | HistoryLost, StoreError]:
@@ -252,7 +264,7 @@
 
 def decode(reply: Reply, kind: Any) -> Result[Any, StoreError]:
     """Decode a body of the expected kind."""
-    if reply.status not in (200, 201, 202, 204):
+    if reply.status not in ACCEPTED_STATUSES:
         return store_failure(StoreErrorKind.MALFORMED, f"status {reply.status}")
     try:
         return Success(msgspec.json.decode(reply.body or b"{}", type=kind))
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -302,6 +302,7 @@
             outcome=outcome,
             reason=reason,
             detail=result.detail,
+            organisation=self.view.declarations.keys.get(session.key),
             route=session.route_name,
             attempts=attempts,
             milliseconds=round(seconds * 1000, 1),
--- a/berylhinge/tasks/pooler/holder.py
+++ b/berylhinge/tasks/pooler/holder.py
@@ -174,6 +174,7 @@
         waiter = queueing.enter(
             self.queue,
             pinned=pinned,
+            priority=unit.priority,
             goal_at=arrived_at + unit.goal_seconds,
             give_up_at=give_up_at,
             now=arrived_at,
@@ -214,8 +215,7 @@
         turns, self.turns = self.turns, {}
         for turn in turns.values():
             turn.set(False)
-        self.queue.heap.clear()
-        self.queue.gone.clear()
+        queueing.clear(self.queue)
 
     def drop_waiter(self, waiter: Waiter) -> None:
         """Take a waiter out, or free the slot that it was just given."""
@@ -224,7 +224,7 @@
 
     def start_waiting(self) -> None:
         """Give free slots to those who wait."""
-        while (waiter := queueing.start_next(self.queue)) is not None:
+        while (waiter := queueing.start_next(self.queue, now_seconds())) is not None:
             turn = self.turns.pop(waiter.number, None)
             if turn is None:
                 queueing.finish(self.queue, None)
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -75,7 +75,7 @@
                 for task in self.tasks.values()
                 if task.database.id in self.view.databases
             ),
-            self.view.declarations.version,
+            self.view.revision,
             now_seconds() - self.view.confirmed_at,
         )
 
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from ...core.envelopes import new_envelopes
+from ...core.pooler.rates import Tolerance
 from ...core.pooler.sessions import IDLE
 from ...platform.store import Store
 from ...wire.pooling import Abandon, Look, RunUnit, TakeTokens
@@ -102,7 +103,16 @@
         links.register_call(RunUnit, self.holding.run)
         links.register(Abandon, self.holding.abandon)
         links.register_call(Look, self.holding.look)
-        self.rates = RatesTask(view, links, first_start=settings.first_start)
+        self.rates = RatesTask(
+            view,
+            links,
+            first_start=settings.first_start,
+            tolerance=Tolerance(
+                settings.rate_window_seconds,
+                settings.rate_excess_part,
+                settings.rate_excess_operations,
+            ),
+        )
         links.register_call(TakeTokens, self.rates.on_take)
         self.peers = PeerTask(view, links, Log("peers", settings.instance))
         self.duty = DutyTask(
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -35,6 +35,10 @@
 PROOF_AGE_SECONDS = 0.5
 # What is known of a replica's position and queue may be this old.
 SIGHT_AGE_SECONDS = 1.0
+# A peer that confirmed the declarations later spares this instance a call.
+CONFIRMED_AGE_SECONDS = 0.8
+# A peer that did not answer is asked again this often until it does.
+SUSPECT_SECONDS = 0.5
 # One holder is not asked more often than this.
 LOOK_SECONDS = 0.25
 # A holder that owes answers and says nothing for this long is asked at once.
@@ -81,18 +85,23 @@
     def look_at_holders(self) -> None:
         """Ask every holder that is due, each in a task of its own."""
         now = now_seconds()
-        due = {}
+        due: dict[InstanceId, bool] = {}
         for database in list(self.view.databases.values()):
             holder = self.view.holders(database)[0]
-            if holder != self.view.me and holder not in self.looking:
-                due[holder] = due.get(holder, False) or self.is_due(database, now)
-        for holder, is_due in due.items():
-            rested = now - self.looked_at.get(holder, 0.0) >= LOOK_SECONDS
-            silent = self.links.silent_seconds(holder) >= SILENCE_SECONDS
+            due[holder] = due.get(holder, False) or self.is_due(database, now)
+        if now - self.view.confirmed_at >= CONFIRMED_AGE_SECONDS:
+            due[self.view.confirmer()] = True
+        for suspect in self.view.suspects & self.view.members.keys():
+            due[suspect] = now - self.looked_at.get(suspect, 0.0) >= SUSPECT_SECONDS
+        for peer, is_due in due.items():
+            if peer == self.view.me or peer in self.looking:
+                continue
+            rested = now - self.looked_at.get(peer, 0.0) >= LOOK_SECONDS
+            silent = self.links.silent_seconds(peer) >= SILENCE_SECONDS
             if (is_due and rested) or silent:
-                self.looking.add(holder)
-                self.looked_at[holder] = now
-                gevent.spawn(self.look_at, holder)
+                self.looking.add(peer)
+                self.looked_at[peer] = now
+                gevent.spawn(self.look_at, peer)
 
     def is_due(self, database: Database, now: Seconds) -> bool:
         """Tell whether what is known of a database has grown old."""
@@ -102,18 +111,23 @@
         heard_at = self.view.sights.get(database.id, UNSEEN).heard_at
         return now - heard_at >= SIGHT_AGE_SECONDS
 
-    def look_at(self, holder: InstanceId) -> None:
-        """Ask one holder; pass it over when it is silent."""
+    def look_at(self, peer: InstanceId) -> None:
+        """Ask one instance; pass it over while it is silent."""
         asked_at = now_seconds()
         try:
-            looked = self.links.call(holder, Look(False), LOOK_TIMEOUT_SECONDS)
+            looked = self.links.call(peer, Look(False), LOOK_TIMEOUT_SECONDS)
         except PeerLost as error:
-            self.view.suspect(holder)
-            self.links.forget(holder)
-            self.log.info("A peer is silent.", peer=holder, sent=error.sent)
+            self.links.forget(peer)
+            if not self.view.is_suspect(peer):
+                self.view.suspect(peer)
+                self.log.info("A peer is silent.", peer=peer, sent=error.sent)
         else:
+            if self.view.is_suspect(peer):
+                self.view.trust(peer)
+                self.log.info("A peer answers again.", peer=peer)
             self.view.see_all(looked.seen, asked_at)
+            self.view.confirm(looked.revision, asked_at - looked.confirmed_age)
             for seen in looked.seen:
                 self.view.note_reach(seen, asked_at)
         finally:
-            self.looking.discard(holder)
+            self.looking.discard(peer)
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -15,6 +15,7 @@
     new_bucket,
     spare,
     SPARE_SECONDS,
+    Tolerance,
 )
 from ...wire.pooling import TakeTokens, Tokens
 from ..links import PeerLost
@@ -60,10 +61,13 @@
 class RatesTask:
     """Own the buckets that this instance keeps, and ask other keepers."""
 
-    def __init__(self, view: View, links: Links, *, first_start: bool) -> None:
+    def __init__(
+        self, view: View, links: Links, *, first_start: bool, tolerance: Tolerance
+    ) -> None:
         """Start without buckets."""
         self.view = view
         self.links = links
+        self.tolerance = tolerance
         self.full_until = now_seconds() + (FIRST_START_SECONDS if first_start else 0.0)
         self.kept: dict[OrganisationId, Bucket] = {}
         self.own: dict[OrganisationId, Bucket] = {}
@@ -163,7 +167,7 @@
             return Tokens(count, 0, 0.0, 0.0)
         quota = alone(quota, len(self.view.members))
         now = now_seconds()
-        bucket = self.own.get(organisation) or new_bucket(quota, now, full=True)
+        bucket = self.own.get(organisation) or new_bucket(quota, now, None)
         found = grant(bucket, quota, count, now)
         self.own[organisation] = found.bucket
         return Tokens(found.granted, 0, found.wait_seconds, found.retry_after_seconds)
@@ -173,7 +177,8 @@
         now = now_seconds()
         bucket = self.kept.get(organisation)
         if bucket is None:
-            bucket = new_bucket(quota, now, full=now < self.full_until)
+            tolerance = None if now < self.full_until else self.tolerance
+            bucket = new_bucket(quota, now, tolerance)
         found = grant(bucket, quota, count, now)
         self.kept[organisation] = found.bucket
         return Tokens(found.granted, 0, found.wait_seconds, found.retry_after_seconds)
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -31,13 +31,20 @@
 
 INSTANCES_PREFIX = "berylhinge/instances/"
 SECRET_KEY = "berylhinge/secret"
+# A key that nobody writes; reading it tells the store's revision at little cost.
+DECLARATIONS_MARK = "berylhinge/mark"
 DUTIES_PREFIX = "berylhinge/duties/"
 SECRET_BYTES = 32
-# A watch ends this soon even without changes, since its answer proves that the
-# declarations are current; two of them fit well into the bound for withdrawn keys.
-WATCH_SECONDS = 1.8
-# After a failure the next answer is wanted sooner.
-FIRST_WATCH_SECONDS = 0.05
+# A watch waits this long for changes; the store takes 30 s at most.
+WATCH_SECONDS = 25.0
+# One instance confirms the declarations by a small read this often, and the others ask
+# it. One that hears nothing reads by itself after the longer time; the bound for
+# withdrawn keys leaves room for several tries.
+CONFIRM_SECONDS = 0.6
+CONFIRM_ALONE_SECONDS = 1.5
+CHECK_SECONDS = 0.1
+# A watch that does not deliver a change known to exist has lost its connection.
+STUCK_SECONDS = 0.4
 # Changes that come together are read together.
 BATCH_SECONDS = 0.05
 # Pauses between tries grow to the second figure while the store does not answer.
@@ -83,7 +90,6 @@
         self.log = log
         self.on_change = on_change
         self.rng = rng
-        self.revision = 0
         self.secret: bytes | None = None
         self.lease = 0
         self.own_key = INSTANCES_PREFIX + settings.instance
@@ -100,7 +106,8 @@
             self.make_secret()
         while not self.register():
             self.pause()
-        gevent.spawn(self.watch_forever)
+        self.watcher = gevent.spawn(self.watch_forever)
+        gevent.spawn(self.confirm_forever)
         gevent.spawn(self.keep_forever)
         gevent.spawn(self.sweep_forever)
 
@@ -119,7 +126,7 @@
             if failed:
                 self.log.info("The store is lost.", error=result.failure().detail)
             else:
-                self.log.info("The store is back.", revision=self.revision)
+                self.log.info("The store is back.", revision=self.view.revision)
 
     def read_everything(self) -> None:
         """Replace all beliefs by a full read, however long that takes."""
@@ -130,8 +137,8 @@
             if not isinstance(result, Failure):
                 snapshot = result.unwrap()
                 self.take_snapshot(snapshot)
-                self.revision = snapshot.revision
-                self.confirm(asked_at)
+                self.view.advance(snapshot.revision)
+                self.view.confirm(snapshot.revision, asked_at)
                 return
             self.pause()
 
@@ -148,11 +155,6 @@
             self.take_item(item)
         self.on_change()
 
-    def confirm(self, asked_at: Seconds) -> None:
-        """Note that the declarations were current when the question was sent."""
-        if self.view.declarations.version:
-            self.view.confirmed_at = max(self.view.confirmed_at, asked_at)
-
     def take_item(self, item: Item) -> None:
         """Take one item; older revisions than the one known change nothing."""
         if item.revision <= self.revisions.get(item.key, 0):
@@ -185,6 +187,12 @@
                 version=declarations.version,
                 previous=known,
                 revision=item.revision,
+                routes=len(declarations.routes),
+                keys=len(declarations.keys),
+                quotas={
+                    name: [quota.rate, quota.burst]
+                    for name, quota in declarations.quotas.items()
+                },
             )
 
     def take_database(self, item: Item, identifier: str) -> None:
@@ -288,29 +296,58 @@
 
     def watch_forever(self) -> None:
         """Follow changes until killed."""
-        wait = WATCH_SECONDS
         while True:
+            revision = self.view.revision
             asked_at = now_seconds()
-            result = self.store.watch("", after=self.revision, wait_seconds=wait)
+            result = self.store.watch("", after=revision, wait_seconds=WATCH_SECONDS)
             self.note_call(result)
             if isinstance(result, Failure):
-                wait = FIRST_WATCH_SECONDS
                 self.pause()
                 continue
-            wait = WATCH_SECONDS
             found = result.unwrap()
             if isinstance(found, HistoryLost):
-                self.log.info("The store's history is lost.", revision=self.revision)
+                self.log.info("The store's history is lost.", revision=revision)
                 self.read_everything()
                 continue
             for item in found.items:
                 self.take_item(item)
-            self.revision = max(self.revision, found.revision)
-            self.confirm(asked_at)
+            self.view.advance(found.revision)
+            self.view.confirm(found.revision, asked_at)
             if found.items:
                 self.on_change()
                 gevent.sleep(BATCH_SECONDS)
 
+    def confirm_forever(self) -> None:
+        """Prove from time to time that what is known is current."""
+        while True:
+            gevent.sleep(self.rng.uniform(0.5, 1.0) * CHECK_SECONDS)
+            now = now_seconds()
+            ahead = self.view.ahead
+            if ahead is not None and now - ahead.learned_at >= STUCK_SECONDS:
+                self.log.info(
+                    "The watch is stuck; starting it anew.",
+                    revision=self.view.revision,
+                    newest=ahead.revision,
+                )
+                self.view.ahead = None
+                self.watcher.kill()
+                self.watcher = gevent.spawn(self.watch_forever)
+            confirms = self.view.confirmer() == self.settings.instance
+            limit = CONFIRM_SECONDS if confirms else CONFIRM_ALONE_SECONDS
+            if now - self.view.confirmed_at >= limit:
+                self.confirm_once(now)
+
+    def confirm_once(self, asked_at: Seconds) -> None:
+        """Ask the store for its newest revision."""
+        result = self.store.newest_revision(DECLARATIONS_MARK)
+        self.note_call(result)
+        if isinstance(result, Failure):
+            self.pause()
+        else:
+            self.view.confirm(result.unwrap(), asked_at)
+            if self.view.ahead is not None:
+                gevent.sleep(CHECK_SECONDS)
+
     def keep_forever(self) -> None:
         """Renew the lease, and register anew when it was lost."""
         while not self.view.stopping:
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -258,6 +258,7 @@
             commits=call.unit.commits,
             values=call.session.values,
             prepared=call.unit.prepared,
+            priority=call.route.priority,
             goal_seconds=goal_at - now,
             give_up_seconds=call.give_up_at - now,
             idle_seconds=self.view.declarations.idle_transaction_seconds,
--- a/berylhinge/tasks/pooler/settings.py
+++ b/berylhinge/tasks/pooler/settings.py
@@ -29,13 +29,17 @@
     grace_seconds: float = 6.0
     leaving_ms: float = 7000.0
     revocation_ms: float = 5000.0
+    rate_window_seconds: float = 5.0
+    rate_excess_part: float = 0.0
+    rate_excess_operations: float = 0.0
 
 
 class PoolerSettings(NamedTuple):
     """Hold one instance's settings.
 
     A leaving database takes new work for ``leaving_ms`` at most; a withdrawn key must
-    not work for longer than ``revocation_ms``.
+    not work for longer than ``revocation_ms``. In a window, an organisation may exceed
+    its rate by a part of it and a number of operations.
     """
 
     instance: InstanceId
@@ -50,6 +54,9 @@
     grace_seconds: float
     leaving_ms: float
     revocation_ms: float
+    rate_window_seconds: float
+    rate_excess_part: float
+    rate_excess_operations: float
 
 
 def load_pooler_settings(path: str) -> PoolerSettings:
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -9,6 +9,7 @@
 from ...core.pooler.failover import answered, failed, Health, UNKNOWN_HEALTH
 from ...core.pooler.floors import Floors, Proof, record
 from ...core.pooler.placement import holders, Peer, Sight, UNSEEN
+from ...core.rendezvous import rank
 from ..signal import Broadcast
 
 if TYPE_CHECKING:
@@ -18,10 +19,8 @@
     from ...types import InstanceId, LogPoint, PlaceId, Seconds, UpstreamId
     from ...wire.pooling import Seen
 
-# A peer that did not answer is passed over for this long before it is tried again.
-SUSPECT_SECONDS = 1.0
-# Suspicions end with time, so a ranking is worked out anew after this long.
-RANK_SECONDS = 0.1
+# Given-up databases are taken back with time, so rankings are worked out anew.
+RANK_SECONDS = 0.25
 # An instance that lost a database which others reach leaves it to them this long.
 GIVE_UP_SECONDS = 3.0
 
@@ -41,6 +40,14 @@
     leaving: bool
 
 
+class Confirmation(NamedTuple):
+    """Hold a revision that the store had at a moment, learned later."""
+
+    revision: int
+    at: Seconds
+    learned_at: Seconds
+
+
 class Ranking(NamedTuple):
     """Remember who holds a database, until that may have changed with time."""
 
@@ -62,8 +69,10 @@
         self.declarations: Declarations = NO_DECLARATIONS
         self.databases: dict[UpstreamId, Database] = {}
         self.members: dict[InstanceId, Member] = {}
-        self.suspects: dict[InstanceId, Seconds] = {}
+        self.suspects: set[InstanceId] = set()
+        self.revision = 0
         self.confirmed_at: Seconds = float("-inf")
+        self.ahead: Confirmation | None = None
         self.floors: dict[str, Floors] = {}
         self.sights: dict[UpstreamId, Sight] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
@@ -74,24 +83,45 @@
         self.reported: dict[UpstreamId, Health] = {}
         self.given_up: dict[UpstreamId, Seconds] = {}
 
+    def confirm(self, revision: int, at: Seconds) -> None:
+        """Take in that the store's newest revision was this one at a moment.
+
+        What this instance knows is current as of then once it knows that revision.
+        """
+        if revision <= self.revision and self.declarations.version:
+            self.confirmed_at = max(self.confirmed_at, at)
+        elif self.ahead is None or at > self.ahead.at:
+            self.ahead = Confirmation(revision, at, now_seconds())
+
+    def advance(self, revision: int) -> None:
+        """Take in that every change up to a revision is known here."""
+        self.revision = max(self.revision, revision)
+        ahead = self.ahead
+        if ahead is not None and ahead.revision <= self.revision:
+            self.ahead = None
+            self.confirm(ahead.revision, ahead.at)
+
     def is_confirmed(self) -> bool:
         """Tell whether the declarations were proven current lately enough."""
         return now_seconds() - self.confirmed_at < self.trust_seconds
 
     def peers(self) -> list[Peer]:
         """Return the instances that may hold databases."""
-        now = now_seconds()
         found = [
             Peer(member.instance, member.place)
             for member in self.members.values()
             if not member.leaving
-            and self.suspects.get(member.instance, 0.0) <= now
+            and member.instance not in self.suspects
             and member.instance != self.me
         ]
         if not self.stopping or not found:
             found.append(Peer(self.me, self.place))
         return found
 
+    def confirmer(self) -> InstanceId:
+        """Return the instance that confirms the declarations for the others."""
+        return rank([peer.instance for peer in self.peers()], "confirmer")[0]
+
     def holders(self, database: Database) -> list[InstanceId]:
         """Return who holds a database, the rightful one first."""
         now = now_seconds()
@@ -115,19 +145,19 @@
         self.ranked.clear()
 
     def suspect(self, instance: InstanceId) -> None:
-        """Pass an instance over for a while."""
+        """Pass an instance over until it answers a look or registers anew."""
         self.forget_ranks()
         if instance != self.me:
-            self.suspects[instance] = now_seconds() + SUSPECT_SECONDS
+            self.suspects.add(instance)
 
     def is_suspect(self, instance: InstanceId) -> bool:
         """Tell whether an instance is passed over now."""
-        return self.suspects.get(instance, 0.0) > now_seconds()
+        return instance in self.suspects
 
     def trust(self, instance: InstanceId) -> None:
         """Use an instance again."""
         self.forget_ranks()
-        self.suspects.pop(instance, None)
+        self.suspects.discard(instance)
 
     def floors_of(self, service: str) -> Floors:
         """Return a service's proofs."""
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -26,6 +26,7 @@
     commits: bool
     values: dict[str, str]
     prepared: dict[str, Shape]
+    priority: int
     goal_seconds: Seconds
     give_up_seconds: Seconds
     idle_seconds: Seconds
@@ -69,10 +70,13 @@
 
 
 class Looked(NamedTuple):
-    """Answer a look; ``confirmed_age`` is how long ago the version was proven."""
+    """Answer a look.
+
+    ``revision`` was the store's newest ``confirmed_age`` ago.
+    """
 
     seen: tuple[Seen, ...]
-    version: int
+    revision: int
     confirmed_age: Seconds
 
 
