Find a stuck watch although newer revisions keep coming in

Cause: each confirmation that ran ahead of the watch restarted the time after which the watch counts as stuck; a watch on a connection silenced by a cut hung for its whole wait.

--- a/berylhinge/platform/store.py
+++ b/berylhinge/platform/store.py
@@ -248,6 +248,10 @@
             )
         except ConnectionFailed as error:
             self.on_call("failed")
+            # What silenced one connection has probably silenced the idle ones.
+            for idle in self.idle:
+                idle.close()
+            self.idle.clear()
             kinds = StoreErrorKind
             kind = kinds.UNKNOWN if error.sent else kinds.NOT_APPLIED
             return store_failure(kind, f"{self.address}: {error}")
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -319,6 +319,7 @@
 
     def confirm_forever(self) -> None:
         """Prove from time to time that what is known is current."""
+        asked_at = float("-inf")
         while True:
             gevent.sleep(self.rng.uniform(0.5, 1.0) * CHECK_SECONDS)
             now = now_seconds()
@@ -334,19 +335,16 @@
                 self.watcher = gevent.spawn(self.watch_forever)
             confirms = self.view.confirmer() == self.settings.instance
             limit = CONFIRM_SECONDS if confirms else CONFIRM_ALONE_SECONDS
-            if now - self.view.confirmed_at >= limit:
+            if now - max(self.view.confirmed_at, asked_at) >= limit:
+                asked_at = now
                 self.confirm_once(now)
 
     def confirm_once(self, asked_at: Seconds) -> None:
         """Ask the store for its newest revision."""
         result = self.store.newest_revision(DECLARATIONS_MARK)
         self.note_call(result)
-        if isinstance(result, Failure):
-            self.pause()
-        else:
+        if not isinstance(result, Failure):
             self.view.confirm(result.unwrap(), asked_at)
-            if self.view.ahead is not None:
-                gevent.sleep(CHECK_SECONDS)
 
     def keep_forever(self) -> None:
         """Renew the lease, and register anew when it was lost."""
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -90,8 +90,10 @@
         """
         if revision <= self.revision and self.declarations.version:
             self.confirmed_at = max(self.confirmed_at, at)
-        elif self.ahead is None or at > self.ahead.at:
+        elif self.ahead is None:
             self.ahead = Confirmation(revision, at, now_seconds())
+        elif at > self.ahead.at:
+            self.ahead = self.ahead._replace(revision=revision, at=at)
 
     def advance(self, revision: int) -> None:
         """Take in that every change up to a revision is known here."""
