--- a/berylhinge/core/pooler/placement.py
+++ b/berylhinge/core/pooler/placement.py
@@ -20,9 +20,9 @@
     from .catalogue import Database
 
 # A round trip between failure domains and the price of its bytes, as waiting time.
-CROSSING_SECONDS = 0.006
+CROSSING_SECONDS = 0.015
 # Room that is kept on primaries for writes, as waiting time of a read.
-PRIMARY_SECONDS = 0.012
+PRIMARY_SECONDS = 0.003
 # A position heard of may be older than the database's own by a heartbeat.
 LAG_MARGIN_SECONDS = 0.1
 
--- a/berylhinge/tasks/pooler/duty.py
+++ b/berylhinge/tasks/pooler/duty.py
@@ -113,8 +113,8 @@
         """Check what others see, and promote the best replica."""
         try:
             primary = primary_of(self.view.databases, service)
-            checks = verdict is Verdict.CHECK and primary is not None
-            if checks and self.anyone_reaches(primary):
+            known = primary if verdict is Verdict.CHECK else None
+            if known is not None and self.anyone_reaches(known):
                 self.quiet_until[service] = now_seconds() + 0.5
                 return
             self.promote(service, primary)
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -44,7 +44,7 @@
     """Count an organisation's operations here since a moment."""
 
     since: Seconds
-    count: int
+    operations: int
     per_second: float
 
 
@@ -99,10 +99,10 @@
         """Note the demand, and take a token granted earlier if one is left."""
         now = now_seconds()
         known = self.demands.get(organisation, Demand(now, 0, 0.0))
-        known = known._replace(count=known.count + 1)
+        known = known._replace(operations=known.operations + 1)
         passed = now - known.since
         if passed >= SPARE_SECONDS:
-            known = Demand(now, 0, known.count / passed)
+            known = Demand(now, 0, known.operations / passed)
         self.demands[organisation] = known
         kept = self.spares.get(organisation, NO_SPARE)
         if kept.tokens < 1 or kept.until <= now:
@@ -187,8 +187,8 @@
         """Grant what another instance asks for."""
         quota = self.view.declarations.quotas.get(message.organisation)
         if quota is None:
-            return Tokens(message.count, 0, 0.0, 0.0)
-        tokens = self.take(message.organisation, quota, message.count)
+            return Tokens(message.wanted, 0, 0.0, 0.0)
+        tokens = self.take(message.organisation, quota, message.wanted)
         bucket = self.kept[message.organisation]
         extra = spare(bucket, quota, message.spare, len(self.view.members))
         if extra:
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -84,7 +84,7 @@
     """Ask an organisation's rate keeper for operations, and for some to come."""
 
     organisation: OrganisationId
-    count: int
+    wanted: int
     spare: int
 
 
