--- /dev/null
+++ b/berylhinge/core/pooler/tests/test_failover.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import pytest
+
+from ....types import LogPoint, Role
+from ..catalogue import Database, primary_of
+from ..failover import answered, failed, judge, successor, UNKNOWN_HEALTH, Verdict
+
+PRIMARY = Database("p", "s", "10.0.0.1:1", "x", 2, Role.PRIMARY, False, 0, 5)
+SILENT = failed(UNKNOWN_HEALTH, 10.0, refused=False)
+REFUSED = failed(UNKNOWN_HEALTH, 10.0, refused=True)
+
+
+@pytest.mark.parametrize(
+    ("health", "primary", "line", "now", "expected"),
+    [
+        (UNKNOWN_HEALTH, PRIMARY, 0, 10.0, Verdict.KEEP),
+        (SILENT, PRIMARY, 0, 10.1, Verdict.KEEP),
+        (SILENT, PRIMARY, 0, 10.3, Verdict.CHECK),
+        (REFUSED, PRIMARY, 0, 10.15, Verdict.CHECK),
+        # The next in line gives the holder time to act.
+        (SILENT, PRIMARY, 1, 10.3, Verdict.KEEP),
+        (SILENT, PRIMARY, 1, 10.9, Verdict.CHECK),
+        (answered(SILENT, 10.2), PRIMARY, 0, 11.0, Verdict.KEEP),
+        # Planned: a leaving primary is replaced while it still serves.
+        (UNKNOWN_HEALTH, PRIMARY._replace(leaving=True), 0, 10.0, Verdict.REPLACE),
+        (UNKNOWN_HEALTH, None, 0, 10.0, Verdict.REPLACE),
+    ],
+)
+def test_verdict(health, primary, line, now, expected) -> None:
+    assert judge(health, primary, place_in_line=line, now=now) is expected
+
+
+def replica(name: str, **changes: object) -> Database:
+    return PRIMARY._replace(id=name, role=Role.REPLICA, **changes)
+
+
+@pytest.mark.parametrize(
+    ("points", "leaving", "expected"),
+    [
+        ({"a": LogPoint(1, 5), "b": LogPoint(1, 7)}, (), "b"),
+        ({"a": LogPoint(2, 1), "b": LogPoint(1, 7)}, (), "a"),
+        ({"a": LogPoint(1, 5)}, (), "a"),
+        ({"a": LogPoint(1, 5), "b": LogPoint(1, 7)}, ("b",), "a"),
+        ({}, (), None),
+    ],
+)
+def test_the_longest_reachable_log_leads(points, leaving, expected) -> None:
+    candidates = [replica(name, leaving=name in leaving) for name in ("a", "b")]
+    found = successor(candidates, points)
+    assert (found.id if found else None) == expected
+
+
+def test_the_last_one_to_say_that_it_leads_is_the_primary() -> None:
+    # A primary that was cut off goes on saying that it leads.
+    newer = PRIMARY._replace(id="n", led_since=9)
+    found = primary_of({"p": PRIMARY, "n": newer}, "s")
+    assert found is newer
--- /dev/null
+++ b/berylhinge/core/pooler/tests/test_placement.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import pytest
+
+from ....types import LogPoint, Role
+from ..catalogue import Consistency, Database
+from ..placement import holders, Peer, read_order, ReadNeed, Sight, UNSEEN
+
+NEVER = float("-inf")
+
+
+def database(name: str, place: str, role: Role = Role.REPLICA) -> Database:
+    return Database(name, "s", "10.0.0.1:1", place, 2, role, False, 0)
+
+
+PRIMARY = database("p", "x", Role.PRIMARY)
+NEAR, FAR = database("near", "y"), database("far", "z")
+AT_FLOOR = Sight(LogPoint(1, 50), 10.0, 0.0, NEVER, NEVER)
+BEHIND = AT_FLOOR._replace(point=LogPoint(1, 10))
+BOUNDED = ReadNeed(Consistency.BOUNDED, LogPoint(1, 50), None, 1.5)
+SESSION = ReadNeed(Consistency.SESSION, LogPoint(1, 40), LogPoint(1, 60), 2.5)
+
+
+@pytest.mark.parametrize(
+    ("need", "near", "far", "expected"),
+    [
+        (BOUNDED, AT_FLOOR, AT_FLOOR, ["near", "far", "p"]),
+        # Pattern: one replica receives nothing for a while.
+        (BOUNDED, BEHIND, AT_FLOOR, ["far", "p"]),
+        # Pattern: all replicas lag, so the primary carries the reads.
+        (BOUNDED, BEHIND, BEHIND, ["p"]),
+        # Pattern: after a restart nothing is known; a replica that lags says so.
+        (BOUNDED, UNSEEN, UNSEEN, ["near", "far", "p"]),
+        # Pattern: a session reads what it has just written.
+        (SESSION, AT_FLOOR, AT_FLOOR, ["p"]),
+        # Pattern: the nearest database has a queue.
+        (BOUNDED, AT_FLOOR._replace(wait_seconds=0.2), AT_FLOOR, ["far", "p", "near"]),
+        (BOUNDED, AT_FLOOR._replace(lagging_until=11.0), AT_FLOOR, ["far", "p"]),
+        (BOUNDED._replace(floor=None), AT_FLOOR, AT_FLOOR, ["p"]),
+        (
+            BOUNDED._replace(consistency=Consistency.PRIMARY),
+            AT_FLOOR,
+            AT_FLOOR,
+            ["p"],
+        ),
+    ],
+)
+def test_read_order(need, near, far, expected) -> None:
+    order = read_order(
+        [PRIMARY, NEAR, FAR],
+        {"near": near, "far": far, "p": AT_FLOOR},
+        need,
+        place="y",
+        lag=lambda point: 5.0 if point == BEHIND.point else 0.0,
+        now=10.0,
+    )
+    assert [entry.id for entry in order] == expected
+
+
+def test_neighbours_hold_a_database_before_others() -> None:
+    peers = [Peer("a", "x"), Peer("b", "y"), Peer("c", "x"), Peer("d", "z")]
+    line = holders(PRIMARY, peers)
+    assert set(line[:2]) == {"a", "c"}
+    assert line == holders(PRIMARY, reversed(peers))
+
+
+def test_a_lost_holder_moves_only_its_own_databases() -> None:
+    peers = [Peer(name, "x") for name in "abcde"]
+    names = [database(str(number), "x") for number in range(40)]
+    before = {entry.id: holders(entry, peers)[0] for entry in names}
+    after = {entry.id: holders(entry, peers[1:])[0] for entry in names}
+    assert all(after[key] == before[key] for key in before if before[key] != "a")
--- /dev/null
+++ b/berylhinge/core/pooler/tests/test_pool.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+import pytest
+
+from ....types import Access
+from ..pool import choose, expired, held_limit, Idle, Open, prepare, Take, Wait
+from ..statements import Shape
+
+READ_SHAPE = Shape(Access.READ, "q1")
+
+
+def idle(number: int, organisation: str, since: float = 0.0, **values: str) -> Idle:
+    return Idle(number, organisation, values, frozenset(), since)
+
+
+@pytest.mark.parametrize(
+    ("entries", "held", "expected"),
+    [
+        ([], 0, Open(None)),
+        ([], 4, Wait()),
+        ([idle(1, "a")], 4, Take(1)),
+        # Warm values save a reset; among equals the newest is the least likely closed.
+        ([idle(1, "a", 5.0), idle(2, "a", 1.0, zone="x")], 4, Take(2)),
+        ([idle(1, "b"), idle(2, "c")], 2, Open(None)),
+        # The organisation with the most idle connections gives one up.
+        ([idle(1, "b", 1.0), idle(2, "c", 2.0), idle(3, "c", 3.0)], 4, Open(2)),
+    ],
+)
+def test_choice(entries: list[Idle], held: int, expected: object) -> None:
+    found = choose(entries, "a", {"zone": "x"}, held=held, limit=4)
+    assert found == expected
+
+
+@pytest.mark.parametrize(
+    ("values", "prepared", "wanted", "reset", "steps"),
+    [
+        ({}, frozenset(), {}, False, ()),
+        ({"a": "1"}, frozenset(), {"a": "1"}, False, ()),
+        ({"a": "1"}, frozenset(), {"a": "2"}, False, (("a", "2"),)),
+        # A value of the former session must not be seen by the next one.
+        ({"a": "1"}, frozenset(), {"b": "2"}, True, (("b", "2"),)),
+        ({"a": "1"}, frozenset(), {}, True, ()),
+    ],
+)
+def test_values_are_replayed_exactly(
+    values: dict[str, str],
+    prepared: frozenset[str],
+    wanted: dict[str, str],
+    reset: bool,
+    steps: tuple[tuple[str, str], ...],
+) -> None:
+    found = prepare(values, prepared, wanted_values=wanted, wanted_prepared={})
+    assert (found.reset, found.values) == (reset, steps)
+
+
+@pytest.mark.parametrize(
+    ("prepared", "values", "expected"),
+    [
+        (frozenset(), {}, (("r1", READ_SHAPE),)),
+        (frozenset({"r1"}), {}, ()),
+        # A reset drops prepared names, so they are prepared again.
+        (frozenset({"r1"}), {"old": "1"}, (("r1", READ_SHAPE),)),
+    ],
+)
+def test_names_are_prepared_once(
+    prepared: frozenset[str], values: dict[str, str], expected: object
+) -> None:
+    found = prepare(
+        values, prepared, wanted_values={}, wanted_prepared={"r1": READ_SHAPE}
+    )
+    assert found.prepared == expected
+
+
+@pytest.mark.parametrize(
+    ("most", "organisations", "expected"),
+    [(16, 8, 10), (16, 2, 8), (16, 80, 12), (58, 84, 43), (1, 8, 1)],
+)
+def test_a_successor_finds_room(most: int, organisations: int, expected: int) -> None:
+    assert held_limit(most, organisations) == expected
+
+
+def test_an_instance_that_lost_a_database_gives_its_connections_up() -> None:
+    entries = [idle(1, "a", 0.0)]
+    assert expired(entries, holding=True, now=10.0) == []
+    assert expired(entries, holding=False, now=10.0) == [1]
--- /dev/null
+++ b/berylhinge/core/pooler/tests/test_rates.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from ..catalogue import Quota
+from ..rates import alone, Bucket, grant, keeper_of, new_bucket, spare, Tolerance
+
+QUOTA = Quota(10.0, 10.0)
+TOLERANCE = Tolerance(5.0, 0.1, 20.0)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "wanted", "granted"),
+    [(10.0, 1, 1), (10.0, 12, 10), (0.0, 1, 0), (-5.0, 1, 0)],
+)
+def test_grants_what_is_there(tokens: float, wanted: int, granted: int) -> None:
+    found = grant(Bucket(tokens, 0.0), QUOTA, wanted, 0.0)
+    assert found.granted == granted
+    assert (found.retry_after_seconds > 0.0) == (granted < wanted)
+
+
+def test_waiters_reserve_tokens_in_place_of_racing_for_them() -> None:
+    # Pattern: an organisation at its limit sends several operations at once.
+    quota = Quota(100.0, 10.0)
+    first = grant(Bucket(0.0, 0.0), quota, 1, 0.0)
+    second = grant(first.bucket, quota, 1, 0.0)
+    assert (first.granted, second.granted) == (1, 1)
+    assert 0.0 < first.wait_seconds < second.wait_seconds
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 0.5), st.integers(1, 20)), min_size=1, max_size=200
+    )
+)
+def test_never_more_than_rate_and_burst(steps: list[tuple[float, int]]) -> None:
+    bucket, now, total, used_at = new_bucket(QUOTA, 0.0, None), 0.0, 0, 0.0
+    for pause, wanted in steps:
+        now += pause
+        found = grant(bucket, QUOTA, wanted, now)
+        bucket, total = found.bucket, total + found.granted
+        used_at = max(used_at, now + found.wait_seconds)
+        assert total <= QUOTA.burst + QUOTA.rate * used_at + 1e-6
+
+
+@pytest.mark.parametrize("rate", [5.0, 20.0, 70.0, 400.0])
+def test_a_new_keeper_stays_inside_the_tolerance(rate: float) -> None:
+    quota = Quota(rate, rate)
+    bucket = new_bucket(quota, 0.0, TOLERANCE)
+    allowed = rate * TOLERANCE.window_seconds + quota.burst
+    excess = allowed * TOLERANCE.part + TOLERANCE.operations
+    # The former keeper may have granted all of it within the same window.
+    assert 0.0 < bucket.tokens <= min(quota.burst, excess)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "expected"), [(10.0, 2), (5.0, 0), (7.0, 1), (0.0, 0)]
+)
+def test_spare_tokens_come_from_the_upper_half(tokens: float, expected: int) -> None:
+    assert spare(Bucket(tokens, 0.0), QUOTA, 9, 2) == expected
+
+
+def test_instances_alone_spend_less_than_the_whole_together() -> None:
+    assert alone(QUOTA, 7).rate * 7 < QUOTA.rate
+
+
+def test_instances_agree_on_the_keeper() -> None:
+    assert keeper_of(["a", "b", "c"], "o") == keeper_of(["c", "a", "b"], "o")
--- /dev/null
+++ b/berylhinge/platform/tests/test_documents.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+from returns.result import Failure, Success
+
+from ...core.pooler.catalogue import Consistency, Quota, Service
+from ...types import Role
+from ..documents import decode_database, decode_declarations
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-8p",
+            "host": "xapu",
+            "prefix": "/",
+            "kind": "bounded_stale",
+            "timeout-ms": 1500,
+            "latency-goal-ms": 400,
+            "priority": 2,
+            "service": "huvo",
+            "max-staleness-ms": 1500,
+            "public": False,
+        },
+        {"host": "lepu", "kind": "primary", "service": "huvo"},
+    ],
+    "services": [{"name": "huvo", "max-conns": 16, "sync-replicas": 0}],
+    "limits": {"tx-idle-ms": 3000},
+    "tenants": [
+        {"name": "nypu", "api-keys": ["k1", "k2"], "rate-per-s": 70, "burst": 71}
+    ],
+    "new-field": {"ignored": True},
+}
+DATABASE = {
+    "service": "huvo",
+    "address": "10.128.0.9:8080",
+    "zone": "oslo-a",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "db-role": "replica",
+    "sequence": 4,
+    "born": 1786331977620,
+}
+
+
+def test_configuration() -> None:
+    found = decode_declarations(msgspec.json.encode(CONFIGURATION)).unwrap()
+    assert found.version == 7
+    assert found.keys == {"k1": "nypu", "k2": "nypu"}
+    assert found.quotas == {"nypu": Quota(70, 71)}
+    assert found.services == {"huvo": Service("huvo", 16)}
+    route = found.routes["xapu"]
+    assert route.consistency is Consistency.BOUNDED
+    assert (route.timeout_seconds, route.staleness_seconds) == (1.5, 1.5)
+    assert found.routes["lepu"].consistency is Consistency.PRIMARY
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        msgspec.json.encode({**CONFIGURATION, "version": "seven"}),
+        msgspec.json.encode({**CONFIGURATION, "routes": [{"host": "x"}]}),
+    ],
+)
+def test_a_bad_configuration_is_named(value: bytes) -> None:
+    result = decode_declarations(value)
+    assert isinstance(result, Failure)
+    assert result.failure()
+
+
+def test_database() -> None:
+    found = decode_database("i-7f", msgspec.json.encode(DATABASE)).unwrap()
+    assert (found.id, found.place, found.slots) == ("i-7f", "oslo-a", 2)
+    assert (found.role, found.leaving) == (Role.REPLICA, False)
+    assert found.born_ms == 1786331977620
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "dancing"},
+        {"db-role": "boss"},
+        {"capacity": "two"},
+        {"address": None},
+        {"service": 5},
+        {"born": "today"},
+    ],
+)
+def test_entries_of_other_writers_name_no_database(changes: dict[str, object]) -> None:
+    value = msgspec.json.encode({**DATABASE, **changes})
+    assert isinstance(decode_database("i-7f", value), Failure)
+
+
+def test_a_leaving_database_is_marked() -> None:
+    value = msgspec.json.encode({**DATABASE, "state": "draining"})
+    result = decode_database("i-7f", value)
+    assert isinstance(result, Success)
+    assert result.unwrap().leaving
--- /dev/null
+++ b/berylhinge/platform/tests/test_lines.py
@@ -0,0 +1,153 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from ...core.pooler.statements import (
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Execute,
+    Malformed,
+    Prepare,
+    Rollback,
+    Run,
+    SetValue,
+    Shape,
+)
+from ...types import Access, LogPoint, Role
+from .. import lines
+from ..lines import Lines, LineTooLong, parse_caller, parse_exchange, Query, Start
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("START lepu270 u3f1", Start("lepu270", "u3f1")),
+        ("START lepu270", Start("lepu270", "")),
+        ("TERMINATE", lines.Terminate()),
+        ("QUERY 5c READ 1a4", Query(Run("5c", Access.READ, "READ 1a4"))),
+        ("QUERY 5c WRITE 1a a b", Query(Run("5c", Access.WRITE, "WRITE 1a a b"))),
+        ("QUERY 5c BEGIN", Query(Begin("5c", False))),
+        ("QUERY 5c BEGIN READ", Query(Begin("5c", True))),
+        ("QUERY 5c COMMIT", Query(Commit("5c"))),
+        ("QUERY 5c ROLLBACK", Query(Rollback("5c"))),
+        ("QUERY 5c SET zone a b", Query(SetValue("5c", "zone", "a b"))),
+        (
+            "QUERY 5c PREPARE s1 WRITE q2c",
+            Query(Prepare("5c", "s1", Shape(Access.WRITE, "q2c"))),
+        ),
+        ("QUERY 5c EXECUTE s1 1a4 xk q", Query(Execute("5c", "s1", "1a4 xk q"))),
+        ("QUERY 5c DEALLOC s1", Query(Deallocate("5c", "s1"))),
+    ],
+)
+def test_callers_lines(line: str, expected: object) -> None:
+    assert parse_caller(line) == expected
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "",
+        "HELLO",
+        "QUERY",
+        "QUERY 5c",
+        "QUERY 5c READ",
+        "QUERY 5c DROP 1a",
+        # Callers may neither use the product's own id nor choose a position.
+        "QUERY - READ 1a4",
+        "QUERY 5c AFTER 3.1 READ 1a4",
+        "QUERY 5c STATUS",
+        "QUERY 5c DEMOTE 9",
+        "QUERY 5c PREPARE s1 DROP q",
+    ],
+)
+def test_other_lines_are_malformed(line: str) -> None:
+    found = parse_caller(line)
+    statement = found.statement if isinstance(found, Query) else found
+    assert isinstance(statement, Malformed)
+    assert statement.detail
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_are_cut_and_parsed(data: bytes) -> None:
+    for line in Lines().feed(data):
+        parse_caller(line)
+
+
+@given(st.lists(st.text("abc ", min_size=1), min_size=1), st.integers(1, 9))
+def test_lines_do_not_depend_on_how_bytes_arrive(texts: list[str], size: int) -> None:
+    data = "".join(f"{text}\r\n" for text in texts).encode()
+    cutter, found = Lines(), []
+    for at in range(0, len(data), size):
+        found += cutter.feed(data[at : at + size])
+    assert found == texts
+
+
+@pytest.mark.parametrize("ends", [b"", b"\r\n"])
+def test_a_line_over_the_bound_is_refused(ends: bytes) -> None:
+    with pytest.raises(LineTooLong):
+        Lines().feed(b"x" * (lines.MAX_LINE_BYTES + 2) + ends)
+
+
+@pytest.mark.parametrize(
+    ("answer", "code", "rows", "signature", "point"),
+    [
+        (
+            ["ROW a b", "ROW c", "COMPLETE 7.1", "READY I 3.1209"],
+            None,
+            ("a b", "c"),
+            "7.1",
+            LogPoint(3, 1209),
+        ),
+        (["COMPLETE -", "READY T -"], None, (), "-", None),
+        (
+            ["ERROR READONLY i-7f", "READY E 3.1"],
+            Code.READ_ONLY,
+            (),
+            "",
+            LogPoint(3, 1),
+        ),
+        (["ERROR ODD text", "READY I 3.x"], Code.FAILED, (), "", None),
+    ],
+)
+def test_databases_answers(answer, code, rows, signature, point) -> None:
+    found = parse_exchange(answer)
+    assert (found.code, found.rows, found.signature) == (code, rows, signature)
+    assert found.point == point
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ["COMPLETE 7", "COMPLETE 8", "READY I 3.1"],
+        ["COMPLETE 7", "ROW late", "READY I 3.1"],
+        ["NOISE", "READY I 3.1"],
+        ["COMPLETE 7"],
+    ],
+)
+def test_doubled_or_garbled_answers_are_errors(answer: list[str]) -> None:
+    with pytest.raises(ValueError):
+        parse_exchange(answer)
+
+
+@pytest.mark.parametrize(
+    ("row", "expected"),
+    [
+        ("replica 3 3.1209 0 12 2 17", (Role.REPLICA, 3, LogPoint(3, 1209))),
+        ("primary 4 4.1 0 0 0 1", (Role.PRIMARY, 4, LogPoint(4, 1))),
+        ("boss 4 4.1", None),
+        ("primary", None),
+        ("primary x 4.1", None),
+    ],
+)
+def test_status_rows(row: str, expected: object) -> None:
+    assert lines.parse_status(row) == expected
+
+
+@pytest.mark.parametrize("code", list(Code))
+def test_errors_end_with_the_line(code: Code) -> None:
+    text = lines.error(code, "a\r\nREADY I -")
+    assert text.count(b"\r\n") == 1
+    assert text.startswith(f"ERROR {lines.WORDS[code]} ".encode())
