--- a/berylhinge/core/pooler/tests/test_failover.py
+++ b/berylhinge/core/pooler/tests/test_failover.py
@@ -4,7 +4,15 @@
 
 from ....types import LogPoint, Role
 from ..catalogue import Database, primary_of
-from ..failover import answered, failed, judge, successor, UNKNOWN_HEALTH, Verdict
+from ..failover import (
+    answered,
+    failed,
+    Health,
+    judge,
+    successor,
+    UNKNOWN_HEALTH,
+    Verdict,
+)
 
 PRIMARY = Database("p", "s", "10.0.0.1:1", "x", 2, Role.PRIMARY, False, 0, 5)
 SILENT = failed(UNKNOWN_HEALTH, 10.0, refused=False)
@@ -27,12 +35,14 @@
         (UNKNOWN_HEALTH, None, 0, 10.0, Verdict.REPLACE),
     ],
 )
-def test_verdict(health, primary, line, now, expected) -> None:
+def test_verdict(
+    health: Health, primary: Database | None, line: int, now: float, expected: Verdict
+) -> None:
     assert judge(health, primary, place_in_line=line, now=now) is expected
 
 
-def replica(name: str, **changes: object) -> Database:
-    return PRIMARY._replace(id=name, role=Role.REPLICA, **changes)
+def replica(name: str, *, leaving: bool) -> Database:
+    return PRIMARY._replace(id=name, role=Role.REPLICA, leaving=leaving)
 
 
 @pytest.mark.parametrize(
@@ -45,7 +55,9 @@
         ({}, (), None),
     ],
 )
-def test_the_longest_reachable_log_leads(points, leaving, expected) -> None:
+def test_the_longest_reachable_log_leads(
+    points: dict[str, LogPoint], leaving: tuple[str, ...], expected: str | None
+) -> None:
     candidates = [replica(name, leaving=name in leaving) for name in ("a", "b")]
     found = successor(candidates, points)
     assert (found.id if found else None) == expected
--- a/berylhinge/core/pooler/tests/test_placement.py
+++ b/berylhinge/core/pooler/tests/test_placement.py
@@ -45,7 +45,9 @@
         ),
     ],
 )
-def test_read_order(need, near, far, expected) -> None:
+def test_read_order(
+    need: ReadNeed, near: Sight, far: Sight, expected: list[str]
+) -> None:
     order = read_order(
         [PRIMARY, NEAR, FAR],
         {"near": near, "far": far, "p": AT_FLOOR},
--- /dev/null
+++ b/berylhinge/tasks/pooler/connections.py
@@ -0,0 +1,175 @@
+"""Own the connections that this instance holds to one database."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent.event import AsyncResult
+
+from ...core.pooler import pool
+from ...core.pooler.outcomes import not_run
+from ...core.pooler.statements import Code, refused, Result
+from .database import CONNECT_SECONDS, ConnectRefused, DatabaseConnection
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...core.pooler.catalogue import Database
+    from ...types import OrganisationId, Seconds
+    from ...wire.pooling import RunUnit
+    from .evidence import Evidence
+    from .view import View
+
+# A database that refused one more connection is not asked for another this soon.
+CROWDED_SECONDS = 0.25
+# Those that wait for a connection look again this often even if none came back.
+LOOK_AGAIN_SECONDS = 0.05
+
+
+class UnitFailed(Exception):
+    """End a unit with a result and the reason for logs and counters."""
+
+    def __init__(self, result: Result, reason: str) -> None:
+        """Keep both."""
+        super().__init__(reason)
+        self.result = result
+        self.reason = reason
+
+
+class Connections:
+    """Lend connections, each to one unit or transaction at a time."""
+
+    def __init__(
+        self,
+        database: Database,
+        view: View,
+        evidence: Evidence,
+        *,
+        on_failure: Callable[[], None],
+    ) -> None:
+        """Start without connections."""
+        self.database = database
+        self.view = view
+        self.evidence = evidence
+        self.on_failure = on_failure
+        self.idle: dict[int, DatabaseConnection] = {}
+        self.held = 0
+        self.numbers = 0
+        self.crowded_until: Seconds = 0.0
+        self.waiting: list[AsyncResult] = []
+
+    @property
+    def limit(self) -> int:
+        """Return how many connections this instance may hold."""
+        declarations = self.view.declarations
+        service = declarations.services.get(self.database.service)
+        most = service.max_connections if service else 1
+        return pool.held_limit(most, len(declarations.quotas))
+
+    def lease(self, unit: RunUnit, give_up_at: Seconds) -> DatabaseConnection:
+        """Return a connection of the organisation; raise UnitFailed."""
+        while (left := give_up_at - now_seconds()) > 0.0:
+            if self.evidence.is_failing:
+                raise self.unreachable(unit)
+            choice = self.choose(unit)
+            if isinstance(choice, pool.Take):
+                connection = self.idle.pop(choice.number)
+                if connection.is_quiet():
+                    return connection
+                self.drop(connection)
+                continue
+            if isinstance(choice, pool.Open):
+                if choice.evicted is not None:
+                    self.drop(self.idle.pop(choice.evicted))
+                opened = self.connect(unit.organisation, min(left, CONNECT_SECONDS))
+                if opened is not None:
+                    return opened
+                continue
+            turn = AsyncResult()
+            self.waiting.append(turn)
+            turn.wait(min(left, LOOK_AGAIN_SECONDS))
+        raise UnitFailed(not_run(unit, "no connection came free"), "no-connection")
+
+    def choose(self, unit: RunUnit) -> pool.Take | pool.Open | pool.Wait:
+        """Return the best use of the connections for a unit."""
+        crowded = now_seconds() < self.crowded_until
+        return pool.choose(
+            [entry.idle() for entry in self.idle.values()],
+            unit.organisation,
+            unit.values,
+            held=self.held,
+            limit=min(self.held, self.limit) if crowded else self.limit,
+        )
+
+    def unreachable(self, unit: RunUnit) -> UnitFailed:
+        """Return the refusal of a unit while the database does not answer."""
+        silent = now_seconds() - self.evidence.health.failed_since
+        detail = f"{self.database.id} has not answered for {silent:.2f} s"
+        return UnitFailed(not_run(unit, detail), "unreachable")
+
+    def connect(
+        self, organisation: OrganisationId, timeout_seconds: Seconds
+    ) -> DatabaseConnection | None:
+        """Open a connection; return None when the database has too many."""
+        self.numbers += 1
+        connection = DatabaseConnection(self.numbers, organisation)
+        self.held += 1
+        asked_at = now_seconds()
+        try:
+            point = connection.open(self.database, timeout_seconds)
+        except ConnectRefused as error:
+            self.held -= 1
+            if error.code is Code.TOO_MANY_CONNECTIONS:
+                self.crowded_until = now_seconds() + CROWDED_SECONDS
+                return None
+            self.evidence.note_failure(asked_at, refused=error.refused)
+            self.on_failure()
+            result = refused(Code.BUSY, f"{self.database.id}: {error}")
+            raise UnitFailed(result, "unreachable") from error
+        except BaseException:
+            self.held -= 1
+            connection.close()
+            raise
+        self.evidence.point = point or self.evidence.point
+        self.evidence.note_answer()
+        return connection
+
+    def any_connection(self, timeout_seconds: Seconds) -> DatabaseConnection | None:
+        """Return an idle connection, or open one; None when there may be no more."""
+        while self.idle:
+            _, connection = self.idle.popitem()
+            if connection.is_quiet():
+                return connection
+            self.drop(connection)
+        organisations = self.view.declarations.quotas
+        if not organisations or self.held >= self.limit:
+            return None
+        return self.connect(next(iter(organisations)), timeout_seconds)
+
+    def give_back(self, connection: DatabaseConnection, *, clean: bool) -> None:
+        """Keep a usable connection and wake who waits for one."""
+        if connection.sock is None or not clean:
+            self.drop(connection)
+        else:
+            connection.since = now_seconds()
+            self.idle[connection.number] = connection
+        waiting, self.waiting = self.waiting, []
+        for turn in waiting:
+            turn.set(True)
+
+    def drop(self, connection: DatabaseConnection) -> None:
+        """Close a connection for good."""
+        connection.close()
+        self.held -= 1
+
+    def expire(self, *, holding: bool) -> None:
+        """Close connections that were idle for too long."""
+        known = [entry.idle() for entry in self.idle.values()]
+        for number in pool.expired(known, holding=holding, now=now_seconds()):
+            self.drop(self.idle.pop(number))
+
+    def close_idle(self) -> None:
+        """Close every idle connection."""
+        while self.idle:
+            self.drop(self.idle.popitem()[1])
--- a/berylhinge/tasks/pooler/duty.py
+++ b/berylhinge/tasks/pooler/duty.py
@@ -105,7 +105,7 @@
         if primary is not None and primary.leaving and place > 0:
             return Verdict.KEEP
         task = self.holding.tasks.get(primary.id) if primary else None
-        own = task.health if task is not None else None
+        own = task.evidence.health if task is not None else None
         health = self.view.health_of(primary.id if primary else "", own)
         return judge(health, primary, place_in_line=place, now=now)
 
--- /dev/null
+++ b/berylhinge/tasks/pooler/evidence.py
@@ -0,0 +1,84 @@
+"""Keep what a database's answers and silences showed."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from ...core.pooler.failover import answered, failed, UNKNOWN_HEALTH
+from ...platform import lines
+from ...types import Role
+from .view import now_seconds
+
+if TYPE_CHECKING:
+    from ...core.pooler.failover import Health
+    from ...platform.lines import Exchange
+    from ...types import LogPoint, Seconds
+
+# A database that answers nothing for this long while asked is looked at.
+SILENCE_SECONDS = 0.2
+
+
+class Proven(NamedTuple):
+    """Hold when the last question was sent whose answer proved leadership."""
+
+    asked_at: Seconds
+    point: LogPoint
+
+
+class Evidence:
+    """Hold position, proof of leadership and health of one database."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.point: LogPoint | None = None
+        self.proven: Proven | None = None
+        self.health: Health = UNKNOWN_HEALTH
+        self.asked: dict[int, Seconds] = {}
+
+    @property
+    def newest_point(self) -> LogPoint | None:
+        """Return the position to tell others of."""
+        return self.proven.point if self.proven else self.point
+
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the database has been silent or away for a while."""
+        return now_seconds() - self.health.failed_since >= SILENCE_SECONDS
+
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether the last thing seen was a failure."""
+        return self.health.failed_since <= now_seconds()
+
+    def note_answer(self) -> None:
+        """Note that the database answered."""
+        self.health = answered(self.health, now_seconds())
+
+    def note_failure(self, asked_at: Seconds, *, refused: bool) -> None:
+        """Note that a question had no answer."""
+        self.health = failed(self.health, asked_at, refused=refused)
+
+    def silent_since(self) -> Seconds | None:
+        """Return since when a question has waited while nothing was answered."""
+        now = now_seconds()
+        oldest = min(self.asked.values(), default=now)
+        if now - oldest >= SILENCE_SECONDS and self.health.answered_at < oldest:
+            return oldest
+        return None
+
+    def prove(self, asked_at: Seconds, point: LogPoint | None) -> None:
+        """Note an answer that only a primary gives."""
+        if point is not None:
+            self.proven = Proven(asked_at, point)
+
+    def take_status(self, answer: Exchange, asked_at: Seconds) -> None:
+        """Note role and position of a status."""
+        self.note_answer()
+        self.point = answer.point or self.point
+        status = lines.parse_status(answer.rows[0]) if answer.rows else None
+        if status is None:
+            return
+        if status.role is Role.PRIMARY:
+            self.prove(asked_at, status.point)
+        else:
+            self.proven = None
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -42,7 +42,7 @@
             if found is not None:
                 found.close()
             found = self.tasks[database] = DatabaseTask(known, self.view, self.log)
-        found.database = known
+        found.database = found.connections.database = known
         return found
 
     def run(self, sender: InstanceId, unit: RunUnit) -> UnitDone:
