--- a/berylhinge/cli/pooler.py
+++ b/berylhinge/cli/pooler.py
@@ -10,7 +10,7 @@
 
 from .. import __version__
 from ..errors import DocumentError
-from ..tasks.logs import start_logging
+from ..tasks.logs import start_bounded_logging
 from ..tasks.pooler.instance import Pooler
 from ..tasks.pooler.settings import load_pooler_settings
 
@@ -35,7 +35,7 @@
         for field in error.fields:
             click.echo(f"{path}: {field}", err=True)
         sys.exit(EXIT_MISUSE)
-    start_logging(sys.stdout)
+    log = start_bounded_logging(sys.stdout.fileno())
     pooler = Pooler(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, pooler.stopping.set)
@@ -47,6 +47,7 @@
         sys.exit(EXIT_FAILED)
     pooler.stopping.wait()
     pooler.shut_down()
+    log.flush()
 
 
 if __name__ == "__main__":
--- a/berylhinge/core/pooler/catalogue.py
+++ b/berylhinge/core/pooler/catalogue.py
@@ -7,6 +7,9 @@
 
 from ...types import OrganisationId, PlaceId, Role, Seconds, UpstreamId
 
+# Part of the time for which a leaving database takes new work that is made use of.
+LEAVING_PART = 0.75
+
 
 class Consistency(StrEnum):
     """Name what a route's reads must see."""
@@ -74,6 +77,19 @@
 NO_DECLARATIONS = Declarations(0, {}, {}, {}, {}, 3.0)
 
 
+def may_take_work(
+    database: Database, leaving_since: Seconds | None, limit: Seconds, now: Seconds
+) -> bool:
+    """Tell whether a database may still get new work.
+
+    One that is leaving goes on for a while, since a service without its primary is
+    worse than one with a leaving primary; the limit keeps a margin for work on its way.
+    """
+    if not database.leaving or leaving_since is None:
+        return True
+    return now - leaving_since < limit * LEAVING_PART
+
+
 def databases_of(databases: dict[UpstreamId, Database], service: str) -> list[Database]:
     """Return a service's databases by id."""
     return sorted(
--- /dev/null
+++ b/berylhinge/standins/session_database.py
@@ -0,0 +1,278 @@
+"""Stand in for replicated databases that speak the users' line protocol."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from itertools import count
+from typing import Any, NamedTuple
+
+import gevent
+from gevent.server import StreamServer
+
+
+class Run(NamedTuple):
+    """Record one statement that ran, and for whom."""
+
+    database: str
+    organisation: str
+    request: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+
+
+class DatabaseGroup:
+    """Hold one log of committed writes that members apply after a while."""
+
+    def __init__(self, service: str, *, lag_seconds: float = 0.02) -> None:
+        """Start without members."""
+        self.service = service
+        self.lag_seconds = lag_seconds
+        self.term = 1
+        self.members: dict[str, SessionDatabase] = {}
+        self.primary = ""
+        self.runs: list[Run] = []
+        self.signatures = count(1)
+
+    def commit(self, writes: list[tuple[str, str]]) -> None:
+        """Add an entry to the primary's log and let the others apply it later."""
+        entry = (self.term, writes)
+        self.members[self.primary].log.append(entry)
+        for member in self.members.values():
+            if member.id != self.primary and not member.deaf:
+                gevent.spawn_later(self.lag_seconds, member.apply, entry)
+
+    def promote(self, service: str, name: str) -> bool:
+        """Let a running member lead the next term."""
+        member = self.members.get(name)
+        if service != self.service or member is None or not member.running:
+            return False
+        if self.primary != name:
+            self.term += 1
+            self.primary = name
+            member.log.append((self.term, []))
+        return True
+
+
+class SessionDatabase:
+    """Serve one member of a group."""
+
+    def __init__(self, group: DatabaseGroup, name: str, *, max_connections: int = 16):
+        """Listen on a free port."""
+        self.group = group
+        self.id = name
+        self.max_connections = max_connections
+        self.log: list[tuple[int, list[tuple[str, str]]]] = []
+        self.deaf = False
+        self.silent = False
+        self.running = True
+        self.sockets: set[Any] = set()
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        group.members[name] = self
+        group.primary = group.primary or name
+
+    @property
+    def address(self) -> str:
+        """Return host:port."""
+        return f"127.0.0.1:{self.server.server_port}"
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this member leads."""
+        return self.group.primary == self.id
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Return what the member registers."""
+        return {
+            "service": self.group.service,
+            "address": self.address,
+            "zone": "x",
+            "capacity": 2,
+            "state": state,
+            "db-role": "primary" if self.leads else "replica",
+            "sequence": 1,
+            "born": 1,
+        }
+
+    def apply(self, entry: tuple[int, list[tuple[str, str]]]) -> None:
+        """Apply a replicated entry."""
+        if not self.deaf:
+            self.log.append(entry)
+
+    def crash(self) -> None:
+        """Stop listening and reset every connection."""
+        self.running = False
+        self.server.stop()
+        for sock in list(self.sockets):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def position(self) -> str:
+        """Return TERM.NUMBER."""
+        term = self.log[-1][0] if self.log else 1
+        return f"{term}.{len(self.log)}"
+
+    def serve(self, sock: Any, _address: object) -> None:
+        """Serve one connection."""
+        self.sockets.add(sock)
+        try:
+            Connection(self, sock).serve()
+        except OSError:
+            return
+        finally:
+            self.sockets.discard(sock)
+            sock.close()
+
+
+class Connection:
+    """Hold one connection's transaction, values and prepared names."""
+
+    def __init__(self, database: SessionDatabase, sock: Any) -> None:
+        """Start idle."""
+        self.database = database
+        self.sock = sock
+        self.organisation = ""
+        self.state = "I"
+        self.plain = False
+        self.term = 0
+        self.writes: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+
+    def serve(self) -> None:
+        """Answer lines until the stream ends."""
+        file = self.sock.makefile("rb")
+        _, service, rest = file.readline().decode().strip().split(" ", 2)
+        self.organisation, _, name = rest.partition(" ")
+        database = self.database
+        if len(database.sockets) > database.max_connections:
+            return self.sock.sendall(b"ERROR CONNLIMIT full\r\n")
+        if service != database.group.service or name not in ("", database.id):
+            return self.sock.sendall(b"ERROR WRONGNODE other\r\n")
+        self.sock.sendall(self.ready())
+        for line in file:
+            _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
+            while database.silent:
+                gevent.sleep(0.05)
+            self.sock.sendall(self.run(request, text) + self.ready())
+        return None
+
+    def ready(self) -> bytes:
+        """Return the closing line."""
+        return f"READY {self.state} {self.database.position()}\r\n".encode()
+
+    def error(self, code: str) -> bytes:
+        """Return an error, which fails an open transaction."""
+        self.state = "E" if self.state == "T" else self.state
+        return f"ERROR {code} {self.database.id}\r\n".encode()
+
+    def done(self, *rows: str) -> bytes:
+        """Return rows and a signature."""
+        signature = next(self.database.group.signatures)
+        lines = [f"ROW {row}\r\n" for row in rows]
+        return "".join([*lines, f"COMPLETE {signature}\r\n"]).encode()
+
+    def run(self, request: str, text: str) -> bytes:
+        """Run one statement."""
+        if text.startswith("AFTER "):
+            _, point, text = text.split(" ", 2)
+            wanted = tuple(int(part) for part in point.split("."))
+            held = tuple(int(part) for part in self.database.position().split("."))
+            if held < wanted:
+                return self.error("LAGGING")
+        word, _, rest = text.partition(" ")
+        if self.state == "E" and word not in ("COMMIT", "ROLLBACK"):
+            return self.error("MALFORMED")
+        handler = getattr(self, f"run_{word.lower()}", None)
+        if handler is None:
+            return self.error("MALFORMED")
+        if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            values = tuple(sorted(self.values.items()))
+            self.database.group.runs.append(
+                Run(self.database.id, self.organisation, request, text, values)
+            )
+        answer: bytes = handler(rest)
+        return answer
+
+    def has_lost_lead(self) -> bool:
+        """Tell whether a plain transaction can no longer go on."""
+        return self.plain and self.term != self.database.group.term
+
+    def run_begin(self, rest: str) -> bytes:
+        """Begin."""
+        if rest != "READ" and not self.database.leads:
+            return self.error("READONLY")
+        self.state, self.plain = "T", rest != "READ"
+        self.term = self.database.group.term
+        return b"COMPLETE -\r\n"
+
+    def run_read(self, item: str) -> bytes:
+        """Read an item."""
+        if self.state == "T" and self.has_lost_lead():
+            return self.error("READONLY")
+        written = [write for _, writes in self.database.log for write in writes]
+        found = dict([*written, *self.writes])
+        return self.done(found[item]) if item in found else self.done()
+
+    def run_write(self, rest: str) -> bytes:
+        """Write an item."""
+        if not self.database.leads or (self.state == "T" and self.has_lost_lead()):
+            return self.error("READONLY")
+        item, _, data = rest.partition(" ")
+        if self.state == "T":
+            self.writes.append((item, data))
+        else:
+            self.database.group.commit([(item, data)])
+        return self.done()
+
+    def run_commit(self, _rest: str) -> bytes:
+        """Commit."""
+        writes, state = self.writes, self.state
+        lost = self.has_lost_lead() and bool(writes)
+        self.run_rollback("")
+        if state == "E" or lost:
+            return self.error("READONLY")
+        if writes:
+            self.database.group.commit(writes)
+        return self.done()
+
+    def run_rollback(self, _rest: str) -> bytes:
+        """Roll back."""
+        self.writes, self.state, self.plain = [], "I", False
+        return b"COMPLETE -\r\n"
+
+    def run_set(self, rest: str) -> bytes:
+        """Set a value."""
+        name, _, value = rest.partition(" ")
+        self.values[name] = value
+        return b"COMPLETE -\r\n"
+
+    def run_reset(self, _rest: str) -> bytes:
+        """Drop values and prepared names."""
+        self.values.clear()
+        self.prepared.clear()
+        return b"COMPLETE -\r\n"
+
+    def run_prepare(self, rest: str) -> bytes:
+        """Bind a name."""
+        name, access, form = rest.split(" ", 2)
+        self.prepared[name] = (access, form)
+        return b"COMPLETE -\r\n"
+
+    def run_execute(self, rest: str) -> bytes:
+        """Run a prepared name."""
+        name, _, arguments = rest.partition(" ")
+        if name not in self.prepared:
+            return self.error("NOSTMT")
+        access, _ = self.prepared[name]
+        return (
+            self.run_read(arguments) if access == "READ" else self.run_write(arguments)
+        )
+
+    def run_status(self, _rest: str) -> bytes:
+        """Tell the role."""
+        role = "primary" if self.database.leads else "replica"
+        term, point = self.database.group.term, self.database.position()
+        return f"ROW {role} {term} {point} 0 0 0 1\r\nCOMPLETE -\r\n".encode()
--- a/berylhinge/tasks/logs.py
+++ b/berylhinge/tasks/logs.py
@@ -2,15 +2,95 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import traceback
+from collections import deque
 from typing import Any, TYPE_CHECKING
 
 import eliot
+import gevent
+import orjson
+from gevent.event import Event
+from gevent.os import make_nonblocking, nb_write
 
 if TYPE_CHECKING:
     from ..errors import Refusal
 
+# Lines that wait for a reader; more are dropped and counted.
+MAX_WAITING_LINES = 2_000
+# Lines of one kind a second; the rest are dropped and counted.
+MAX_LINES_PER_KIND = 50
+COUNT_SECONDS = 1.0
+
+
+class BoundedLog:
+    """Write lines without ever blocking, and count those that were dropped."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Make the descriptor non-blocking."""
+        make_nonblocking(descriptor)
+        self.descriptor = descriptor
+        self.lines: deque[bytes] = deque()
+        self.waiting = Event()
+        self.counts: dict[str, int] = {}
+        self.dropped = 0
+        self.writer = gevent.spawn(self.write_forever)
+        self.counter = gevent.spawn(self.count_forever)
+
+    def take(self, message: dict[str, Any]) -> None:
+        """Queue one line within the bounds."""
+        kind = message.get("message_type", "")
+        count = self.counts[kind] = self.counts.get(kind, 0) + 1
+        if count > MAX_LINES_PER_KIND or len(self.lines) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self.lines.append(orjson.dumps(message, default=str) + b"\n")
+        self.waiting.set()
+
+    def write_forever(self) -> None:
+        """Write queued lines as fast as the reader takes them."""
+        while True:
+            self.waiting.wait()
+            self.waiting.clear()
+            while self.lines:
+                data = self.lines.popleft()
+                while data:
+                    data = data[self.write_some(data) :]
+
+    def write_some(self, data: bytes) -> int:
+        """Write what the pipe takes now; a reader that has gone takes all."""
+        try:
+            return int(nb_write(self.descriptor, data))
+        except BrokenPipeError:
+            return len(data)
+
+    def count_forever(self) -> None:
+        """Begin each second's counts anew and tell what was dropped."""
+        while True:
+            gevent.sleep(COUNT_SECONDS)
+            self.counts.clear()
+            if self.dropped:
+                dropped, self.dropped = self.dropped, 0
+                eliot.log_message(
+                    message_type="log: Lines were dropped.", lines=dropped
+                )
+
+    def flush(self) -> None:
+        """Write what is queued, as far as the pipe takes it at once."""
+        while self.lines:
+            try:
+                os.write(self.descriptor, self.lines.popleft())
+            except OSError:
+                return
+
+
+def start_bounded_logging(descriptor: int) -> BoundedLog:
+    """Send every log line to a descriptor that may have no reader."""
+    log = BoundedLog(descriptor)
+    eliot.add_destinations(log.take)
+    return log
+
 
 def start_logging(stream: Any = None) -> None:
     """Send every log line to a stream, standard error by default."""
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -232,6 +232,12 @@
         """Listen."""
         self.server.start()
 
+    def stop(self) -> None:
+        """Stop listening and close every session."""
+        self.server.stop()
+        for session in list(self.sessions):
+            session.sock.close()
+
     def accept(self, sock: Any, _address: object) -> None:
         """Serve one connection."""
         if len(self.sessions) >= MAX_SESSIONS:
--- a/berylhinge/tasks/pooler/duty.py
+++ b/berylhinge/tasks/pooler/duty.py
@@ -68,9 +68,9 @@
         self.missing_since: dict[str, Seconds] = {}
         links.register_call(Reach, self.on_reach)
 
-    def start(self) -> None:
+    def start(self) -> gevent.Greenlet:
         """Start watching."""
-        spawn_loop(self.watch, lambda: CHECK_SECONDS, self.log)
+        return spawn_loop(self.watch, lambda: CHECK_SECONDS, self.log)
 
     def watch(self) -> None:
         """Judge the primary of every service."""
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -11,6 +11,8 @@
 from .view import now_seconds
 
 if TYPE_CHECKING:
+    import gevent
+
     from ...types import InstanceId, UpstreamId
     from ...wire.pooling import Abandon, Look, RunUnit
     from ..logs import Log
@@ -28,9 +30,9 @@
         self.log = log
         self.tasks: dict[UpstreamId, DatabaseTask] = {}
 
-    def start(self) -> None:
+    def start(self) -> gevent.Greenlet:
         """Start tending databases."""
-        spawn_loop(self.tend, lambda: TEND_SECONDS, self.log)
+        return spawn_loop(self.tend, lambda: TEND_SECONDS, self.log)
 
     def task(self, database: UpstreamId) -> DatabaseTask | None:
         """Return the task of a known database."""
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -51,11 +51,13 @@
             settings.instance,
             settings.place,
             trust_seconds=settings.revocation_ms / 1000 * TRUST_PART,
+            leaving_seconds=settings.leaving_ms / 1000,
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
         self.ready = False
         self.links: Links | None = None
+        self.jobs: list[gevent.Greenlet] = []
         self.store = Store(settings.store, on_call=self.count_call)
         self.promotions = Store(settings.promotions, on_call=self.count_call)
         self.registry = Registry(
@@ -142,9 +144,7 @@
         self.links = links
         self.on_change()
         links.start()
-        self.holding.start()
-        self.peers.start()
-        self.duty.start()
+        self.jobs = [self.holding.start(), self.peers.start(), self.duty.start()]
 
     def on_change(self) -> None:
         """Pass on what the registry has learned."""
@@ -188,6 +188,20 @@
             ),
         )
 
+    def stop(self) -> None:
+        """Close every socket at once."""
+        self.ready = False
+        self.view.stopping = True
+        self.readiness.stop()
+        self.scraping.stop()
+        gevent.killall(self.registry.jobs, block=False)
+        if self.links is not None:
+            self.callers.stop()
+            gevent.killall([job for job in self.jobs if job], block=False)
+            for task in self.holding.tasks.values():
+                task.close()
+            self.links.stop()
+
     def is_holding(self) -> bool:
         """Tell whether units of others still run here."""
         return any(
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -68,9 +68,9 @@
         self.looking: set[InstanceId] = set()
         self.looked_at: dict[InstanceId, Seconds] = {}
 
-    def start(self) -> None:
+    def start(self) -> gevent.Greenlet:
         """Start looking."""
-        spawn_loop(self.look_at_holders, lambda: CHECK_SECONDS, self.log)
+        return spawn_loop(self.look_at_holders, lambda: CHECK_SECONDS, self.log)
 
     def refresh(self) -> None:
         """Tell the links which peers there are."""
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -95,6 +95,8 @@
         self.own_key = INSTANCES_PREFIX + settings.instance
         self.incarnation = 0
         self.gone: dict[str, Seconds] = {}
+        self.watcher: gevent.Greenlet | None = None
+        self.loops: list[gevent.Greenlet] = []
         self.reachable = True
         self.retry_seconds = RETRY_MIN_SECONDS
         self.revisions: dict[str, int] = {}
@@ -107,9 +109,13 @@
         while not self.register():
             self.pause()
         self.watcher = gevent.spawn(self.watch_forever)
-        gevent.spawn(self.confirm_forever)
-        gevent.spawn(self.keep_forever)
-        gevent.spawn(self.sweep_forever)
+        loops = (self.confirm_forever, self.keep_forever, self.sweep_forever)
+        self.loops = [gevent.spawn(loop) for loop in loops]
+
+    @property
+    def jobs(self) -> list[gevent.Greenlet]:
+        """Return the running loops."""
+        return [*self.loops, *([self.watcher] if self.watcher else [])]
 
     def pause(self) -> None:
         """Wait before the next try."""
@@ -331,7 +337,8 @@
                     newest=ahead.revision,
                 )
                 self.view.ahead = None
-                self.watcher.kill()
+                if self.watcher is not None:
+                    self.watcher.kill()
                 self.watcher = gevent.spawn(self.watch_forever)
             confirms = self.view.confirmer() == self.settings.instance
             limit = CONFIRM_SECONDS if confirms else CONFIRM_ALONE_SECONDS
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -187,7 +187,7 @@
     ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
         """Return the primary's holder; a read proves by a transaction who leads."""
         database = primary_of(self.view.databases, call.route.service)
-        if database is None:
+        if database is None or not self.view.may_take_work(database):
             return None
         lone_write = call.unit.transaction is None and call.unit.access is Access.WRITE
         begin = "" if lone_write or after is not None else "plain"
--- /dev/null
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import pytest
+
+from ....standins.metadata_store import MetadataStore, wait_until
+from ....standins.session_database import DatabaseGroup, SessionDatabase
+from ...http import Address, server_address
+from ..instance import Pooler
+from ..settings import PoolerSettings
+
+DECLARATIONS: dict[str, Any] = {
+    "version": 3,
+    "routes": [
+        {"host": "strict", "kind": "primary", "service": "s", "timeout-ms": 1500},
+        {
+            "host": "aged",
+            "kind": "bounded_stale",
+            "service": "s",
+            "timeout-ms": 1500,
+            "max-staleness-ms": 1500,
+        },
+        {
+            "host": "own",
+            "kind": "read_your_writes",
+            "service": "s",
+            "timeout-ms": 1500,
+            "max-staleness-ms": 2500,
+        },
+    ],
+    "services": [{"name": "s", "max-conns": 16}],
+    "limits": {"tx-idle-ms": 500},
+    "tenants": [
+        {"name": "big", "api-keys": ["k1"], "rate-per-s": 500, "burst": 500},
+        {"name": "small", "api-keys": ["k2"], "rate-per-s": 1, "burst": 3},
+    ],
+}
+
+
+def free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", sock.getsockname()[1])
+
+
+class Caller:
+    """Speak the line protocol as a caller does."""
+
+    def __init__(self, address: Address, name: str, key: str) -> None:
+        self.sock = gevent.socket.create_connection(tuple(address), timeout=5)
+        self.file = self.sock.makefile("rb")
+        self.number = 0
+        self.sock.sendall(f"START {name} {key}\r\n".encode())
+        self.started = self.line()
+
+    def line(self) -> str:
+        return str(self.file.readline().decode().rstrip("\r\n"))
+
+    def send(self, text: str) -> None:
+        self.number += 1
+        self.sock.sendall(f"QUERY q{id(self)}n{self.number} {text}\r\n".encode())
+
+    def answer(self) -> list[str]:
+        lines = [self.line()]
+        while lines[-1] and not lines[-1].startswith("READY"):
+            lines.append(self.line())
+        return lines
+
+    def ask(self, text: str) -> list[str]:
+        self.send(text)
+        return self.answer()
+
+
+class Fleet:
+    """Run the store, one group and some instances in this process."""
+
+    def __init__(self) -> None:
+        self.store = MetadataStore(Address("127.0.0.1", 0))
+        self.group = DatabaseGroup("s")
+        for name in ("i-a", "i-b", "i-c"):
+            SessionDatabase(self.group, name)
+        self.store.on_promotion = self.promote
+        self.declare(DECLARATIONS)
+        self.announce()
+        self.instances: list[Pooler] = []
+
+    def declare(self, declarations: dict[str, object]) -> None:
+        self.store.put("op/config", declarations)
+
+    def announce(self) -> None:
+        for member in self.group.members.values():
+            if member.running:
+                self.store.put(f"servers/{member.id}", member.entry())
+
+    def promote(self, service: str, name: str) -> bool:
+        done = self.group.promote(service, name)
+        self.announce()
+        return done
+
+    def add(self) -> Pooler:
+        store = server_address(self.store.server)
+        pooler = Pooler(
+            PoolerSettings(
+                instance=f"n{len(self.instances)}",
+                place="x",
+                callers=free_address(),
+                readiness=free_address(),
+                peers=free_address(),
+                metrics=free_address(),
+                store=store,
+                promotions=store,
+                first_start=True,
+                grace_seconds=2.0,
+                leaving_ms=7000,
+                revocation_ms=5000,
+                rate_window_seconds=5.0,
+                rate_excess_part=0.1,
+                rate_excess_operations=20,
+            )
+        )
+        pooler.start()
+        self.instances.append(pooler)
+        return pooler
+
+    def caller(self, name: str, key: str = "k1", instance: int = 0) -> Caller:
+        return Caller(self.instances[instance].settings.callers, name, key)
+
+    def close(self) -> None:
+        for pooler in self.instances:
+            pooler.stop()
+        for member in self.group.members.values():
+            member.crash()
+        self.store.close()
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    built = Fleet()
+    built.add()
+    built.add()
+    wait_until(lambda: all(len(one.view.members) == 2 for one in built.instances))
+    yield built
+    built.close()
--- /dev/null
+++ b/berylhinge/tasks/pooler/tests/test_fleet.py
@@ -0,0 +1,186 @@
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from ....standins.metadata_store import wait_until
+from .conftest import Caller, DECLARATIONS, Fleet
+
+
+def code(answer: list[str]) -> str:
+    return answer[0].split(" ")[1] if answer[0].startswith("ERROR") else ""
+
+
+@pytest.mark.parametrize("name", ["strict", "aged", "own"])
+@pytest.mark.parametrize("instance", [0, 1])
+def test_a_session_reads_what_it_wrote(fleet: Fleet, name: str, instance: int) -> None:
+    caller = fleet.caller(name, instance=instance)
+    assert caller.started == "READY I -"
+    for number in range(20):
+        assert caller.ask(f"WRITE item v{number}")[0].startswith("COMPLETE ")
+        if name != "aged":
+            assert caller.ask("READ item")[0] == f"ROW v{number}"
+
+
+def test_strict_reads_see_what_another_instance_acknowledged(fleet: Fleet) -> None:
+    writer, reader = fleet.caller("strict"), fleet.caller("strict", instance=1)
+    for number in range(20):
+        writer.ask(f"WRITE item v{number}")
+        assert reader.ask("READ item")[0] == f"ROW v{number}"
+
+
+def test_aged_reads_are_no_older_than_declared(fleet: Fleet) -> None:
+    writer, reader = fleet.caller("strict"), fleet.caller("aged", instance=1)
+    writer.ask("WRITE item old")
+    for member in fleet.group.members.values():
+        member.deaf = not member.leads
+    writer.ask("WRITE item new")
+    gevent.sleep(1.6)
+    assert reader.ask("READ item")[0] == "ROW new"
+
+
+def test_transactions_are_whole_and_on_one_connection(fleet: Fleet) -> None:
+    first, second = fleet.caller("strict"), fleet.caller("strict", instance=1)
+    assert first.ask("BEGIN") == ["COMPLETE -", "READY T -"]
+    first.ask("WRITE item mine")
+    assert code(second.ask("READ item")) == ""
+    assert second.ask("READ item")[0].startswith("COMPLETE")
+    assert first.ask("READ item")[0] == "ROW mine"
+    assert first.ask("COMMIT")[0].startswith("COMPLETE ")
+    assert second.ask("READ item")[0] == "ROW mine"
+
+
+def test_a_caller_that_leaves_rolls_back(fleet: Fleet) -> None:
+    caller = fleet.caller("strict")
+    caller.ask("BEGIN")
+    caller.ask("WRITE item lost")
+    caller.sock.close()
+    caller.file.close()
+    other = fleet.caller("strict")
+    assert other.ask("READ item")[0].startswith("COMPLETE")
+    wait_until(
+        lambda: (
+            not any(
+                task.pinned
+                for one in fleet.instances
+                for task in one.holding.tasks.values()
+            )
+        )
+    )
+
+
+def test_values_and_names_stay_with_their_session(fleet: Fleet) -> None:
+    first, second = fleet.caller("strict"), fleet.caller("strict")
+    first.ask("SET zone one")
+    first.ask("PREPARE s1 READ q1")
+    second.ask("PREPARE s1 WRITE q1")
+    assert code(second.ask("EXECUTE s1 item data")) == ""
+    assert first.ask("EXECUTE s1 item")[0] == "ROW data"
+    reads = [run for run in fleet.group.runs if " item" in run.text]
+    assert [dict(run.values) for run in reads] == [{}, {"zone": "one"}]
+    assert code(fleet.caller("strict").ask("EXECUTE s1 item")) == "NOSTMT"
+
+
+@pytest.mark.parametrize(
+    ("name", "key", "refusal"),
+    [("strict", "k9", "NOAUTH"), ("none", "k1", "NODB"), ("strict", "", "NOAUTH")],
+)
+def test_refused_sessions(fleet: Fleet, name: str, key: str, refusal: str) -> None:
+    assert fleet.caller(name, key).started.split(" ")[1] == refusal
+
+
+def test_a_withdrawn_key_stops_open_sessions(fleet: Fleet) -> None:
+    caller = fleet.caller("strict")
+    tenants = [{**DECLARATIONS["tenants"][0], "api-keys": ["k7"]}]
+    fleet.declare({**DECLARATIONS, "version": 9, "tenants": tenants})
+    wait_until(lambda: code(caller.ask("READ item")) == "NOAUTH", 3.0)
+    assert fleet.caller("strict", "k7").started == "READY I -"
+
+
+def test_keys_are_not_trusted_without_the_store(fleet: Fleet) -> None:
+    caller = fleet.caller("strict")
+    fleet.store.down = True
+    ran = []
+    deadline = time.monotonic() + 6.0
+    while time.monotonic() < deadline:
+        ran.append(code(caller.ask("READ item")))
+        gevent.sleep(0.2)
+    assert ran[0] == ""
+    assert ran[-1] == "BUSY"
+    fleet.store.down = False
+    wait_until(lambda: code(caller.ask("READ item")) == "", 3.0)
+
+
+def test_rates_count_over_the_fleet(fleet: Fleet) -> None:
+    callers = [fleet.caller("strict", "k2", instance) for instance in (0, 1)]
+    answers = [code(caller.ask("READ item")) for _ in range(6) for caller in callers]
+    assert answers.count("") <= 5
+    assert "BUSY" in answers
+
+
+def ask_until_done(caller: Caller, text: str, seconds: float) -> list[str]:
+    deadline = time.monotonic() + seconds
+    while True:
+        answer = caller.ask(text)
+        if not code(answer) or time.monotonic() > deadline:
+            return answer
+
+
+@pytest.mark.parametrize("fault", ["crash", "silent"])
+def test_a_lost_primary_is_replaced(fleet: Fleet, fault: str) -> None:
+    caller = fleet.caller("strict", instance=1)
+    caller.ask("WRITE item before")
+    gevent.sleep(0.1)
+    lost = fleet.group.members[fleet.group.primary]
+    if fault == "crash":
+        lost.crash()
+    else:
+        lost.silent = True
+    answer = ask_until_done(caller, "WRITE item after", 5.0)
+    assert answer[0].startswith("COMPLETE "), answer
+    assert fleet.group.primary != lost.id
+    assert caller.ask("READ item")[0] == "ROW after"
+
+
+def test_a_leaving_primary_hands_over(fleet: Fleet) -> None:
+    leaving = fleet.group.members[fleet.group.primary]
+    caller = fleet.caller("strict")
+    fleet.store.put(f"servers/{leaving.id}", leaving.entry("draining"))
+    wait_until(lambda: fleet.group.primary != leaving.id, 4.0)
+    assert ask_until_done(caller, "WRITE item x", 3.0)[0].startswith("COMPLETE ")
+
+
+def test_links_survive_a_registration_anew(fleet: Fleet) -> None:
+    # Found on scale-2: a second registration made peers restart their sequences
+    # against a window that dropped them for good.
+    caller = fleet.caller("strict", instance=1)
+    assert code(caller.ask("WRITE item one")) == ""
+    one = fleet.instances[0]
+    fleet.store.end_lease(one.registry.lease)
+    wait_until(lambda: one.registry.own_key in fleet.store.items, 6.0)
+    for pooler in (0, 1):
+        other = fleet.caller("strict", instance=pooler)
+        assert code(other.ask("WRITE item two")) == ""
+    assert not any(pooler.view.suspects for pooler in fleet.instances)
+
+
+def test_lost_history_is_read_anew(fleet: Fleet) -> None:
+    fleet.store.forget_history()
+    fleet.declare({**DECLARATIONS, "version": 11})
+    wait_until(
+        lambda: all(one.view.declarations.version == 11 for one in fleet.instances)
+    )
+
+
+def test_a_malformed_text_is_named(fleet: Fleet) -> None:
+    assert code(fleet.caller("strict").ask("DROP everything")) == "MALFORMED"
+
+
+def test_pipelined_statements_are_answered_in_order(fleet: Fleet) -> None:
+    caller = fleet.caller("strict")
+    for text in ("WRITE item a", "READ item", "WRITE item b", "READ item"):
+        caller.send(text)
+    answers = [caller.answer() for _ in range(4)]
+    assert [answer[0] for answer in answers[1::2]] == ["ROW a", "ROW b"]
--- a/berylhinge/tasks/pooler/view.py
+++ b/berylhinge/tasks/pooler/view.py
@@ -5,7 +5,7 @@
 import time
 from typing import NamedTuple, TYPE_CHECKING
 
-from ...core.pooler.catalogue import NO_DECLARATIONS
+from ...core.pooler.catalogue import may_take_work, NO_DECLARATIONS
 from ...core.pooler.failover import answered, failed, Health, UNKNOWN_HEALTH
 from ...core.pooler.floors import Floors, Proof, record
 from ...core.pooler.placement import holders, Peer, Sight, UNSEEN
@@ -60,9 +60,15 @@
     """Hold beliefs; changed by the tasks that learn, read by those that decide."""
 
     def __init__(
-        self, me: InstanceId, place: PlaceId, *, trust_seconds: Seconds
+        self,
+        me: InstanceId,
+        place: PlaceId,
+        *,
+        trust_seconds: Seconds,
+        leaving_seconds: Seconds,
     ) -> None:
         """Start without knowledge."""
+        self.leaving_seconds = leaving_seconds
         self.me = me
         self.place = place
         self.trust_seconds = trust_seconds
@@ -142,6 +148,11 @@
             found.append(self.me)
         return found
 
+    def may_take_work(self, database: Database) -> bool:
+        """Tell whether a database may still get new work."""
+        since = self.leaving_since.get(database.id)
+        return may_take_work(database, since, self.leaving_seconds, now_seconds())
+
     def forget_ranks(self) -> None:
         """Work holders out anew after a change of what they depend on."""
         self.ranked.clear()
--- /dev/null
+++ b/berylhinge/tasks/tests/test_logs.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+
+import gevent
+import orjson
+import pytest
+
+from ..logs import BoundedLog, MAX_LINES_PER_KIND, MAX_WAITING_LINES
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, BoundedLog]]:
+    reader, writer = os.pipe()
+    log = BoundedLog(writer)
+    yield reader, log
+    gevent.killall([log.writer, log.counter])
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_pipe_that_nobody_reads_stops_nothing(pipe: tuple[int, BoundedLog]) -> None:
+    _, log = pipe
+    with gevent.Timeout(5.0):
+        for number in range(MAX_WAITING_LINES * 4):
+            log.take({"message_type": f"kind {number}", "text": "x" * 100})
+            if number % 100 == 0:
+                gevent.sleep(0)
+    assert len(log.lines) <= MAX_WAITING_LINES
+    assert log.dropped > 0
+
+
+def test_lines_arrive_whole(pipe: tuple[int, BoundedLog]) -> None:
+    reader, log = pipe
+    log.take({"message_type": "one", "request_id": "5c"})
+    gevent.sleep(0.05)
+    assert orjson.loads(os.read(reader, 10_000)) == {
+        "message_type": "one",
+        "request_id": "5c",
+    }
+
+
+def test_one_kind_does_not_crowd_out_others(pipe: tuple[int, BoundedLog]) -> None:
+    _, log = pipe
+    for _ in range(MAX_LINES_PER_KIND * 3):
+        log.take({"message_type": "many"})
+    log.take({"message_type": "rare"})
+    assert log.dropped == MAX_LINES_PER_KIND * 2
+    assert b"rare" in log.lines[-1]
