--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from itertools import count
+from random import SystemRandom
 from typing import Any, TYPE_CHECKING
 
 import gevent
@@ -32,6 +33,8 @@
 MAX_SESSIONS = 3_000
 # A caller that opens a connection must name its database within this time.
 START_SECONDS = 5.0
+# Random bits of a process's first transaction number; msgpack carries 64.
+NUMBER_BITS = 48
 # The kernel's queue of connections that wait to be accepted.
 BACKLOG = 512
 
@@ -224,7 +227,8 @@
         self.metrics = metrics
         self.log = log
         self.sessions: set[SessionTask] = set()
-        self.numbers = count(1)
+        # A successor of this process must not use its transactions' numbers again.
+        self.numbers = count(SystemRandom().getrandbits(NUMBER_BITS))
         self.closing = False
         self.server = StreamServer(tuple(address), self.accept, backlog=BACKLOG)
 
