--- a/berylhinge/core/pooler/sessions.py
+++ b/berylhinge/core/pooler/sessions.py
@@ -24,7 +24,6 @@
     Execute,
     Malformed,
     Prepare,
-    refused,
     Result,
     Rollback,
     Run,
@@ -256,14 +255,3 @@
         return session._replace(transaction=begun)
     after = moved(session, "error") or session
     return after._replace(transaction=None)
-
-
-def is_promise(result: Result) -> bool:
-    """Tell whether a result promises that nothing of its attempt is kept."""
-    return result.effect is Effect.NONE
-
-
-def too_late(detail: str, unit: Unit) -> Result:
-    """Return the truthful result of a unit that never reached a database."""
-    code = Code.BUSY if unit.transaction is None else Code.ABORTED
-    return refused(code, detail)
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -92,11 +92,13 @@
     def open_links(self) -> None:
         """Open the links and the tasks that speak over them."""
         settings, view = self.settings, self.view
-        assert self.registry.secret is not None
+        assert self.registry.intake.secret is not None
         links = Links(
             settings.peers,
             envelopes=new_envelopes(
-                settings.instance, self.registry.incarnation, [self.registry.secret]
+                settings.instance,
+                self.registry.intake.incarnation,
+                [self.registry.intake.secret],
             ),
             on_count=self.metrics.count_peer,
         )
--- /dev/null
+++ b/berylhinge/tasks/pooler/intake.py
@@ -0,0 +1,178 @@
+"""Take what the store holds into the beliefs of this instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure
+
+from ...platform.documents import (
+    CONFIGURATION_KEY,
+    DATABASES_PREFIX,
+    decode_database,
+    decode_declarations,
+)
+from ...types import Role
+from .view import Member, now_seconds
+
+if TYPE_CHECKING:
+    from ...platform.store import Item, Snapshot
+    from ...types import Seconds
+    from ..logs import Log
+    from .view import View
+
+INSTANCES_PREFIX = "berylhinge/instances/"
+SECRET_KEY = "berylhinge/secret"
+DUTIES_PREFIX = "berylhinge/duties/"
+
+
+class Registration(NamedTuple):
+    """Hold what an instance says of itself in the store.
+
+    ``incarnation`` is the revision of its first registration, 0 in that one itself.
+    """
+
+    address: str
+    place: str
+    leaving: bool
+    incarnation: int
+
+
+class Intake:
+    """Decode items by their keys, and remember what is missing."""
+
+    def __init__(self, view: View, log: Log) -> None:
+        """Start without items."""
+        self.view = view
+        self.log = log
+        self.gone: dict[str, Seconds] = {}
+        self.revisions: dict[str, int] = {}
+        self.secret: bytes | None = None
+        self.incarnation = 0
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take every item, and drop what is no longer there."""
+        present = {item.key for item in snapshot.items}
+        for identifier in self.view.databases:
+            if DATABASES_PREFIX + identifier not in present:
+                self.gone.setdefault(DATABASES_PREFIX + identifier, now_seconds())
+        for name in self.view.members:
+            if INSTANCES_PREFIX + name not in present:
+                self.gone.setdefault(INSTANCES_PREFIX + name, now_seconds())
+        for item in snapshot.items:
+            self.take_item(item)
+
+    def take_item(self, item: Item) -> None:
+        """Take one item; older revisions than the one known change nothing."""
+        if item.revision <= self.revisions.get(item.key, 0):
+            return
+        self.revisions[item.key] = item.revision
+        key = item.key
+        if key == CONFIGURATION_KEY:
+            self.take_declarations(item)
+        elif key.startswith(DATABASES_PREFIX):
+            self.take_database(item, key.removeprefix(DATABASES_PREFIX))
+        elif key.startswith(INSTANCES_PREFIX):
+            self.take_member(item, key.removeprefix(INSTANCES_PREFIX))
+        elif key.startswith(DUTIES_PREFIX):
+            self.view.duties[key] = item.revision
+        elif key == SECRET_KEY and item.value:
+            self.secret = item.value
+
+    def take_declarations(self, item: Item) -> None:
+        """Put a newer version of the declarations in force."""
+        result = decode_declarations(item.value or b"")
+        if isinstance(result, Failure):
+            self.log.info("Declarations were not understood.", error=result.failure())
+            return
+        declarations = result.unwrap()
+        known = self.view.declarations.version
+        if declarations.version > known:
+            self.view.declarations = declarations
+            self.log.info(
+                "Declarations are in force.",
+                version=declarations.version,
+                previous=known,
+                revision=item.revision,
+                routes=len(declarations.routes),
+                keys=len(declarations.keys),
+                quotas={
+                    name: [quota.rate, quota.burst]
+                    for name, quota in declarations.quotas.items()
+                },
+            )
+
+    def take_database(self, item: Item, identifier: str) -> None:
+        """Take a database's entry, or start to miss it."""
+        if item.value is None:
+            self.gone.setdefault(item.key, now_seconds())
+            return
+        result = decode_database(identifier, item.value)
+        if isinstance(result, Failure):
+            self.log.info(
+                "An entry names no database.",
+                database=identifier,
+                error=result.failure(),
+            )
+            return
+        database = result.unwrap()
+        self.gone.pop(item.key, None)
+        known = self.view.databases.get(identifier)
+        if database.role is Role.PRIMARY:
+            led = known is not None and known.role is Role.PRIMARY
+            since = known.led_since if known and led else item.revision
+            database = database._replace(led_since=since)
+        self.view.databases[identifier] = database
+        if database.leaving:
+            self.view.leaving_since.setdefault(identifier, now_seconds())
+        else:
+            self.view.leaving_since.pop(identifier, None)
+        if known is None or known != database:
+            self.log.info(
+                "A database announced itself.",
+                database=identifier,
+                service=database.service,
+                role=database.role.value,
+                leaving=database.leaving,
+                revision=item.revision,
+            )
+
+    def take_member(self, item: Item, name: str) -> None:
+        """Take an instance's registration, or start to miss it."""
+        if item.value is None:
+            self.gone.setdefault(item.key, now_seconds())
+            return
+        try:
+            found = msgspec.json.decode(item.value, type=Registration)
+        except msgspec.MsgspecError as error:
+            self.log.info("A registration is malformed.", peer=name, error=str(error))
+            return
+        self.gone.pop(item.key, None)
+        known = self.view.members.get(name)
+        incarnation = found.incarnation or item.revision
+        member = Member(name, found.place, found.address, incarnation, found.leaving)
+        if known != member:
+            self.view.trust(name)
+            self.log.info(
+                "An instance registered.",
+                peer=name,
+                leaving=found.leaving,
+                revision=item.revision,
+            )
+        self.view.members[name] = member
+
+    def drop(self, key: str) -> None:
+        """Forget a database or an instance."""
+        del self.gone[key]
+        if key.startswith(DATABASES_PREFIX):
+            identifier = key.removeprefix(DATABASES_PREFIX)
+            self.view.databases.pop(identifier, None)
+            self.view.leaving_since.pop(identifier, None)
+            self.view.sights.pop(identifier, None)
+            self.log.info("A database is gone.", database=identifier)
+        else:
+            name = key.removeprefix(INSTANCES_PREFIX)
+            if name != self.view.me:
+                self.view.members.pop(name, None)
+                self.log.info("An instance is gone.", peer=name)
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -115,7 +115,7 @@
         """Ask one instance; pass it over while it is silent."""
         asked_at = now_seconds()
         try:
-            looked = self.links.call(peer, Look(False), LOOK_TIMEOUT_SECONDS)
+            looked = self.links.call(peer, Look(), LOOK_TIMEOUT_SECONDS)
         except PeerLost as error:
             self.links.forget(peer)
             if not self.view.is_suspect(peer):
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -4,36 +4,27 @@
 
 import secrets
 from random import Random
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import gevent
 import msgspec
 from returns.result import Failure
 
-from ...platform.documents import (
-    CONFIGURATION_KEY,
-    DATABASES_PREFIX,
-    decode_database,
-    decode_declarations,
-)
-from ...platform.store import Conflict, HistoryLost, LeaseGone, Snapshot
-from ...types import Role
-from .view import Member, now_seconds
+from ...platform.store import Conflict, HistoryLost, LeaseGone
+from .intake import INSTANCES_PREFIX, Intake, Registration, SECRET_KEY
+from .view import now_seconds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ...platform.store import Item, Store
+    from ...platform.store import Store
     from ...types import Seconds
     from ..logs import Log
     from .settings import PoolerSettings
     from .view import View
 
-INSTANCES_PREFIX = "berylhinge/instances/"
-SECRET_KEY = "berylhinge/secret"
 # A key that nobody writes; reading it tells the store's revision at little cost.
 DECLARATIONS_MARK = "berylhinge/mark"
-DUTIES_PREFIX = "berylhinge/duties/"
 SECRET_BYTES = 32
 # A watch waits this long for changes; the store takes 30 s at most.
 WATCH_SECONDS = 25.0
@@ -58,18 +49,6 @@
 MISSING_SECONDS = 2.5
 
 
-class Registration(NamedTuple):
-    """Hold what an instance says of itself in the store.
-
-    ``incarnation`` is the revision of its first registration, 0 in that one itself.
-    """
-
-    address: str
-    place: str
-    leaving: bool
-    incarnation: int
-
-
 class Registry:
     """Own the watch and the registration."""
 
@@ -90,21 +69,18 @@
         self.log = log
         self.on_change = on_change
         self.rng = rng
-        self.secret: bytes | None = None
         self.lease = 0
         self.own_key = INSTANCES_PREFIX + settings.instance
-        self.incarnation = 0
-        self.gone: dict[str, Seconds] = {}
+        self.intake = Intake(view, log)
         self.watcher: gevent.Greenlet | None = None
         self.loops: list[gevent.Greenlet] = []
         self.reachable = True
         self.retry_seconds = RETRY_MIN_SECONDS
-        self.revisions: dict[str, int] = {}
 
     def start(self) -> None:
         """Read everything, register, and go on watching."""
         self.read_everything()
-        while self.secret is None:
+        while self.intake.secret is None:
             self.make_secret()
         while not self.register():
             self.pause()
@@ -142,131 +118,20 @@
             self.note_call(result)
             if not isinstance(result, Failure):
                 snapshot = result.unwrap()
-                self.take_snapshot(snapshot)
+                self.intake.take_snapshot(snapshot)
+                self.on_change()
                 self.view.advance(snapshot.revision)
                 self.view.confirm(snapshot.revision, asked_at)
                 return
             self.pause()
 
-    def take_snapshot(self, snapshot: Snapshot) -> None:
-        """Take every item, and drop what is no longer there."""
-        present = {item.key for item in snapshot.items}
-        for identifier in self.view.databases:
-            if DATABASES_PREFIX + identifier not in present:
-                self.gone.setdefault(DATABASES_PREFIX + identifier, now_seconds())
-        for name in self.view.members:
-            if INSTANCES_PREFIX + name not in present:
-                self.gone.setdefault(INSTANCES_PREFIX + name, now_seconds())
-        for item in snapshot.items:
-            self.take_item(item)
-        self.on_change()
-
-    def take_item(self, item: Item) -> None:
-        """Take one item; older revisions than the one known change nothing."""
-        if item.revision <= self.revisions.get(item.key, 0):
-            return
-        self.revisions[item.key] = item.revision
-        key = item.key
-        if key == CONFIGURATION_KEY:
-            self.take_declarations(item)
-        elif key.startswith(DATABASES_PREFIX):
-            self.take_database(item, key.removeprefix(DATABASES_PREFIX))
-        elif key.startswith(INSTANCES_PREFIX):
-            self.take_member(item, key.removeprefix(INSTANCES_PREFIX))
-        elif key.startswith(DUTIES_PREFIX):
-            self.view.duties[key] = item.revision
-        elif key == SECRET_KEY and item.value:
-            self.secret = item.value
-
-    def take_declarations(self, item: Item) -> None:
-        """Put a newer version of the declarations in force."""
-        result = decode_declarations(item.value or b"")
-        if isinstance(result, Failure):
-            self.log.info("Declarations were not understood.", error=result.failure())
-            return
-        declarations = result.unwrap()
-        known = self.view.declarations.version
-        if declarations.version > known:
-            self.view.declarations = declarations
-            self.log.info(
-                "Declarations are in force.",
-                version=declarations.version,
-                previous=known,
-                revision=item.revision,
-                routes=len(declarations.routes),
-                keys=len(declarations.keys),
-                quotas={
-                    name: [quota.rate, quota.burst]
-                    for name, quota in declarations.quotas.items()
-                },
-            )
-
-    def take_database(self, item: Item, identifier: str) -> None:
-        """Take a database's entry, or start to miss it."""
-        if item.value is None:
-            self.gone.setdefault(item.key, now_seconds())
-            return
-        result = decode_database(identifier, item.value)
-        if isinstance(result, Failure):
-            self.log.info(
-                "An entry names no database.",
-                database=identifier,
-                error=result.failure(),
-            )
-            return
-        database = result.unwrap()
-        self.gone.pop(item.key, None)
-        known = self.view.databases.get(identifier)
-        if database.role is Role.PRIMARY:
-            led = known is not None and known.role is Role.PRIMARY
-            since = known.led_since if known and led else item.revision
-            database = database._replace(led_since=since)
-        self.view.databases[identifier] = database
-        if database.leaving:
-            self.view.leaving_since.setdefault(identifier, now_seconds())
-        else:
-            self.view.leaving_since.pop(identifier, None)
-        if known is None or known != database:
-            self.log.info(
-                "A database announced itself.",
-                database=identifier,
-                service=database.service,
-                role=database.role.value,
-                leaving=database.leaving,
-                revision=item.revision,
-            )
-
-    def take_member(self, item: Item, name: str) -> None:
-        """Take an instance's registration, or start to miss it."""
-        if item.value is None:
-            self.gone.setdefault(item.key, now_seconds())
-            return
-        try:
-            found = msgspec.json.decode(item.value, type=Registration)
-        except msgspec.MsgspecError as error:
-            self.log.info("A registration is malformed.", peer=name, error=str(error))
-            return
-        self.gone.pop(item.key, None)
-        known = self.view.members.get(name)
-        incarnation = found.incarnation or item.revision
-        member = Member(name, found.place, found.address, incarnation, found.leaving)
-        if known != member:
-            self.view.trust(name)
-            self.log.info(
-                "An instance registered.",
-                peer=name,
-                leaving=found.leaving,
-                revision=item.revision,
-            )
-        self.view.members[name] = member
-
     def make_secret(self) -> None:
         """Create the secret that instances share, unless another was quicker."""
         value = secrets.token_bytes(SECRET_BYTES)
         result = self.store.change(conditions={SECRET_KEY: 0}, puts={SECRET_KEY: value})
         self.note_call(result)
         if not isinstance(result, Failure) and isinstance(result.unwrap(), int):
-            self.secret = value
+            self.intake.secret = value
             return
         # The answer may have been lost, or another instance won: read it back.
         self.pause()
@@ -282,7 +147,7 @@
             self.lease = opened.unwrap()
         address = str(self.settings.peers)
         value = msgspec.json.encode(
-            Registration(address, self.settings.place, leaving, self.incarnation)
+            Registration(address, self.settings.place, leaving, self.intake.incarnation)
         )
         result = self.store.change(
             conditions={}, puts={self.own_key: value}, lease=self.lease
@@ -296,7 +161,7 @@
             return False
         # Links know a process by its first registration; a later one must not make
         # peers start their sequences anew.
-        self.incarnation = self.incarnation or outcome
+        self.intake.incarnation = self.intake.incarnation or outcome
         self.on_change()
         return True
 
@@ -316,7 +181,7 @@
                 self.read_everything()
                 continue
             for item in found.items:
-                self.take_item(item)
+                self.intake.take_item(item)
             self.view.advance(found.revision)
             self.view.confirm(found.revision, asked_at)
             if found.items:
@@ -362,11 +227,11 @@
                 self.note_call(kept)
                 if isinstance(kept, Failure):
                     continue
-                if kept.unwrap() and self.own_key not in self.gone:
+                if kept.unwrap() and self.own_key not in self.intake.gone:
                     continue
                 self.lease = 0
             if not self.view.stopping and self.register():
-                self.log.info("Registered again.", incarnation=self.incarnation)
+                self.log.info("Registered again.", incarnation=self.intake.incarnation)
 
     def sweep_forever(self) -> None:
         """Drop what has been missing for too long."""
@@ -376,27 +241,12 @@
             # Absence counts only while this instance hears the store.
             if now_seconds() - self.view.confirmed_at > MISSING_SECONDS:
                 continue
-            due = [key for key, since in self.gone.items() if since <= horizon]
+            due = [key for key, since in self.intake.gone.items() if since <= horizon]
             for key in due:
-                self.drop(key)
+                self.intake.drop(key)
             if due:
                 self.on_change()
 
-    def drop(self, key: str) -> None:
-        """Forget a database or an instance."""
-        del self.gone[key]
-        if key.startswith(DATABASES_PREFIX):
-            identifier = key.removeprefix(DATABASES_PREFIX)
-            self.view.databases.pop(identifier, None)
-            self.view.leaving_since.pop(identifier, None)
-            self.view.sights.pop(identifier, None)
-            self.log.info("A database is gone.", database=identifier)
-        else:
-            name = key.removeprefix(INSTANCES_PREFIX)
-            if name != self.settings.instance:
-                self.view.members.pop(name, None)
-                self.log.info("An instance is gone.", peer=name)
-
     def leave(self) -> None:
         """Tell the others that this instance takes no new databases."""
         self.register(leaving=True)
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import NamedTuple, TYPE_CHECKING
 
 from ...core.pooler.catalogue import Consistency, databases_of, primary_of, Route
 from ...core.pooler.floors import floor_for, lag_of
+from ...core.pooler.outcomes import after_loss, may_be_kept
 from ...core.pooler.placement import read_order, ReadNeed
 from ...core.pooler.statements import Code, Effect, refused, Result
 from ...types import Access
@@ -55,6 +57,9 @@
     }
 )
 
+# Reasons after which the next instance in line may reach the database.
+PASSED_ON = frozenset({"given-up", "peer-lost", "not-holding"})
+
 
 class Binding(NamedTuple):
     """Name where an open transaction runs."""
@@ -80,6 +85,26 @@
         return self.arrived_at + self.route.timeout_seconds
 
 
+class Tried:
+    """Remember where a unit did not run, until something may have changed."""
+
+    def __init__(self) -> None:
+        """Start with nothing tried."""
+        self.places: set[tuple[InstanceId, UpstreamId]] = set()
+        self.passed_on: set[InstanceId] = set()
+
+    def add(self, holder: InstanceId, database: UpstreamId, reason: str) -> None:
+        """Note a place, and whether its holder leaves the database to others."""
+        self.places.add((holder, database))
+        if reason in PASSED_ON:
+            self.passed_on.add(holder)
+
+    def clear(self) -> None:
+        """Try every place again."""
+        self.places.clear()
+        self.passed_on.clear()
+
+
 class Routed(NamedTuple):
     """Hold a result, and where the transaction runs from now on."""
 
@@ -111,7 +136,7 @@
     def run(self, call: Call, binding: Binding | None) -> Routed:
         """Run a unit until it has a result that stands."""
         if binding is not None:
-            done = self.send(binding.holder, self.bound(call, binding), call)
+            done = self.send(binding.holder, self.bound(call, binding))
             kept = None if done.result.ended else binding
             return Routed(done.result, done.reason, kept, 1)
         return self.run_first(call)
@@ -123,7 +148,7 @@
     def run_first(self, call: Call) -> Routed:
         """Run a statement on its own, or the first of a transaction."""
         attempts = 0
-        tried: set[tuple[InstanceId, UpstreamId]] = set()
+        tried = Tried()
         last = UnitDone(
             self.not_run(call, "no database is known"), "no-database", None, None, 0.0
         )
@@ -141,7 +166,7 @@
             message = self.message(call, database.id, number, begin, after)
             attempts += 1
             sent_at = now_seconds()
-            last = self.send(holder, message, call)
+            last = self.send(holder, message)
             self.learn(database, last, sent_at)
             result = last.result
             if result.effect is not Effect.NONE or last.reason not in ELSEWHERE:
@@ -157,9 +182,7 @@
                 holder=holder,
                 detail=result.detail,
             )
-            tried.add((holder, database.id))
-            if last.reason in ("given-up", "peer-lost", "not-holding"):
-                tried.add((holder, ""))
+            tried.add(holder, database.id, last.reason)
         return Routed(last.result, last.reason, None, attempts)
 
     def not_run(self, call: Call, detail: str) -> Result:
@@ -168,7 +191,7 @@
         return refused(code, detail)
 
     def choose(
-        self, call: Call, tried: set[tuple[InstanceId, UpstreamId]]
+        self, call: Call, tried: Tried
     ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
         """Return where to run a unit next, from which position, and how to begin."""
         reads = call.unit.access is Access.READ
@@ -182,7 +205,7 @@
     def choose_primary(
         self,
         call: Call,
-        tried: set[tuple[InstanceId, UpstreamId]],
+        tried: Tried,
         after: LogPoint | None,
     ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
         """Return the primary's holder; a read proves by a transaction who leads."""
@@ -192,15 +215,14 @@
         lone_write = call.unit.transaction is None and call.unit.access is Access.WRITE
         begin = "" if lone_write or after is not None else "plain"
         for holder in self.view.holders(database):
-            if (holder, database.id) not in tried:
+            if (holder, database.id) not in tried.places:
                 return holder, database, after, begin
-            if (holder, "") not in tried:
-                # Its holder will say when it leaves the database to others.
+            if holder not in tried.passed_on:
                 return None
         return None
 
     def choose_read(
-        self, call: Call, tried: set[tuple[InstanceId, UpstreamId]]
+        self, call: Call, tried: Tried
     ) -> tuple[InstanceId, Database, LogPoint | None, str] | None:
         """Return the best database whose log is surely long enough, or the primary."""
         now = now_seconds()
@@ -227,7 +249,7 @@
         after = max(points) if floor is not None else None
         for database in order:
             holder = self.view.holders(database)[0]
-            if (holder, database.id) in tried:
+            if (holder, database.id) in tried.places:
                 continue
             if after is None or database.role.value == "primary":
                 break
@@ -264,34 +286,24 @@
             idle_seconds=self.view.declarations.idle_transaction_seconds,
         )
 
-    def send(self, holder: InstanceId, message: RunUnit, call: Call) -> UnitDone:
+    def send(self, holder: InstanceId, message: RunUnit) -> UnitDone:
         """Run a unit at its holder, which may be this instance."""
         if holder == self.view.me:
             return self.holding.run(self.view.me, message)
         timeout = message.give_up_seconds + PEER_MARGIN_SECONDS
-        effects = call.unit.commits or (
-            call.unit.access is Access.WRITE and not message.transaction
-        )
         # An answer that says whether a write was kept is worth waiting for.
-        lost = None if effects else lambda: self.view.is_suspect(holder)
+        kept = may_be_kept(message)
+        is_lost = None if kept else partial(self.view.is_suspect, holder)
         try:
             with self.links.expecting(holder):
-                done: UnitDone = self.links.call(holder, message, timeout, lost)
+                done: UnitDone = self.links.call(holder, message, timeout, is_lost)
         except PeerLost as error:
             self.view.suspect(holder)
             self.links.forget(holder)
-            return UnitDone(self.peer_lost(call, error), "peer-lost", None, None, 0.0)
+            result = after_loss(message, str(error), sent=error.sent)
+            return UnitDone(result, "peer-lost", None, None, 0.0)
         return done
 
-    def peer_lost(self, call: Call, error: PeerLost) -> Result:
-        """Return what is true after a holder was lost."""
-        detail = str(error)
-        unit = call.unit
-        alone = unit.transaction is None and unit.access is Access.WRITE
-        if error.sent and (unit.commits or alone):
-            return Result(Effect.UNKNOWN, Code.IN_DOUBT, detail, ended=True)
-        return self.not_run(call, detail)
-
     def learn(self, database: Database, done: UnitDone, sent_at: Seconds) -> None:
         """Note what an answer showed of its database.
 
--- a/berylhinge/tests/test_layers.py
+++ b/berylhinge/tests/test_layers.py
@@ -68,3 +68,27 @@
         if (count := len(path.read_text().splitlines())) > 400
     }
     assert grown == {}
+
+
+PLATFORM_WIRE_NAMES = (
+    "kv-",
+    "op/config",
+    "servers/",
+    "Berylhinge-Duty-Holder",
+    "Berylhinge-Fence-Token",
+    "READONLY",
+    "WRONGNODE",
+    "latency-goal-ms",
+    "api-keys",
+)
+
+
+def test_the_platforms_names_stay_in_its_adapter() -> None:
+    leaks = [
+        (str(path.relative_to(PACKAGE)), name)
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if not {"platform", "standins", "tests"} & set(path.relative_to(PACKAGE).parts)
+        for name in PLATFORM_WIRE_NAMES
+        if name in path.read_text()
+    ]
+    assert leaks == []
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -56,8 +56,6 @@
 class Look(NamedTuple):
     """Ask an instance for what it knows of the databases that it holds."""
 
-    lost: bool
-
 
 class Seen(NamedTuple):
     """Tell what an instance knows of a database that it holds."""
