Keep one copy of the promise that nothing ran; drop dead names

Found by reading the whole change: the promise was built anew in the holder and in holding, a list of calls and two attributes of a session had no reader, and a role was compared by its text. Behaviour stays.

--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -10,7 +10,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from ...core.pooler.sessions import Answer, IDLE, new_session, plan, settle
+from ...core.pooler.sessions import Answer, FAILED, IDLE, new_session, plan, settle
 from ...core.pooler.statements import Code, Effect, Malformed, refused, Result
 from ...platform import lines
 from .router import Call
@@ -53,8 +53,6 @@
         self.key = ""
         self.binding: Binding | None = None
         self.busy = False
-        self.counted = False
-        self.used_at = now_seconds()
 
     def serve(self) -> None:
         """Serve until either side ends the session."""
@@ -122,7 +120,6 @@
                     statement = Malformed("", "the session is open already")
                 self.answer(statement)
                 self.busy = False
-                self.used_at = now_seconds()
             if self.callers.closing and self.session.state == IDLE:
                 return
             pending = self.read_patiently()
@@ -135,7 +132,7 @@
         with gevent.Timeout(limit, False):
             return self.read()
         self.release()
-        self.session = self.session._replace(state="failed", transaction=None)
+        self.session = self.session._replace(state=FAILED, transaction=None)
         return self.read()
 
     def answer(self, statement: Statement) -> None:
--- a/berylhinge/tasks/pooler/holder.py
+++ b/berylhinge/tasks/pooler/holder.py
@@ -8,7 +8,7 @@
 from gevent.event import AsyncResult
 
 from ...core.pooler import queueing
-from ...core.pooler.outcomes import after_error, after_loss, NOT_RUN_CODES
+from ...core.pooler.outcomes import after_error, after_loss, not_run, NOT_RUN_CODES
 from ...core.pooler.statements import Code, Effect, refused, Result
 from ...platform import lines
 from ...types import Access, Role
@@ -142,11 +142,10 @@
             give_up_at=give_up_at,
             now=arrived_at,
         )
-        code = Code.ABORTED if unit.transaction else Code.BUSY
         if waiter is None:
             wait = queueing.expected_wait(self.queue)
             detail = f"{wait:.3f} s of work is ahead"
-            result = refused(code, detail, retry_after_seconds=wait)
+            result = not_run(unit, detail)._replace(retry_after_seconds=wait)
             raise UnitFailed(result, "queue-full")
         turn = self.turns[waiter.number] = AsyncResult()
         self.start_waiting()
@@ -159,8 +158,7 @@
         if started is False:
             raise self.connections.unreachable(unit)
         if started is None:
-            result = refused(code, "no slot came free in time")
-            raise UnitFailed(result, "no-slot")
+            raise UnitFailed(not_run(unit, "no slot came free in time"), "no-slot")
 
     def drop_waiter(self, waiter: Waiter, turn: AsyncResult) -> None:
         """Take a waiter out, or free the slot that it was just given."""
--- a/berylhinge/tasks/pooler/holding.py
+++ b/berylhinge/tasks/pooler/holding.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ...core.pooler.statements import Code, refused
+from ...core.pooler.outcomes import not_run
 from ...wire.pooling import Looked, UnitDone
 from ..loops import spawn_loop
 from .holder import DatabaseTask
@@ -53,13 +53,11 @@
         if task is None or not unit.transaction or unit.begin:
             task = self.task(unit.database)
         if task is None:
-            code = Code.ABORTED if unit.transaction else Code.BUSY
-            result = refused(code, f"{unit.database} is not known here")
+            result = not_run(unit, f"{unit.database} is not known here")
             return UnitDone(result, "not-holding", None, None, 0.0)
         fresh = not unit.transaction or bool(unit.begin)
         if fresh and self.view.given_up.get(unit.database, 0.0) > now_seconds():
-            code = Code.ABORTED if unit.transaction else Code.BUSY
-            result = refused(code, f"{unit.database} is not reached from here")
+            result = not_run(unit, f"{unit.database} is not reached from here")
             return UnitDone(result, "given-up", None, None, 0.0)
         return task.run(sender, unit)
 
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -13,10 +13,7 @@
     Abandon,
     Look,
     Looked,
-    Reach,
     Reached,
-    RunUnit,
-    TakeTokens,
     Tokens,
     UnitDone,
 )
@@ -47,7 +44,6 @@
 LOOK_TIMEOUT_SECONDS = 0.3
 
 ANSWERS = (Looked, Reached, Tokens, UnitDone)
-CALLS = (Look, Reach, RunUnit, TakeTokens)
 
 
 def register_kinds(links: Links) -> None:
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -10,7 +10,7 @@
 from ...core.pooler.outcomes import after_loss, may_be_kept
 from ...core.pooler.placement import read_order, ReadNeed
 from ...core.pooler.statements import Code, Effect, refused, Result
-from ...types import Access
+from ...types import Access, Role
 from ...wire.pooling import Abandon, RunUnit, UnitDone
 from ..links import PeerLost
 from .view import now_seconds
@@ -251,7 +251,7 @@
             holder = self.view.holders(database)[0]
             if (holder, database.id) in tried.places:
                 continue
-            if after is None or database.role.value == "primary":
+            if after is None or database.role is Role.PRIMARY:
                 break
             begin = "read" if call.unit.transaction else ""
             return holder, database, after, begin
