Log what a full read of the store returns, and changes that are skipped

The logs of a restored store tell neither the store's own revision and era nor that an item was taken for known, so the hypotheses in docs/incidents/restored-store.md cannot be told apart. A full read logs both beside what the instance knew; changes that are not applied are logged by key; two gauges show the era and the revision. No decision changes.

--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -211,6 +211,27 @@
     revision: int
 
 
+class StoreRead(StoreLogLine):
+    """Report a full read at ``revision`` of the store.
+
+    Of ``known_items`` the same or a newer revision was known; ``known_revision`` was the
+    newest one of all.
+    """
+
+    era: int
+    stale: bool
+    items: int
+    known_items: int
+    known_revision: int
+
+
+class ChangesKnown(InstanceLogLine):
+    """Report changes, by key, of which the same or a newer revision was known."""
+
+    changes: dict[str, int]
+    known_revision: int
+
+
 class WatchStalled(StoreLogLine):
     """Report the revision that the watch should have delivered."""
 
@@ -330,6 +351,8 @@
     "registry: The store is lost.": StoreCallFailed,
     "registry: The store is back.": StoreLogLine,
     "registry: The store's history is lost.": StoreLogLine,
+    "registry: The store was read.": StoreRead,
+    "registry: Changes were known already.": ChangesKnown,
     "registry: The watch is stuck; starting it anew.": WatchStalled,
     "registry: Registered again.": InstanceReregistered,
     "holder: A database does not answer.": DatabaseUnresponsive,
--- a/berylhinge/platform/metadata_store.py
+++ b/berylhinge/platform/metadata_store.py
@@ -42,6 +42,8 @@
 }
 HOLDER_HEADER = "Berylhinge-Duty-Holder"
 FENCE_HEADER = "Berylhinge-Fence-Token"
+# Grows each time the store is restored from a copy.
+ERA_HEADER = "Store-Era"
 
 # The store answers in milliseconds; an answer that takes this long is lost.
 CALL_TIMEOUT_SECONDS = 1.0
@@ -142,6 +144,7 @@
         self.address = address
         self.on_call = on_call
         self.idle: list[HttpConnection] = []
+        self.era = 0
 
     def read_all(
         self, prefix: str, *, allow_stale: bool = False
@@ -310,12 +313,19 @@
         else:
             connection.close()
         self.on_call(name, str(reply.status))
+        self.era = decode_era(reply, self.era)
         if reply.status in OVERLOADED_STATUSES:
             detail = f"{path}: status {reply.status}"
             return store_failure(StoreErrorKind.OVERLOADED, detail)
         return Success(reply)
 
 
+def decode_era(reply: HttpReply, known: int) -> int:
+    """Return the era that a reply names; an error may come without one."""
+    text = reply.headers.get(ERA_HEADER)
+    return int(text) if isinstance(text, str) and text.isdecimal() else known
+
+
 def call_name(path: str) -> str:
     """Return the name of the call that a path makes, for counters."""
     bare = path.partition("?")[0]
--- a/berylhinge/tasks/http_connection.py
+++ b/berylhinge/tasks/http_connection.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     import ssl
+    from collections.abc import Mapping
 
     from .http_server import Address
 
@@ -20,10 +21,11 @@
 
 
 class HttpReply(NamedTuple):
-    """Represent a complete HTTP response."""
+    """Represent a complete HTTP response; names of headers match in any case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, Any]
 
 
 class ConnectionFailed(Exception):
@@ -109,7 +111,8 @@
                 response = HTTPSocketResponse(
                     self.sock, block_size=READ_BLOCK_BYTES, method=method
                 )
-                reply = HttpReply(response.status_code, bytes(response.read()))
+                body = bytes(response.read())
+                reply = HttpReply(response.status_code, body, response.info())
             finished = response.should_keep_alive()
         except gevent.Timeout as error:
             raise ConnectionFailed("the answer timed out", sent=True) from error
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -54,6 +54,8 @@
     "rate_units": "Rate units held, by organisation.",
     "configuration_version": "Configuration version in force.",
     "hub_lag_seconds": "Longest recent stall of the hub.",
+    "store_era": "How many times the users' store was restored, as it says.",
+    "store_revision": "Newest revision of the users' store that is known.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -193,6 +193,8 @@
 
     def answer_metrics(self, environ: Any, start_response: Any) -> list[bytes]:
         """Return the metrics."""
+        self.metrics.gauge("store_era", self.store.era)
+        self.metrics.gauge("store_revision", self.view.revision)
         body, content_type = self.metrics.render()
         return respond(start_response, 200, body, content_type=content_type)
 
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -186,7 +186,16 @@
             if not isinstance(result, Failure):
                 snapshot = result.unwrap()
                 restart_history(self.history, snapshot.revision)
-                self.applier.apply_snapshot(snapshot)
+                known_keys = self.applier.apply_snapshot(snapshot)
+                self.log.info(
+                    "The store was read.",
+                    revision=snapshot.revision,
+                    era=self.store.era,
+                    stale=allow_stale,
+                    items=len(snapshot.items),
+                    known_items=len(known_keys),
+                    known_revision=self.view.revision,
+                )
                 self.on_change()
                 self.view.advance_revision(snapshot.revision)
                 if not allow_stale:
@@ -300,12 +309,20 @@
     ) -> None:
         """Apply all changes up to a revision, which was the newest at a moment."""
         record_changes(self.history, items)
+        known_items = []
         for item in items:
             try:
-                self.applier.apply_item(item)
+                if not self.applier.apply_item(item):
+                    known_items.append(item)
             except Exception as error:
                 # Without this item the others hold; it would be delivered for ever.
                 self.log.fault(item.key, error)
+        if known_items:
+            self.log.info(
+                "Changes were known already.",
+                changes={item.key: item.revision for item in known_items},
+                known_revision=self.view.revision,
+            )
         self.view.advance_revision(revision)
         self.view.confirm_revision(revision, confirmed_at)
         if items:
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -56,8 +56,11 @@
         self.secret: bytes | None = None
         self.incarnation = 0
 
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Apply every item, and record the known entries that are not among them."""
+    def apply_snapshot(self, snapshot: Snapshot) -> list[str]:
+        """Apply every item, and record the known entries that are not among them.
+
+        Return the keys of which the same or a newer revision is known.
+        """
         present = {item.key for item in snapshot.items}
         known = [
             *(DATABASES_PREFIX + identifier for identifier in self.view.databases),
@@ -66,13 +69,12 @@
         for key in known:
             if key not in present:
                 self.record_missing(key)
-        for item in snapshot.items:
-            self.apply_item(item)
+        return [item.key for item in snapshot.items if not self.apply_item(item)]
 
-    def apply_item(self, item: StoredItem) -> None:
-        """Apply one item, unless the same or a newer revision of its key is known."""
+    def apply_item(self, item: StoredItem) -> bool:
+        """Apply one item; return False if it is not newer than the known one."""
         if item.revision <= self.known_revisions.get(item.key, 0):
-            return
+            return False
         self.known_revisions[item.key] = item.revision
         key = item.key
         if key == CONFIGURATION_KEY:
@@ -85,6 +87,7 @@
             self.apply_recorded_leader(item, key.removeprefix(PROMOTIONS_PREFIX))
         elif key == SECRET_KEY and item.value:
             self.secret = item.value
+        return True
 
     def apply_declarations(self, item: StoredItem) -> None:
         """Apply the declarations if their version is newer."""
