Reproduce a store that comes back from an older copy

The stand-in of the store restores a copy of itself: revisions go back and are given out again, a watch from one that it lacks gets 410, and the era in its answers rises.

--- a/berylhinge/standins/metadata_store.py
+++ b/berylhinge/standins/metadata_store.py
@@ -4,7 +4,7 @@
 
 import base64
 import time
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 from urllib.parse import parse_qs
 
 import gevent
@@ -18,6 +18,15 @@
 
 # How often a waiting watch looks for leases that have ended.
 LAPSE_SECONDS = 0.05
+ERA_HEADER = "Store-Era"
+
+
+class StoreCopy(NamedTuple):
+    """Hold a copy of the store's state."""
+
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    revision: int
 
 
 class MetadataStore:
@@ -25,7 +34,7 @@
 
     ``down`` leaves calls unanswered with 503; ``lose_answers`` does what is asked and
     closes the connection; ``forget_history`` makes watches start anew; ``hold_stale``
-    keeps what stale reads return from now on.
+    keeps what stale reads return from now on. ``restore`` goes back to a copy.
     """
 
     def __init__(self, listen: Address) -> None:
@@ -36,6 +45,7 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 1
         self.oldest = 0
+        self.era = 1
         self.down = False
         self.lose_answers = False
         self.fences: dict[str, int] = {}
@@ -78,6 +88,10 @@
     def tell(self, event: dict[str, Any]) -> None:
         """Wake those that watch."""
         self.history.append(event)
+        self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Let waiting watches look for events."""
         changed, self.changed = self.changed, Event()
         changed.set()
 
@@ -90,6 +104,22 @@
         """Answer stale reads with the items as they are now."""
         self.stale_items = dict(self.items)
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the whole state."""
+        return StoreCopy(dict(self.items), dict(self.leases), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and lose everything that was written since."""
+        self.items = dict(copy.items)
+        self.leases = dict(copy.leases)
+        self.revision = copy.revision
+        self.history = [
+            event for event in self.history if event["revision"] <= copy.revision
+        ]
+        self.oldest = min(self.oldest, copy.revision)
+        self.era += 1
+        self.wake_watches()
+
     def lapse(self) -> None:
         """End leases whose time is over."""
         now = time.monotonic()
@@ -121,7 +151,8 @@
         status, reply = self.handle(head, tail, query, document, environ)
         if self.lose_answers:
             raise ConnectionAbortedError("the answer is lost")
-        return respond_json(start_response, status, reply)
+        headers = [(ERA_HEADER, str(self.era))]
+        return respond_json(start_response, status, reply, headers=headers)
 
     def handle(
         self, head: str, tail: str, query: Any, document: Any, environ: Any
@@ -165,7 +196,7 @@
         after, prefix = int(query["after"]), query["prefix"]
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         while True:
-            if after < self.oldest:
+            if not self.oldest <= after <= self.revision:
                 return 410, {}
             events = [
                 event
