Qualify the store's revisions and leases by its era

Cause: a revision was taken for a moment in time, though a store that comes back from an older copy gives revisions out again. The highest known revision never went back, so watches were refused until the store had counted up to it, and the change with that number was taken for the known one.

The adapter now puts the era of each answer before its revisions, so all that compares them goes on from era to era without a case for a restore. Conditions, watches and leases of an earlier era are not sent, or not believed where the answer shows a later era. A confirmation of an earlier era confirms nothing.

The registration moves to a module of its own.

--- /dev/null
+++ b/berylhinge/core/pooler/store_eras.py
@@ -0,0 +1,26 @@
+"""Order the store's revisions across restores from an older copy.
+
+The store counts its changes by a revision, which goes back when the store is restored
+from an older copy of itself; the same revisions are then given out again, in a new era. A
+qualified revision holds the era and the revision in one number, which never goes back.
+"""
+
+from __future__ import annotations
+
+# A power of ten, so that a qualified revision shows both parts in a log line.
+REVISIONS_PER_ERA = 10**12
+
+
+def qualify(era: int, revision: int) -> int:
+    """Return a qualified revision, greater than every one of an earlier era."""
+    return era * REVISIONS_PER_ERA + revision
+
+
+def era_of(qualified: int) -> int:
+    """Return the era of a qualified revision."""
+    return qualified // REVISIONS_PER_ERA
+
+
+def revision_in_era(qualified: int) -> int:
+    """Return the revision that the store itself names in the era."""
+    return qualified % REVISIONS_PER_ERA
--- a/berylhinge/core/pooler/store_feed.py
+++ b/berylhinge/core/pooler/store_feed.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from ...platform.metadata_store import StoredItem
+    from ...platform.store_replies import StoredItem
     from ...types import InstanceId, Seconds
 
 # Changes are kept for relaying up to this number of items and of bytes in all.
--- a/berylhinge/core/pooler/tests/test_store_feed.py
+++ b/berylhinge/core/pooler/tests/test_store_feed.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ....platform.metadata_store import StoredItem
+from ....platform.store_replies import StoredItem
 from .. import store_feed
 from ..store_feed import (
     ChangeHistory,
--- a/berylhinge/platform/metadata_store.py
+++ b/berylhinge/platform/metadata_store.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
-from typing import Any, NamedTuple, NotRequired, TYPE_CHECKING, TypedDict
+from typing import Any, NamedTuple, TYPE_CHECKING
 from urllib.parse import urlencode
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..core.pooler.store_eras import era_of, qualify, revision_in_era
 from ..tasks.http_connection import ConnectionFailed, HttpConnection
 from ..tasks.platform_client import (
     OVERLOADED_STATUSES,
@@ -17,11 +17,24 @@
     StoreError,
     StoreErrorKind,
 )
+from .store_replies import (
+    ChangeDocument,
+    ConflictDocument,
+    decode_era,
+    decode_item,
+    decode_reply,
+    ERA_HEADER,
+    LeaseDocument,
+    RangeDocument,
+    RevisionDocument,
+    StoredItem,
+    StoreReply,
+    WatchDocument,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
 
-    from ..tasks.http_connection import HttpReply
     from ..tasks.http_server import Address
 
 KEY_PATH = "/berylhinge/kv-key"
@@ -42,69 +55,23 @@
 }
 HOLDER_HEADER = "Berylhinge-Duty-Holder"
 FENCE_HEADER = "Berylhinge-Fence-Token"
-# Grows each time the store is restored from a copy.
-ERA_HEADER = "Store-Era"
 
 # The store answers in milliseconds; an answer that takes this long is lost.
 CALL_TIMEOUT_SECONDS = 1.0
 # How much longer than its wait a watch may take before its answer is taken as lost.
 WATCH_MARGIN_SECONDS = 0.7
 MAX_IDLE_CONNECTIONS = 3
-# A read of an absent key has status 404 and also carries the store's revision.
-ACCEPTED_STATUSES = (200, 201, 202, 204, 404, 412)
-
-
-class ItemDocument(TypedDict):
-    """Describe one stored item; ``value`` is base64, ``deleted`` marks a removal."""
-
-    key: str
-    revision: int
-    value: NotRequired[str]
-    lease: NotRequired[int]
-    deleted: NotRequired[bool]
-
-
-# `store-revision` is the revision of the whole store at the time of the answer.
-RangeDocument = TypedDict(
-    "RangeDocument",
-    {"items": list[ItemDocument], "has-more": bool, "store-revision": int},
-)
-WatchDocument = TypedDict(
-    "WatchDocument", {"events": list[ItemDocument], "store-revision": int}
-)
-
-
-RevisionDocument = TypedDict("RevisionDocument", {"store-revision": int})
-
-
-class ConflictDocument(TypedDict, total=False):
-    """Describe the answer to a change whose condition does not hold."""
-
-    items: list[ItemDocument]
-
-
-class ChangeDocument(TypedDict):
-    """Describe the answer to a change: its revision."""
-
-    revision: int
-
 
-class LeaseDocument(TypedDict):
-    """Describe the answer to a grant: the lease's number."""
 
-    lease: int
+class Lease(NamedTuple):
+    """Identify a lease; numbers are given out again after a restore of the store."""
 
-
-class StoredItem(NamedTuple):
-    """Hold one key's value and revision; the value is None after a removal."""
-
-    key: str
-    value: bytes | None
-    revision: int
+    era: int
+    number: int
 
 
 class Snapshot(NamedTuple):
-    """Hold items and the revision of the store at which they were read."""
+    """Hold items and the qualified revision of the store at which they were read."""
 
     items: tuple[StoredItem, ...]
     revision: int
@@ -132,7 +99,11 @@
 
 
 class MetadataStore:
-    """Call the platform's store on a small pool of connections."""
+    """Call the platform's store on a small pool of connections.
+
+    Revisions are qualified by the era in which the store gave them out. What an earlier
+    era gave out is never sent to the store, where it may name something else.
+    """
 
     def __init__(
         self, address: Address, *, on_call: Callable[[str, str], None] = ignore_call
@@ -155,7 +126,7 @@
         the newest item, so that a watch from there delivers every later change.
         """
         items: list[StoredItem] = []
-        after, revision = "", 0
+        after, revision, era = "", 0, 0
         while True:
             query = {"prefix": prefix}
             if allow_stale:
@@ -166,14 +137,19 @@
             page = reply.bind(lambda found: decode_reply(found, RangeDocument))
             if isinstance(page, Failure):
                 return page
-            document = page.unwrap()
-            items += [decode_item(entry) for entry in document["items"]]
+            document, page_era = page.unwrap(), reply.unwrap().era
+            if page_era != era and items:
+                detail = f"restored as era {page_era} during a read of era {era}"
+                return store_failure(StoreErrorKind.NOT_APPLIED, detail)
+            era = page_era
+            items += [decode_item(entry, era) for entry in document["items"]]
             # Changes made while later pages are read arrive again by a watch from the
             # first page's revision.
-            revision = revision or document["store-revision"]
+            revision = revision or qualify(era, document["store-revision"])
             if not document["has-more"] or not items:
                 if allow_stale:
-                    revision = max((item.revision for item in items), default=0)
+                    start = qualify(era, 0)
+                    revision = max((item.revision for item in items), default=start)
                 return Success(Snapshot(tuple(items), revision))
             after = items[-1].key
 
@@ -181,27 +157,36 @@
         """Return the store's revision by a linearizable read of a small key."""
         reply = self.call("GET", f"{KEY_PATH}?{urlencode({'key': key})}")
         return reply.bind(lambda found: decode_reply(found, RevisionDocument)).map(
-            lambda document: document["store-revision"]
+            lambda document: qualify(reply.unwrap().era, document["store-revision"])
         )
 
     def watch(
         self, prefix: str, *, after: int, wait_seconds: float
     ) -> Result[Snapshot | HistoryLost, StoreError]:
-        """Wait for changes after a revision, up to ``wait_seconds``."""
+        """Wait for changes after a qualified revision, up to ``wait_seconds``."""
+        era = era_of(after)
+        if era != self.era:
+            return Success(HistoryLost())
         query = urlencode(
-            {"prefix": prefix, "after": after, "wait-ms": int(wait_seconds * 1000)}
+            {
+                "prefix": prefix,
+                "after": revision_in_era(after),
+                "wait-ms": int(wait_seconds * 1000),
+            }
         )
         reply = self.call(
             "GET",
             f"{WATCH_PATH}?{query}",
             timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
         )
-        if isinstance(reply, Success) and reply.unwrap().status == 410:
-            return Success(HistoryLost())
+        if isinstance(reply, Success):
+            found = reply.unwrap()
+            if found.status == 410 or found.era != era:
+                return Success(HistoryLost())
         return reply.bind(lambda found: decode_reply(found, WatchDocument)).map(
             lambda document: Snapshot(
-                tuple(decode_item(entry) for entry in document["events"]),
-                document["store-revision"],
+                tuple(decode_item(entry, era) for entry in document["events"]),
+                qualify(era, document["store-revision"]),
             )
         )
 
@@ -210,57 +195,77 @@
         *,
         conditions: Mapping[str, int],
         puts: Mapping[str, bytes],
-        lease: int = 0,
+        lease: Lease | None = None,
         unleased: Collection[str] = (),
     ) -> Result[int | Conflict | LeaseGone, StoreError]:
-        """Write keys if each key of ``conditions`` is at its revision.
+        """Write keys if each key of ``conditions`` is at its qualified revision.
 
         The keys end with the lease, except for ``unleased`` ones. Return the revision of
-        the change.
+        the change. A change that met a restored store may have been made there, and is
+        reported as if its condition or its lease had not held.
         """
+        if lease is not None and lease.era != self.era:
+            return Success(LeaseGone())
+        condition_eras = {
+            era_of(revision) for revision in conditions.values() if revision
+        }
+        if not condition_eras <= {self.era}:
+            return Success(Conflict())
+        lease_number = 0 if lease is None else lease.number
         entries = [
             {
                 "key": key,
                 "value": base64.b64encode(value).decode(),
-                "lease": 0 if key in unleased else lease,
+                "lease": 0 if key in unleased else lease_number,
             }
             for key, value in puts.items()
         ]
         body = {
             "precondition": [
-                {"key": key, "revision": revision}
+                {"key": key, "revision": revision_in_era(revision)}
                 for key, revision in conditions.items()
             ],
             "puts": entries,
             "deletes": [],
         }
         reply = self.call("POST", CHANGE_PATH, body)
-        if isinstance(reply, Success):
-            if reply.unwrap().status == 412:
-                conflict = decode_reply(reply.unwrap(), ConflictDocument)
-                return conflict.map(
-                    lambda document: Conflict(
-                        tuple(decode_item(item) for item in document.get("items", []))
+        if isinstance(reply, Failure):
+            return reply
+        answer = reply.unwrap()
+        if answer.status == 412:
+            conflict = decode_reply(answer, ConflictDocument)
+            return conflict.map(
+                lambda document: Conflict(
+                    tuple(
+                        decode_item(item, answer.era)
+                        for item in document.get("items", [])
                     )
                 )
-            if reply.unwrap().status == 404:
-                return Success(LeaseGone())
-        return reply.bind(lambda found: decode_reply(found, ChangeDocument)).map(
-            lambda document: document["revision"]
+            )
+        if answer.status == 404 or (lease is not None and lease.era != answer.era):
+            return Success(LeaseGone())
+        if not condition_eras <= {answer.era}:
+            return Success(Conflict())
+        return decode_reply(answer, ChangeDocument).map(
+            lambda document: qualify(answer.era, document["revision"])
         )
 
-    def open_lease(self, ttl_seconds: float) -> Result[int, StoreError]:
-        """Open a lease and return its number."""
+    def open_lease(self, ttl_seconds: float) -> Result[Lease, StoreError]:
+        """Open a lease."""
         reply = self.call("POST", LEASE_PATH, {"ttl-ms": int(ttl_seconds * 1000)})
         return reply.bind(lambda found: decode_reply(found, LeaseDocument)).map(
-            lambda document: document["lease"]
+            lambda document: Lease(reply.unwrap().era, document["lease"])
         )
 
-    def renew_lease(self, lease: int) -> Result[bool, StoreError]:
+    def renew_lease(self, lease: Lease) -> Result[bool, StoreError]:
         """Renew a lease; return whether it was still open."""
-        reply = self.call("POST", f"{KEEP_PATH}/{lease}", {})
-        if isinstance(reply, Success) and reply.unwrap().status == 404:
+        if lease.era != self.era:
             return Success(False)
+        reply = self.call("POST", f"{KEEP_PATH}/{lease.number}", {})
+        if isinstance(reply, Success):
+            answer = reply.unwrap()
+            if answer.status == 404 or answer.era != lease.era:
+                return Success(False)
         return reply.bind(lambda found: decode_reply(found, dict[str, Any])).map(
             lambda _: True
         )
@@ -284,7 +289,7 @@
         *,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         headers: str = "",
-    ) -> Result[HttpReply, StoreError]:
+    ) -> Result[StoreReply, StoreError]:
         """Make one call on an idle or new connection, which no other call may use."""
         connection = (
             self.idle.pop() if self.idle else HttpConnection(self.address, headers={})
@@ -313,17 +318,15 @@
         else:
             connection.close()
         self.on_call(name, str(reply.status))
-        self.era = decode_era(reply, self.era)
         if reply.status in OVERLOADED_STATUSES:
             detail = f"{path}: status {reply.status}"
             return store_failure(StoreErrorKind.OVERLOADED, detail)
-        return Success(reply)
-
-
-def decode_era(reply: HttpReply, known: int) -> int:
-    """Return the era that a reply names; an error may come without one."""
-    text = reply.headers.get(ERA_HEADER)
-    return int(text) if isinstance(text, str) and text.isdecimal() else known
+        era = decode_era(reply, self.era)
+        if era is None or era < self.era:
+            detail = f"{path}: {ERA_HEADER} {reply.headers.get(ERA_HEADER)!r}"
+            return store_failure(StoreErrorKind.MALFORMED, detail)
+        self.era = era
+        return Success(StoreReply(reply.status, reply.body, era))
 
 
 def call_name(path: str) -> str:
@@ -331,24 +334,3 @@
     bare = path.partition("?")[0]
     known = CALL_NAMES.get(bare)
     return known or CALL_NAMES.get(bare.rpartition("/")[0], "other")
-
-
-def decode_reply(reply: HttpReply, kind: Any) -> Result[Any, StoreError]:
-    """Decode the body of an accepted reply."""
-    if reply.status not in ACCEPTED_STATUSES:
-        return store_failure(StoreErrorKind.MALFORMED, f"status {reply.status}")
-    try:
-        return Success(msgspec.json.decode(reply.body or b"{}", type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return store_failure(StoreErrorKind.MALFORMED, str(error))
-
-
-def decode_item(entry: ItemDocument) -> StoredItem:
-    """Decode an item; a value that is no valid base64 becomes empty."""
-    if entry.get("deleted"):
-        return StoredItem(entry["key"], None, entry["revision"])
-    try:
-        value = base64.b64decode(entry.get("value", ""), validate=True)
-    except (binascii.Error, ValueError):
-        value = b""
-    return StoredItem(entry["key"], value, entry["revision"])
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -21,6 +21,7 @@
     next_leader_of,
     primary_of,
 )
+from ...core.pooler.store_eras import era_of
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
@@ -132,8 +133,11 @@
         """Record which revision was the store's newest at a moment.
 
         Once this instance has every change up to that revision, its declarations are
-        confirmed as of that moment; until then the confirmation is pending.
+        confirmed as of that moment; until then the confirmation is pending. A revision
+        of an earlier era confirms nothing: what the store held then is not known here.
         """
+        if era_of(revision) < era_of(self.revision):
+            return
         if revision <= self.revision and self.declarations.version:
             self.confirmed_at = max(self.confirmed_at, at)
         elif self.pending_confirmation is None:
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -206,7 +206,7 @@
         self.view.invalidate_assignment()
         if self.links is None:
             return
-        gevent.spawn(self.registry.announce_leaving)
+        gevent.spawn(self.registry.registration.announce_leaving)
         end_at = started_at + self.settings.grace_seconds * GRACE_FRACTION
         while now_seconds() < end_at:
             if now_seconds() - started_at >= DRAIN_DELAY_SECONDS:
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import secrets
-from math import isfinite
 from random import Random
 from typing import Any, TYPE_CHECKING
 
 import gevent
-import msgspec
 from returns.result import Failure
 
 from ...core.pooler.store_feed import (
@@ -17,14 +14,16 @@
     record_changes,
     restart_history,
 )
-from ...platform.metadata_store import Conflict, HistoryLost, LeaseGone
+from ...platform.metadata_store import HistoryLost
 from ..clock import now_seconds
-from .store_state import INSTANCES_PREFIX, Registration, SECRET_KEY, StoreStateApplier
+from .instance_registration import InstanceRegistration
+from .store_state import INSTANCES_PREFIX, StoreStateApplier
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
 
-    from ...platform.metadata_store import MetadataStore, StoredItem
+    from ...platform.metadata_store import MetadataStore
+    from ...platform.store_replies import StoredItem
     from ...types import InstanceId, Seconds
     from ..logs import Log
     from .fleet_view import FleetView
@@ -33,7 +32,6 @@
 
 # A key that is never written; reading it returns the store's revision at little cost.
 REVISION_PROBE_KEY = "berylhinge/mark"
-SECRET_BYTES = 32
 # How long one watch call waits for changes; the store accepts 30 s at most.
 WATCH_WAIT_SECONDS = 25.0
 # One instance confirms the declarations by a small read at the first interval, and the
@@ -58,10 +56,6 @@
 RETRY_MIN_PAUSE_SECONDS = 0.1
 RETRY_MAX_PAUSE_SECONDS = 0.8
 RETRY_GROWTH = 1.6
-# The lease outlives short outages of the store; peers detect a dead instance by
-# themselves.
-LEASE_SECONDS = 10.0
-LEASE_RENEWAL_SECONDS = 3.0
 # At the first start of the whole fleet all instances read the store at moments spread
 # over the first time, and first ask for changes when most have registered.
 FIRST_READ_SPREAD_SECONDS = 1.0
@@ -85,7 +79,7 @@
 
 
 class Registry:
-    """Own the watch on the store and this instance's registration in it."""
+    """Own the watch on the store, and what it delivers."""
 
     def __init__(
         self,
@@ -106,9 +100,15 @@
         self.on_change = on_change
         self.call_counts = call_counts
         self.rng = rng
-        self.lease_id = 0
-        self.own_key = INSTANCES_PREFIX + settings.instance
         self.applier = StoreStateApplier(view, log)
+        self.registration = InstanceRegistration(
+            settings,
+            store,
+            self.applier,
+            log=log,
+            record_call=self.record_store_call,
+            on_change=on_change,
+        )
         self.history = ChangeHistory()
         self.relay: StoreRelay | None = None
         self.relayed_from: Seconds = 0.0
@@ -123,7 +123,7 @@
         if self.settings.first_start:
             gevent.sleep(self.rng.uniform(0.0, FIRST_READ_SPREAD_SECONDS))
         self.read_snapshot(allow_stale=True)
-        while not self.register():
+        while not self.registration.register():
             self.pause_before_retry()
 
     def follow(self) -> None:
@@ -135,7 +135,7 @@
         self.watcher = gevent.spawn(self.keep_running, self.follow_forever)
         loops = (
             self.confirm_forever,
-            self.renew_lease_forever,
+            self.registration.renew_forever,
             self.drop_missing_forever,
             self.log_calls_forever,
         )
@@ -203,56 +203,6 @@
                 return
             self.pause_before_retry()
 
-    def register(self, *, leaving: bool = False) -> bool:
-        """Write this instance's registration; return whether it is certainly stored."""
-        if not self.lease_id:
-            opened = self.store.open_lease(LEASE_SECONDS)
-            self.record_store_call(opened)
-            if isinstance(opened, Failure):
-                return False
-            self.lease_id = opened.unwrap()
-        value = msgspec.json.encode(
-            Registration(
-                str(self.settings.peers),
-                self.settings.place,
-                leaving,
-                self.applier.incarnation,
-            )
-        )
-        # The first instance of all creates the secret together with its registration.
-        new_secret = secrets.token_bytes(SECRET_BYTES)
-        creates_secret = self.applier.secret is None
-        result = self.store.put_if_unchanged(
-            conditions={SECRET_KEY: 0} if creates_secret else {},
-            # The revision of the change is that of its last key.
-            puts={
-                **({SECRET_KEY: new_secret} if creates_secret else {}),
-                self.own_key: value,
-            },
-            lease=self.lease_id,
-            unleased={SECRET_KEY},
-        )
-        self.record_store_call(result)
-        if isinstance(result, Failure):
-            return False
-        outcome = result.unwrap()
-        if isinstance(outcome, Conflict):
-            for item in outcome.items:
-                self.applier.apply_item(item)
-            return False
-        if isinstance(outcome, LeaseGone):
-            self.lease_id = 0
-            return False
-        if creates_secret:
-            self.applier.secret = new_secret
-        # Links identify a process by the revision of its first registration; a later
-        # registration must not make peers restart their message sequences.
-        self.applier.incarnation = self.applier.incarnation or outcome
-        if not isfinite(self.view.registered_at):
-            self.view.registered_at = now_seconds()
-        self.on_change()
-        return True
-
     def follow_forever(self) -> None:
         """Apply the store's changes until killed, from the store or from a relay."""
         gevent.sleep(max(0.0, self.batch_ends_at - now_seconds()))
@@ -371,21 +321,6 @@
         if not isinstance(result, Failure):
             self.view.confirm_revision(result.unwrap(), asked_at)
 
-    def renew_lease_forever(self) -> None:
-        """Renew the lease until the stop; register again when it was lost."""
-        while not self.view.stopping:
-            gevent.sleep(LEASE_RENEWAL_SECONDS)
-            if self.lease_id:
-                renewed = self.store.renew_lease(self.lease_id)
-                self.record_store_call(renewed)
-                if isinstance(renewed, Failure):
-                    continue
-                if renewed.unwrap() and self.own_key not in self.applier.missing_since:
-                    continue
-                self.lease_id = 0
-            if not self.view.stopping and self.register():
-                self.log.info("Registered again.", incarnation=self.applier.incarnation)
-
     def drop_missing_forever(self) -> None:
         """Remove databases and instances whose entries have been missing too long."""
         while True:
@@ -411,7 +346,3 @@
             counts = self.call_counts()
             calls = {" ".join(labels): count for labels, count in counts.items()}
             self.log.info("Calls to the platform so far.", calls=calls)
-
-    def announce_leaving(self) -> None:
-        """Register as leaving, so that this instance gets no new databases."""
-        self.register(leaving=True)
--- a/berylhinge/tasks/pooler/store_relay.py
+++ b/berylhinge/tasks/pooler/store_relay.py
@@ -17,7 +17,7 @@
     PASSED_OVER_SECONDS,
     RelayCandidate,
 )
-from ...platform.metadata_store import StoredItem
+from ...platform.store_replies import StoredItem
 from ...wire.pooling import RelayedChange, StoreChangesRequest, StoreChangesResponse
 from ..clock import now_seconds
 from ..peer_links import PeerLost
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -21,7 +21,8 @@
 from .fleet_view import Member
 
 if TYPE_CHECKING:
-    from ...platform.metadata_store import Snapshot, StoredItem
+    from ...platform.metadata_store import Snapshot
+    from ...platform.store_replies import StoredItem
     from ...types import Seconds
     from ..logs import Log
     from .fleet_view import FleetView
--- a/berylhinge/tasks/pooler/tests/test_fleet.py
+++ b/berylhinge/tasks/pooler/tests/test_fleet.py
@@ -161,8 +161,10 @@
     caller = fleet.caller("strict", instance=1)
     assert code(caller.ask("WRITE item one")) == ""
     first = fleet.instances[0]
-    fleet.store.end_lease(first.registry.lease_id)
-    wait_until(lambda: first.registry.own_key in fleet.store.items, 6.0)
+    registration = first.registry.registration
+    assert registration.lease is not None
+    fleet.store.end_lease(registration.lease.number)
+    wait_until(lambda: registration.own_key in fleet.store.items, 6.0)
     for instance in (0, 1):
         other = fleet.caller("strict", instance=instance)
         assert code(other.ask("WRITE item two")) == ""
--- a/berylhinge/tasks/pooler/tests/test_registry.py
+++ b/berylhinge/tasks/pooler/tests/test_registry.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ....platform.metadata_store import StoredItem
+from ....platform.store_replies import StoredItem
 from ..registry import batch_seconds, MAX_BATCH_SECONDS, MIN_BATCH_SECONDS
 
 INSTANCE_ITEM = StoredItem("berylhinge/instances/n1", b"{}", 5)
--- a/properties/test_store_relays.py
+++ b/properties/test_store_relays.py
@@ -23,7 +23,7 @@
     record_changes,
     RelayCandidate,
 )
-from berylhinge.platform.metadata_store import StoredItem
+from berylhinge.platform.store_replies import StoredItem
 
 STEP_SECONDS = 0.1
 HOLD_SECONDS = 0.5
