Order what a restored copy delivers by when its writers wrote it

A registration and a record of a promotion now name the era of their writing, which gives the revision at which they were first written, whatever era delivers them; a database's announcements are ordered by its start and its own count where a copy meets a known entry. So incarnations stay, what left stays gone, and an older leader does not return. Records of promotions that the store lost are written again by up to three instances in line, with the fencing token of the promotion; a promotion of which the record met another era is not acted on.

The records get a module of their own, the progress of the store's changes another.

--- a/berylhinge/core/pooler/leadership.py
+++ b/berylhinge/core/pooler/leadership.py
@@ -17,6 +17,7 @@
 from ...types import DatabaseRole, InstanceId, Seconds, UpstreamId
 from .failover import PROMOTION_TIMEOUT_SECONDS
 from .floors import CLOCK_DRIFT_FRACTION
+from .store_eras import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -44,21 +45,30 @@
 
     ``former`` are the databases that led before, newest last. ``replaces_at_once`` is
     set if the former leader must not be used from the record on; otherwise it serves
-    until the new leader announces itself.
+    until the new leader announces itself. ``era`` is that of the store when this was
+    written. ``origin`` is the revision of the first record of this promotion, 0 in that
+    record itself; a record that a restored store lost is written again.
     """
 
     promoter: InstanceId
     leader: UpstreamId
     former: tuple[UpstreamId, ...]
     replaces_at_once: bool
+    era: int = 0
+    origin: int = 0
 
 
 class LeadershipRecord(NamedTuple):
-    """Hold a recorded leader, the revision of its record and when it became known."""
+    """Hold a recorded leader, the revision of its record and when it became known.
+
+    ``origin`` is the revision of the promotion's first record, which orders records and
+    is the promotion's fencing token.
+    """
 
     recorded: RecordedLeader
     revision: int
     learned_at: Seconds
+    origin: int
 
 
 def primary_of(
@@ -122,6 +132,7 @@
     leader: UpstreamId,
     current: UpstreamId | None,
     replaces_at_once: bool,
+    era: int,
 ) -> RecordedLeader:
     """Return the record of a promotion of ``leader`` in place of ``current``."""
     former = list(known.recorded.former) if known is not None else []
@@ -133,9 +144,18 @@
         leader,
         tuple(reversed(kept[:MAX_FORMER_LEADERS])),
         replaces_at_once,
+        era,
     )
 
 
+def is_record_lost(record: LeadershipRecord, *, stored_origin: int, era: int) -> bool:
+    """Tell whether a restored store lacks the record of a promotion.
+
+    A record of the present era may only not have been delivered yet.
+    """
+    return era_of(record.origin) < era and stored_origin < record.origin
+
+
 def is_lease_valid(
     *, confirmed_at: Seconds, registered_at: Seconds, now: Seconds
 ) -> bool:
--- a/berylhinge/core/pooler/store_eras.py
+++ b/berylhinge/core/pooler/store_eras.py
@@ -21,6 +21,15 @@
     return qualified // REVISIONS_PER_ERA
 
 
+def revision_of_writing(qualified: int, era: int) -> int:
+    """Return the revision at which a value was written that names its era.
+
+    A restored copy holds values of earlier eras at the revisions of their writing. A
+    value that names no era counts as written in the one in which it was read.
+    """
+    return qualify(era, revision_in_era(qualified)) if era else qualified
+
+
 def revision_in_era(qualified: int) -> int:
     """Return the revision that the store itself names in the era."""
     return qualified % REVISIONS_PER_ERA
--- a/berylhinge/core/pooler/tests/test_leadership.py
+++ b/berylhinge/core/pooler/tests/test_leadership.py
@@ -26,7 +26,7 @@
 
 FIRST = Database("a", "s", "10.0.0.1:1", "x", 2, DatabaseRole.PRIMARY, False, 0, 5)
 REPLICA = FIRST._replace(role=DatabaseRole.REPLICA, led_since=0)
-RECORD = LeadershipRecord(RecordedLeader("n1", "b", ("a",), True), 20, 100.0)
+RECORD = LeadershipRecord(RecordedLeader("n1", "b", ("a",), True), 20, 100.0, 20)
 GRADUAL = RECORD._replace(recorded=RECORD.recorded._replace(replaces_at_once=False))
 
 
@@ -162,6 +162,7 @@
             leader=leader,
             current=current,
             replaces_at_once=True,
+            era=1,
         )
         assert leader not in recorded.former
         assert recorded.former[-1] == current
@@ -169,7 +170,7 @@
         assert decode_recorded_leader(encode_recorded_leader(recorded)).unwrap() == (
             recorded
         )
-        record = LeadershipRecord(recorded, revision, 0.0)
+        record = LeadershipRecord(recorded, revision, 0.0, revision)
     assert record is not None
     assert record.recorded.former == ("c", "d", "e", "f")
 
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -232,6 +232,12 @@
     known_revision: int
 
 
+class StoreRestored(StoreLogLine):
+    """Report the first read of a store that was restored from an older copy."""
+
+    known_revision: int
+
+
 class WatchStalled(StoreLogLine):
     """Report the revision that the watch should have delivered."""
 
@@ -314,6 +320,14 @@
     error: str
 
 
+class LeaderRecordedAgain(ServiceLogLine):
+    """Report the repeated write of a record that a restored store had lost."""
+
+    database: str
+    origin: int
+    outcome: str
+
+
 class PromotionRequested(ServiceLogLine):
     """Report a promotion's fencing token and the log positions compared.
 
@@ -353,6 +367,7 @@
     "registry: The store's history is lost.": StoreLogLine,
     "registry: The store was read.": StoreRead,
     "registry: Changes were known already.": ChangesKnown,
+    "registry: The store was restored from a copy.": StoreRestored,
     "registry: The watch is stuck; starting it anew.": WatchStalled,
     "registry: Registered again.": InstanceReregistered,
     "holder: A database does not answer.": DatabaseUnresponsive,
@@ -370,6 +385,7 @@
     "duty: No replica can lead.": NoPromotableReplica,
     "duty: The duty was not taken.": DutyClaimFailed,
     "duty: Another instance has the duty.": ServiceLogLine,
+    "duty: A lost record of a leader was written again.": LeaderRecordedAgain,
     "duty: A promotion was asked for.": PromotionRequested,
 }
 UNEXPECTED_ERROR_TEXT = "A request failed unexpectedly."
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import ip_address
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -76,10 +76,21 @@
         "state": str,
         "db-role": str,
         "born": int,
+        "sequence": int,
     },
     total=False,
 )
 
+
+class AnnouncementOrder(NamedTuple):
+    """Order the announcements of one database: by its start, then by their number."""
+
+    born_ms: int
+    sequence: int
+
+
+FIRST_ANNOUNCEMENT = AnnouncementOrder(0, 0)
+
 # What decoding raises for a value of any other form; too deep nesting raises the last.
 MALFORMED_VALUE_ERRORS = (msgspec.MsgspecError, KeyError, ValueError, RecursionError)
 # Defaults where the configuration gives no timeout, latency goal or idle limit.
@@ -157,3 +168,12 @@
         )
     except MALFORMED_VALUE_ERRORS as error:
         return Failure(f"{type(error).__name__}: {error}")
+
+
+def decode_announcement_order(value: bytes) -> AnnouncementOrder:
+    """Return the order of a database's announcement, the first if it names none."""
+    try:
+        entry = msgspec.json.decode(value, type=DatabaseDocument)
+    except MALFORMED_VALUE_ERRORS:
+        return FIRST_ANNOUNCEMENT
+    return AnnouncementOrder(entry.get("born", 0), entry.get("sequence", 0))
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -105,6 +105,7 @@
         self.max_connections = max_connections
         self.received = 0
         self.deaf = False
+        self.sequence = 0
         self.silent = False
         self.running = True
         self.advertised = ""
@@ -129,7 +130,8 @@
         return self.group.primary == self.id or self.id in self.group.deposed
 
     def entry(self, state: str = "ready") -> dict[str, object]:
-        """Return what the member registers."""
+        """Return what the member registers, numbered in its order."""
+        self.sequence += 1
         return {
             "service": self.group.service,
             "address": self.advertised or self.address,
@@ -137,7 +139,7 @@
             "capacity": 2,
             "state": state,
             "db-role": "primary" if self.leads else "replica",
-            "sequence": 1,
+            "sequence": self.sequence,
             "born": 1,
         }
 
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 from ...core.pooler.assignment import InstanceAssignment
-from ...core.pooler.catalogue import may_take_work, NO_DECLARATIONS
+from ...core.pooler.catalogue import may_take_work
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
 from ...core.pooler.failover import (
     DatabaseHealth,
@@ -21,15 +21,15 @@
     next_leader_of,
     primary_of,
 )
-from ...core.pooler.store_eras import era_of
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
+from .store_progress import StoreProgress
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ...core.pooler.catalogue import Database, Declarations
+    from ...core.pooler.catalogue import Database
     from ...types import (
         FailureDomainId,
         InstanceId,
@@ -67,15 +67,7 @@
     leaving: bool
 
 
-class RevisionConfirmation(NamedTuple):
-    """Describe the store's newest revision at one moment, and when it became known."""
-
-    revision: int
-    confirmed_at: Seconds
-    learned_at: Seconds
-
-
-class FleetView:
+class FleetView(StoreProgress):
     """Hold the known state of the fleet: tasks that observe it write, others read."""
 
     def __init__(
@@ -88,18 +80,15 @@
         are_promotions_fenced: bool = True,
     ) -> None:
         """Start with nothing known."""
+        super().__init__()
         self.leaving_seconds = leaving_seconds
         self.are_promotions_fenced = are_promotions_fenced
         self.own_instance = own_instance
         self.failure_domain = failure_domain
         self.trust_seconds = trust_seconds
-        self.declarations: Declarations = NO_DECLARATIONS
         self.databases: dict[UpstreamId, Database] = {}
         self.members: dict[InstanceId, Member] = {}
         self.suspects: set[InstanceId] = set()
-        self.revision = 0
-        self.confirmed_at: Seconds = float("-inf")
-        self.pending_confirmation: RevisionConfirmation | None = None
         self.floors: dict[str, FloorHistory] = {}
         self.observations: dict[UpstreamId, DatabaseObservation] = {}
         self.bounded_reads_until: dict[str, Seconds] = {}
@@ -113,6 +102,7 @@
         self.registered_at: Seconds = float("inf")
         self.duty_revisions: dict[str, int] = {}
         self.leadership: dict[str, LeadershipRecord] = {}
+        self.stored_leaders: dict[str, int] = {}
         self.reported_health: dict[UpstreamId, DatabaseHealth] = {}
         self.relinquished_until: dict[UpstreamId, Seconds] = {}
 
@@ -129,46 +119,6 @@
             or now_seconds() - self.last_tick_at >= PEER_FAILOVER_SECONDS
         )
 
-    def confirm_revision(self, revision: int, at: Seconds) -> None:
-        """Record which revision was the store's newest at a moment.
-
-        Once this instance has every change up to that revision, its declarations are
-        confirmed as of that moment; until then the confirmation is pending. A revision
-        of an earlier era confirms nothing: what the store held then is not known here.
-        """
-        if era_of(revision) < era_of(self.revision):
-            return
-        if revision <= self.revision and self.declarations.version:
-            self.confirmed_at = max(self.confirmed_at, at)
-        elif self.pending_confirmation is None:
-            self.pending_confirmation = RevisionConfirmation(
-                revision, at, now_seconds()
-            )
-        elif at > self.pending_confirmation.confirmed_at:
-            self.pending_confirmation = self.pending_confirmation._replace(
-                revision=revision, confirmed_at=at
-            )
-
-    def advance_revision(self, revision: int) -> None:
-        """Record that every change up to a revision has been applied here."""
-        self.revision = max(self.revision, revision)
-        pending = self.pending_confirmation
-        if pending is not None and pending.revision <= self.revision:
-            self.pending_confirmation = None
-            self.confirm_revision(pending.revision, pending.confirmed_at)
-
-    def missed_revision(self) -> int | None:
-        """Return a revision that exists and was not delivered here, if one is known."""
-        pending = self.pending_confirmation
-        if pending is None or pending.revision <= self.revision:
-            return None
-        return pending.revision
-
-    def missed_since(self) -> Seconds:
-        """Return when the pending confirmation became known, 0 if there is none."""
-        pending = self.pending_confirmation
-        return 0.0 if pending is None else pending.learned_at
-
     def is_confirmed(self) -> bool:
         """Return whether the declarations were confirmed within ``trust_seconds``."""
         return now_seconds() - self.confirmed_at < self.trust_seconds
@@ -219,12 +169,14 @@
             )
         )
 
-    def record_leader(self, service: str, record: LeadershipRecord) -> None:
-        """Record a service's leader unless a newer record is known."""
+    def record_leader(self, service: str, record: LeadershipRecord) -> bool:
+        """Record a service's leader; return False if the same or a newer is known."""
         known = self.leadership.get(service)
-        if known is None or known.revision < record.revision:
-            self.leadership[service] = record
-            self.changed.notify()
+        if known is not None and known.origin >= record.origin:
+            return False
+        self.leadership[service] = record
+        self.changed.notify()
+        return True
 
     def usable_instances(self) -> dict[InstanceId, FailureDomainId]:
         """Return the instances that may hold databases, with their failure domains."""
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -67,6 +67,7 @@
                 self.settings.place,
                 leaving,
                 self.applier.incarnation,
+                self.lease.era,
             )
         )
         # The first instance of all creates the secret together with its registration.
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -17,13 +17,13 @@
 )
 from ...core.pooler.leadership import (
     choose_witnesses,
-    encode_recorded_leader,
     is_promotion_due,
     LeadershipRecord,
     lease_wait,
     may_replace_unreached,
     next_recorded_leader,
 )
+from ...core.pooler.store_eras import era_of
 from ...core.rendezvous import rank_nodes
 from ...platform import line_protocol
 from ...wire.pooling import (
@@ -36,7 +36,7 @@
 from ..http_connection import ConnectionFailed
 from ..peer_links import PeerLost
 from .database_connection import ConnectRefused, DatabaseConnection
-from .store_state import PROMOTIONS_PREFIX
+from .leader_records import LeaderRecords
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
@@ -83,7 +83,7 @@
         self.view = view
         self.held_databases = held_databases
         self.links = links
-        self.store = store
+        self.records = LeaderRecords(view, store, log)
         self.promotions = promotions
         self.metrics = metrics
         self.log = log
@@ -98,6 +98,7 @@
         now = now_seconds()
         if self.view.stopping:
             return
+        self.records.write_lost_records(now)
         for service in self.view.declarations.services:
             is_paused = self.paused_until.get(service, 0.0) > now
             if service in self.services_in_progress or is_paused:
@@ -255,8 +256,9 @@
                 or not primary.leaving
                 or not self.view.are_promotions_fenced
             ),
+            era=era_of(self.view.revision),
         )
-        fence = self.acquire_duty(service, recorded)
+        fence = self.records.acquire_duty(service, recorded)
         if fence is None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
             return
@@ -291,7 +293,7 @@
             )
             if not isinstance(result, Failure):
                 return "accepted" if result.unwrap() else "refused"
-            is_replaced = self.view.duty_revisions.get(service, 0) > fence
+            is_replaced = self.view.leadership[service].origin > fence
             if is_replaced or now_seconds() + REPEAT_PAUSE_SECONDS >= end_at:
                 return "unknown"
             gevent.sleep(REPEAT_PAUSE_SECONDS)
@@ -332,9 +334,10 @@
         self, sender: InstanceId, message: LeadershipNotice
     ) -> LeadershipNoticeTaken:
         """Apply a recorded leader before the store delivers it."""
-        record = LeadershipRecord(message.recorded, message.revision, now_seconds())
+        revision = message.revision
+        record = LeadershipRecord(message.recorded, revision, now_seconds(), revision)
         self.view.record_leader(message.service, record)
-        return LeadershipNoticeTaken(self.view.leadership[message.service].revision)
+        return LeadershipNoticeTaken(self.view.leadership[message.service].origin)
 
     def restore_leader(self, service: str, primary: Database) -> None:
         """Record the former leader again after the platform refused a promotion."""
@@ -344,28 +347,7 @@
             leader=primary.id,
             current=None,
             replaces_at_once=True,
+            era=era_of(self.view.revision),
         )
-        if self.acquire_duty(service, recorded) is not None:
+        if self.records.acquire_duty(service, recorded) is not None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
-
-    def acquire_duty(self, service: str, recorded: RecordedLeader) -> int | None:
-        """Record a service's leader; the revision of the record fences older ones."""
-        key = PROMOTIONS_PREFIX + service
-        known_revision = self.view.duty_revisions.get(service, 0)
-        result = self.store.put_if_unchanged(
-            conditions={key: known_revision},
-            puts={key: encode_recorded_leader(recorded)},
-        )
-        if isinstance(result, Failure):
-            detail = result.failure().detail
-            self.log.info("The duty was not taken.", service=service, error=detail)
-            return None
-        outcome = result.unwrap()
-        if not isinstance(outcome, int):
-            self.log.info("Another instance has the duty.", service=service)
-            return None
-        self.view.duty_revisions[service] = outcome
-        self.view.record_leader(
-            service, LeadershipRecord(recorded, outcome, now_seconds())
-        )
-        return outcome
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -8,6 +8,7 @@
 import gevent
 from returns.result import Failure
 
+from ...core.pooler.store_eras import era_of
 from ...core.pooler.store_feed import (
     ChangeHistory,
     own_call_interval,
@@ -196,6 +197,8 @@
                     known_items=len(known_keys),
                     known_revision=self.view.revision,
                 )
+                if era_of(snapshot.revision) > era_of(self.view.revision):
+                    self.enter_era(snapshot.revision)
                 self.on_change()
                 self.view.advance_revision(snapshot.revision)
                 if not allow_stale:
@@ -203,6 +206,16 @@
                 return
             self.pause_before_retry()
 
+    def enter_era(self, revision: int) -> None:
+        """Go on after a restore of the store, or at the first sight of it."""
+        if era_of(self.view.revision):
+            self.log.info(
+                "The store was restored from a copy.",
+                revision=revision,
+                known_revision=self.view.revision,
+            )
+        self.view.begin_era()
+
     def follow_forever(self) -> None:
         """Apply the store's changes until killed, from the store or from a relay."""
         gevent.sleep(max(0.0, self.batch_ends_at - now_seconds()))
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -9,11 +9,14 @@
 from returns.result import Failure
 
 from ...core.pooler.leadership import decode_recorded_leader, LeadershipRecord
+from ...core.pooler.store_eras import era_of, revision_of_writing
 from ...platform.documents import (
     CONFIGURATION_KEY,
     DATABASES_PREFIX,
+    decode_announcement_order,
     decode_database,
     decode_declarations,
+    FIRST_ANNOUNCEMENT,
     MALFORMED_VALUE_ERRORS,
 )
 from ...types import DatabaseRole
@@ -21,9 +24,10 @@
 from .fleet_view import Member
 
 if TYPE_CHECKING:
+    from ...platform.documents import AnnouncementOrder
     from ...platform.metadata_store import Snapshot
     from ...platform.store_replies import StoredItem
-    from ...types import Seconds
+    from ...types import Seconds, UpstreamId
     from ..logs import Log
     from .fleet_view import FleetView
 
@@ -36,13 +40,15 @@
     """Describe an instance, as it registers itself in the store.
 
     ``incarnation`` is the revision of the process's first registration; it is 0 in that
-    registration itself.
+    registration itself. ``era`` is that of the store when this was written; a restored
+    copy delivers it in a later one.
     """
 
     address: str
     place: str
     leaving: bool
     incarnation: int
+    era: int = 0
 
 
 class StoreStateApplier:
@@ -54,6 +60,7 @@
         self.log = log
         self.missing_since: dict[str, Seconds] = {}
         self.known_revisions: dict[str, int] = {}
+        self.announcement_orders: dict[UpstreamId, AnnouncementOrder] = {}
         self.secret: bytes | None = None
         self.incarnation = 0
 
@@ -70,26 +77,40 @@
         for key in known:
             if key not in present:
                 self.record_missing(key)
+        for service in self.view.duty_revisions:
+            if PROMOTIONS_PREFIX + service not in present:
+                self.view.duty_revisions[service] = 0
+                self.view.stored_leaders.pop(service, None)
         return [item.key for item in snapshot.items if not self.apply_item(item)]
 
     def apply_item(self, item: StoredItem) -> bool:
         """Apply one item; return False if it is not newer than the known one."""
-        if item.revision <= self.known_revisions.get(item.key, 0):
-            return False
-        self.known_revisions[item.key] = item.revision
         key = item.key
+        if key.startswith(INSTANCES_PREFIX):
+            return self.apply_member(item, key.removeprefix(INSTANCES_PREFIX))
+        if key.startswith(PROMOTIONS_PREFIX):
+            return self.apply_recorded_leader(item, key.removeprefix(PROMOTIONS_PREFIX))
+        known = self.known_revisions.get(key, 0)
+        if not self.record_revision(key, item.revision):
+            return False
         if key == CONFIGURATION_KEY:
             self.apply_declarations(item)
         elif key.startswith(DATABASES_PREFIX):
-            self.apply_database(item, key.removeprefix(DATABASES_PREFIX))
-        elif key.startswith(INSTANCES_PREFIX):
-            self.apply_member(item, key.removeprefix(INSTANCES_PREFIX))
-        elif key.startswith(PROMOTIONS_PREFIX):
-            self.apply_recorded_leader(item, key.removeprefix(PROMOTIONS_PREFIX))
+            is_restored = 0 < era_of(known) < era_of(item.revision)
+            return self.apply_database(
+                item, key.removeprefix(DATABASES_PREFIX), is_restored=is_restored
+            )
         elif key == SECRET_KEY and item.value:
             self.secret = item.value
         return True
 
+    def record_revision(self, key: str, revision: int) -> bool:
+        """Record the revision of a key's value; return whether it is newer."""
+        if revision <= self.known_revisions.get(key, 0):
+            return False
+        self.known_revisions[key] = revision
+        return True
+
     def apply_declarations(self, item: StoredItem) -> None:
         """Apply the declarations if their version is newer."""
         result = decode_declarations(item.value or b"")
@@ -113,8 +134,10 @@
                 },
             )
 
-    def apply_recorded_leader(self, item: StoredItem, service: str) -> None:
+    def apply_recorded_leader(self, item: StoredItem, service: str) -> bool:
         """Apply the record of a service's leader."""
+        if item.revision <= self.view.duty_revisions.get(service, 0):
+            return False
         self.view.duty_revisions[service] = item.revision
         result = decode_recorded_leader(item.value or b"")
         if isinstance(result, Failure):
@@ -123,15 +146,29 @@
                 service=service,
                 error=result.failure(),
             )
-            return
-        record = LeadershipRecord(result.unwrap(), item.revision, now_seconds())
-        self.view.record_leader(service, record)
+            return True
+        recorded = result.unwrap()
+        origin = recorded.origin or revision_of_writing(item.revision, recorded.era)
+        self.view.stored_leaders[service] = origin
+        record = LeadershipRecord(recorded, item.revision, now_seconds(), origin)
+        return self.view.record_leader(service, record)
+
+    def apply_database(
+        self, item: StoredItem, identifier: str, *, is_restored: bool
+    ) -> bool:
+        """Apply a database's entry, or record that it is missing.
 
-    def apply_database(self, item: StoredItem, identifier: str) -> None:
-        """Apply a database's entry, or record that it is missing."""
+        Return False for an entry of a restored copy that is not newer than the known one.
+        """
         if item.value is None:
             self.record_missing(item.key)
-            return
+            return True
+        order = decode_announcement_order(item.value)
+        known_order = self.announcement_orders.get(identifier, FIRST_ANNOUNCEMENT)
+        is_gone = identifier not in self.view.databases
+        if is_restored and (order < known_order or (is_gone and order == known_order)):
+            return False
+        self.announcement_orders[identifier] = order
         result = decode_database(identifier, item.value)
         if isinstance(result, Failure):
             self.log.info(
@@ -139,7 +176,7 @@
                 database=identifier,
                 error=result.failure(),
             )
-            return
+            return True
         database = result.unwrap()
         self.missing_since.pop(item.key, None)
         known = self.view.databases.get(identifier)
@@ -161,20 +198,29 @@
                 leaving=database.leaving,
                 revision=item.revision,
             )
+        return True
 
-    def apply_member(self, item: StoredItem, name: str) -> None:
+    def apply_member(self, item: StoredItem, name: str) -> bool:
         """Apply an instance's registration, or record that it is missing."""
         if item.value is None:
+            if not self.record_revision(item.key, item.revision):
+                return False
             self.record_missing(item.key)
-            return
+            return True
         try:
             registration = msgspec.json.decode(item.value, type=Registration)
         except MALFORMED_VALUE_ERRORS as error:
-            self.log.info("A registration is malformed.", peer=name, error=str(error))
-            return
+            if self.record_revision(item.key, item.revision):
+                self.log.info(
+                    "A registration is malformed.", peer=name, error=str(error)
+                )
+            return True
+        written_at = revision_of_writing(item.revision, registration.era)
+        if not self.record_revision(item.key, written_at):
+            return False
         self.missing_since.pop(item.key, None)
         known = self.view.members.get(name)
-        incarnation = registration.incarnation or item.revision
+        incarnation = registration.incarnation or written_at
         member = Member(
             name,
             registration.place,
@@ -191,6 +237,7 @@
                 revision=item.revision,
             )
         self.view.members[name] = member
+        return True
 
     def record_missing(self, key: str) -> None:
         """Record that an entry is missing.
--- a/berylhinge/tasks/pooler/tests/test_restored_store.py
+++ b/berylhinge/tasks/pooler/tests/test_restored_store.py
@@ -7,7 +7,12 @@
 import gevent
 import pytest
 
-from ....standins.metadata_store import wait_until
+from ....core.pooler.leadership import LeadershipRecord
+from ....core.pooler.store_eras import era_of
+from ....platform.documents import DATABASES_PREFIX
+from ....standins.metadata_store import StoreCopy, wait_until
+from ..instance import Pooler
+from ..store_state import INSTANCES_PREFIX, PROMOTIONS_PREFIX
 from .conftest import DECLARATIONS, Fleet
 
 NEW_ROUTE = {"host": "added", "kind": "primary", "service": "s"}
@@ -33,10 +38,20 @@
     for number in range(changes):
         fleet.declare(with_version(10 + number))
     wait_until(lambda: are_in_force(fleet, 9 + changes))
+    restore(fleet, copy)
+
+
+def restore(fleet: Fleet, copy: StoreCopy) -> None:
+    """Let the store come back from a copy, and wait until all instances know."""
     fleet.store.down = True
     gevent.sleep(0.3)
     fleet.store.restore(copy)
     fleet.store.down = False
+    wait_until(lambda: all(knows_era(pooler, 2) for pooler in fleet.instances))
+
+
+def knows_era(pooler: Pooler, era: int) -> bool:
+    return era_of(pooler.view.revision) == era
 
 
 # Guards against: declarations that were written after the store came back from a copy
@@ -62,3 +77,100 @@
     gevent.sleep(1.5)
     for pooler in fleet.instances:
         assert pooler.metrics.counts["platform_calls_total"]["read-range", "200"] < 20
+
+
+# Guards against: registrations of the copy were taken for those of new processes, so that
+# instances refused each other's messages.
+def test_links_go_on_after_a_restore(fleet: Fleet) -> None:
+    def incarnations() -> list[dict[str, int]]:
+        return [
+            {name: member.incarnation for name, member in pooler.view.members.items()}
+            for pooler in fleet.instances
+        ]
+
+    before = incarnations()
+    restore(fleet, fleet.store.make_copy())
+    assert incarnations() == before
+    callers = [fleet.caller("strict", instance=number) for number in (0, 1)]
+    for caller in callers:
+        assert caller.ask("WRITE item v")[0].startswith("COMPLETE ")
+    for pooler in fleet.instances:
+        dropped = pooler.metrics.counts["peer_messages_total"]
+        assert not dropped["stale-recipient",] and not dropped["stale-sender",]
+
+
+# Guards against: a database or an instance that had left was in use again, from a copy in
+# which it is still present; one that leaves was taken for one that stays.
+@pytest.mark.parametrize("change", ["left", "leaving"])
+def test_a_copy_does_not_bring_back_what_left(fleet: Fleet, change: str) -> None:
+    gone = next(name for name in fleet.group.members if name != fleet.group.primary)
+    other = INSTANCES_PREFIX + "n9"
+    fleet.store.put(other, ["127.0.0.1:1", "x", False, 0, 1])
+    wait_until(lambda: all("n9" in p.view.members for p in fleet.instances))
+    copy = fleet.store.make_copy()
+    if change == "left":
+        fleet.store.delete(DATABASES_PREFIX + gone)
+        fleet.store.delete(other)
+        wait_until(
+            lambda: all(
+                gone not in p.view.databases and "n9" not in p.view.members
+                for p in fleet.instances
+            )
+        )
+    else:
+        entry = fleet.group.members[gone].entry()
+        leaving = {**entry, "state": "draining", "sequence": 9}
+        fleet.store.put(DATABASES_PREFIX + gone, leaving)
+        wait_until(lambda: all(p.view.databases[gone].leaving for p in fleet.instances))
+    restore(fleet, copy)
+    for pooler in fleet.instances:
+        known = pooler.view.databases.get(gone)
+        assert (
+            known is None if change == "left" else known is not None and known.leaving
+        )
+        assert ("n9" in pooler.view.members) == (change == "leaving")
+
+
+def promoted(fleet: Fleet) -> dict[str, LeadershipRecord]:
+    """Lose the primary, and return the record of the promotion once it led to one."""
+    old = fleet.group.primary
+    fleet.group.members[old].crash()
+    views = [pooler.view for pooler in fleet.instances]
+    wait_until(lambda: all(view.leadership for view in views), 10.0)
+    wait_until(lambda: fleet.group.primary != old)
+    wait_until(lambda: all(view.primary_of("s") is not None for view in views))
+    return dict(fleet.instances[0].view.leadership)
+
+
+# Guards against: after a restore that lost the record of a promotion the former primary
+# counted as the leader again.
+def test_a_lost_record_of_a_promotion_is_written_again(fleet: Fleet) -> None:
+    copy = fleet.store.make_copy()
+    record = promoted(fleet)["s"]
+    restore(fleet, copy)
+    wait_until(lambda: PROMOTIONS_PREFIX + "s" in fleet.store.items)
+    for pooler in fleet.instances:
+        primary = pooler.view.primary_of("s")
+        assert primary is not None and primary.id == record.recorded.leader
+        assert pooler.view.leadership["s"].origin == record.origin
+    joined = fleet.add_instance()
+    assert joined.view.leadership["s"].origin == record.origin
+    # The next promotion's token is greater than every one that was sent.
+    fleet.group.members[fleet.group.primary].crash()
+    wait_until(lambda: joined.view.leadership["s"].origin > record.origin, 10.0)
+    assert fleet.store.fences["s"] > record.origin
+
+
+# Guards against: an older record of a copy replaced the newest known one.
+def test_an_older_record_of_a_promotion_does_not_return(fleet: Fleet) -> None:
+    promoted(fleet)
+    copy = fleet.store.make_copy()
+    fleet.announce()
+    first = fleet.instances[0].view.leadership["s"].origin
+    fleet.group.members[fleet.group.primary].crash()
+    views = [pooler.view for pooler in fleet.instances]
+    wait_until(lambda: all(v.leadership["s"].origin > first for v in views), 10.0)
+    newest = views[0].leadership["s"]
+    restore(fleet, copy)
+    assert [view.leadership["s"].origin for view in views] == [newest.origin] * 2
+    wait_until(lambda: views[0].stored_leaders.get("s") == newest.origin)
