Register and store the shared secret again at once after a restore

After a restore of the store an instance whose registration was lost registered with its next lease renewal, up to 3 s later, while peers drop a missing instance after 2.5 s; until then no database is held there, and a promoter does not know of it. The shared secret, if it was created after the copy, was lost for good: an instance that started then created another one and could not talk to the others.

Registrations now follow the first read of the new era, spread over the fleet's size, and until then this instance uses no primary under a lease. Whoever registers first stores the known secret. If another one was stored meanwhile, all change to it and still accept what was signed with the former.

--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event
 
-from ...core.peer_envelopes import new_channel
+from ...core.peer_envelopes import new_channel, replace_secrets
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
 from ...platform.metadata_store import MetadataStore
@@ -68,6 +68,7 @@
         self.stopping = Event()
         self.ready = False
         self.links: Links | None = None
+        self.link_secrets: tuple[bytes, ...] = ()
         self.jobs: list[gevent.Greenlet] = []
         self.store = MetadataStore(settings.store, on_call=self.count_platform_call)
         self.promotions = MetadataStore(
@@ -107,13 +108,12 @@
     def open_links(self) -> None:
         """Open the links to peers and create the tasks that use them."""
         settings, view = self.settings, self.view
-        assert self.registry.applier.secret is not None
         links = Links(
             settings.peers,
             channel=new_channel(
                 settings.instance,
                 self.registry.applier.incarnation,
-                [self.registry.applier.secret],
+                self.registry.applier.secrets,
             ),
             on_count=self.metrics.count_peer_message,
             on_fault=Log("links", settings.instance).fault,
@@ -183,6 +183,10 @@
         """Update the tasks after the registry changed the view."""
         self.view.invalidate_assignment()
         if self.links is not None:
+            secrets = self.registry.applier.secrets
+            if secrets != self.link_secrets:
+                self.link_secrets = secrets
+                self.links.channel = replace_secrets(self.links.channel, secrets)
             self.peer_monitor.update_link_peers()
         self.view.changed.notify()
 
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -8,6 +8,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 from returns.result import Failure
 
 from ...platform.metadata_store import Conflict, LeaseGone
@@ -16,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from ...platform.metadata_store import Lease, MetadataStore
     from ..logs import Log
@@ -27,6 +29,10 @@
 # themselves.
 LEASE_SECONDS = 10.0
 LEASE_RENEWAL_SECONDS = 3.0
+# After a restore of the store the instances register again at this rate. Peers drop an
+# instance whose entry is missing for longer than the maximum.
+REGISTRATIONS_PER_SECOND = 200.0
+MAX_SPREAD_SECONDS = 1.5
 
 
 class InstanceRegistration:
@@ -41,6 +47,7 @@
         log: Log,
         record_call: Callable[[Any], None],
         on_change: Callable[[], None],
+        rng: Random,
     ) -> None:
         """Prepare without a call to the store."""
         self.settings = settings
@@ -50,6 +57,8 @@
         self.log = log
         self.record_call = record_call
         self.on_change = on_change
+        self.rng = rng
+        self.is_lost = Event()
         self.own_key = INSTANCES_PREFIX + settings.instance
         self.lease: Lease | None = None
 
@@ -70,14 +79,15 @@
                 self.lease.era,
             )
         )
-        # The first instance of all creates the secret together with its registration.
-        new_secret = secrets.token_bytes(SECRET_BYTES)
-        creates_secret = self.applier.secret is None
+        # The first instance of all creates the secret together with its registration, and
+        # the first one after a restore that lost it writes it again.
+        writes_secret = not self.applier.is_secret_stored
+        secret = next(iter(self.applier.secrets), secrets.token_bytes(SECRET_BYTES))
         result = self.store.put_if_unchanged(
-            conditions={SECRET_KEY: 0} if creates_secret else {},
+            conditions={SECRET_KEY: 0} if writes_secret else {},
             # The revision of the change is that of its last key.
             puts={
-                **({SECRET_KEY: new_secret} if creates_secret else {}),
+                **({SECRET_KEY: secret} if writes_secret else {}),
                 self.own_key: value,
             },
             lease=self.lease,
@@ -94,8 +104,8 @@
         if isinstance(outcome, LeaseGone):
             self.lease = None
             return False
-        if creates_secret:
-            self.applier.secret = new_secret
+        if writes_secret:
+            self.applier.record_secret(secret)
         # Links identify a process by the revision of its first registration; a later
         # registration must not make peers restart their message sequences.
         self.applier.incarnation = self.applier.incarnation or outcome
@@ -107,7 +117,11 @@
     def renew_forever(self) -> None:
         """Renew the lease until the stop; register again when it was lost."""
         while not self.view.stopping:
-            gevent.sleep(LEASE_RENEWAL_SECONDS)
+            if self.is_lost.wait(LEASE_RENEWAL_SECONDS):
+                self.is_lost.clear()
+                members = len(self.view.members)
+                spread = min(members / REGISTRATIONS_PER_SECOND, MAX_SPREAD_SECONDS)
+                gevent.sleep(self.rng.uniform(0.0, spread))
             if self.lease is not None:
                 renewed = self.store.renew_lease(self.lease)
                 self.record_call(renewed)
@@ -119,6 +133,12 @@
             if not self.view.stopping and self.register():
                 self.log.info("Registered again.", incarnation=self.applier.incarnation)
 
+    def renew_soon(self) -> None:
+        """Register again, with the other instances, after a restore lost it."""
+        # A promoter may not know of this instance until it is registered.
+        self.view.registered_at = float("inf")
+        self.is_lost.set()
+
     def announce_leaving(self) -> None:
         """Register as leaving, so that this instance gets no new databases."""
         self.register(leaving=True)
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -109,6 +109,7 @@
             log=log,
             record_call=self.record_store_call,
             on_change=on_change,
+            rng=rng,
         )
         self.history = ChangeHistory()
         self.relay: StoreRelay | None = None
@@ -214,6 +215,7 @@
                 revision=revision,
                 known_revision=self.view.revision,
             )
+            self.registration.renew_soon()
         self.view.begin_era()
 
     def follow_forever(self) -> None:
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure
 
+from ...core.peer_envelopes import SECRETS_LIMIT
 from ...core.pooler.leadership import decode_recorded_leader, LeadershipRecord
 from ...core.pooler.store_eras import era_of, revision_of_writing
 from ...platform.documents import (
@@ -61,7 +62,8 @@
         self.missing_since: dict[str, Seconds] = {}
         self.known_revisions: dict[str, int] = {}
         self.announcement_orders: dict[UpstreamId, AnnouncementOrder] = {}
-        self.secret: bytes | None = None
+        self.secrets: tuple[bytes, ...] = ()
+        self.is_secret_stored = False
         self.incarnation = 0
 
     def apply_snapshot(self, snapshot: Snapshot) -> list[str]:
@@ -77,6 +79,8 @@
         for key in known:
             if key not in present:
                 self.record_missing(key)
+        if SECRET_KEY not in present:
+            self.is_secret_stored = False
         for service in self.view.duty_revisions:
             if PROMOTIONS_PREFIX + service not in present:
                 self.view.duty_revisions[service] = 0
@@ -101,9 +105,15 @@
                 item, key.removeprefix(DATABASES_PREFIX), is_restored=is_restored
             )
         elif key == SECRET_KEY and item.value:
-            self.secret = item.value
+            self.record_secret(item.value)
         return True
 
+    def record_secret(self, secret: bytes) -> None:
+        """Use the stored secret; what peers signed with the former one is accepted."""
+        self.is_secret_stored = True
+        former = [known for known in self.secrets if known != secret]
+        self.secrets = (secret, *former)[:SECRETS_LIMIT]
+
     def record_revision(self, key: str, revision: int) -> bool:
         """Record the revision of a key's value; return whether it is newer."""
         if revision <= self.known_revisions.get(key, 0):
--- a/berylhinge/tasks/pooler/tests/test_restored_store.py
+++ b/berylhinge/tasks/pooler/tests/test_restored_store.py
@@ -11,8 +11,10 @@
 from ....core.pooler.store_eras import era_of
 from ....platform.documents import DATABASES_PREFIX
 from ....standins.metadata_store import StoreCopy, wait_until
+from .. import instance_registration
 from ..instance import Pooler
-from ..store_state import INSTANCES_PREFIX, PROMOTIONS_PREFIX
+from ..registry import MISSING_ENTRY_SECONDS
+from ..store_state import INSTANCES_PREFIX, PROMOTIONS_PREFIX, SECRET_KEY
 from .conftest import DECLARATIONS, Fleet
 
 NEW_ROUTE = {"host": "added", "kind": "primary", "service": "s"}
@@ -174,3 +176,67 @@
     restore(fleet, copy)
     assert [view.leadership["s"].origin for view in views] == [newest.origin] * 2
     wait_until(lambda: views[0].stored_leaders.get("s") == newest.origin)
+
+
+def without(copy: StoreCopy, prefix: str) -> StoreCopy:
+    """Return a copy of the store that lacks some keys."""
+    items = {
+        key: item for key, item in copy.items.items() if not key.startswith(prefix)
+    }
+    return copy._replace(items=items, leases={})
+
+
+# Guards against: registrations that a restore lost came back with the next renewal, after
+# peers had dropped the instances.
+def test_registrations_are_back_before_they_are_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(instance_registration, "LEASE_RENEWAL_SECONDS", 60.0)
+    fleet = Fleet()
+    try:
+        for _ in range(2):
+            fleet.add_instance()
+        views = [pooler.view for pooler in fleet.instances]
+        wait_until(lambda: all(len(view.members) == 2 for view in views))
+        restore(fleet, without(fleet.store.make_copy(), INSTANCES_PREFIX))
+        names = [f"{INSTANCES_PREFIX}n{number}" for number in range(2)]
+        wait_until(
+            lambda: all(name in fleet.store.items for name in names),
+            MISSING_ENTRY_SECONDS,
+        )
+        gevent.sleep(MISSING_ENTRY_SECONDS)
+        assert [len(view.members) for view in views] == [2, 2]
+    finally:
+        fleet.close()
+
+
+# Guards against: after a restore that lost the shared secret an instance that started
+# created another one, and could not talk to those that kept the former.
+@pytest.mark.parametrize("is_replaced", [False, True])
+def test_a_lost_secret_does_not_split_the_fleet(
+    fleet: Fleet, is_replaced: bool
+) -> None:
+    copy = without(fleet.store.make_copy(), SECRET_KEY)
+    former = fleet.instances[0].registry.applier.secrets[0]
+    fleet.store.down = True
+    gevent.sleep(0.3)
+    fleet.store.restore(copy)
+    if is_replaced:
+        fleet.store.put(SECRET_KEY, b"another")
+    fleet.store.down = False
+    wait_until(lambda: SECRET_KEY in fleet.store.items, 3.0)
+    joined = fleet.add_instance()
+    expected = b"another" if is_replaced else former
+    assert joined.registry.applier.secrets[0] == expected
+    wait_until(
+        lambda: all(
+            pooler.registry.applier.secrets[0] == expected for pooler in fleet.instances
+        )
+    )
+    counters = [p.metrics.counts["peer_messages_total"] for p in fleet.instances]
+    gevent.sleep(0.2)
+    before = [counts["unauthenticated",] for counts in counters]
+    for number in range(3):
+        caller = fleet.caller("strict", instance=number)
+        assert caller.ask("WRITE item v")[0].startswith("COMPLETE ")
+    assert [counts["unauthenticated",] for counts in counters] == before
