Let a restored store confirm nothing until what it lost is written again

A confirmation said that the known state was current as of a moment, which a store that lacks acknowledged writes cannot say. An instance that started after a restore served a key that had been withdrawn after the copy was made, until the operator wrote again; where the platform stops no deposed primary, an instance that had not heard of a recorded promotion regained its lease on the former one.

Known declarations are confirmed earlier once they certainly were written again. One instance then marks the era as settled in the store, so later starts do not wait; the first start of all does not either. Unfenced promotions wait for it too, and one whose record met a restore is given up.

--- a/berylhinge/core/pooler/leadership.py
+++ b/berylhinge/core/pooler/leadership.py
@@ -156,16 +156,14 @@
     return era_of(record.origin) < era and stored_origin < record.origin
 
 
-def is_lease_valid(
-    *, confirmed_at: Seconds, registered_at: Seconds, now: Seconds
-) -> bool:
+def is_lease_valid(*, confirmed_at: Seconds, valid_from: Seconds, now: Seconds) -> bool:
     """Tell whether an instance may use primaries.
 
-    A promoter knows only registered instances, so a confirmation that was asked for
-    before the registration does not count.
+    A promoter knows only registered instances, and a restored store may lack its record
+    at first, so a confirmation that was asked for before ``valid_from`` does not count.
     """
     limit = LEASE_SECONDS * (1.0 - CLOCK_DRIFT_FRACTION)
-    return confirmed_at >= registered_at and now - confirmed_at < limit
+    return confirmed_at >= valid_from and now - confirmed_at < limit
 
 
 def lease_wait(recorded_at: Seconds, now: Seconds) -> Seconds:
--- a/berylhinge/core/pooler/tests/test_leadership.py
+++ b/berylhinge/core/pooler/tests/test_leadership.py
@@ -85,7 +85,7 @@
 
 
 @pytest.mark.parametrize(
-    ("confirmed_at", "registered_at", "now", "expected"),
+    ("confirmed_at", "valid_from", "now", "expected"),
     [
         (10.0, 1.0, 11.0, True),
         (10.0, 1.0, 10.0 + LEASE_SECONDS, False),
@@ -97,11 +97,9 @@
     ],
 )
 def test_a_lease_is_a_recent_confirmation_of_a_registered_instance(
-    confirmed_at: float, registered_at: float, now: float, expected: bool
+    confirmed_at: float, valid_from: float, now: float, expected: bool
 ) -> None:
-    found = is_lease_valid(
-        confirmed_at=confirmed_at, registered_at=registered_at, now=now
-    )
+    found = is_lease_valid(confirmed_at=confirmed_at, valid_from=valid_from, now=now)
     assert found is expected
 
 
@@ -109,7 +107,7 @@
 def test_every_lease_from_before_a_record_ends_within_the_wait(asked_at: float) -> None:
     recorded_at = 10.0
     end = recorded_at + lease_wait(recorded_at, recorded_at)
-    assert not is_lease_valid(confirmed_at=asked_at, registered_at=0.0, now=end)
+    assert not is_lease_valid(confirmed_at=asked_at, valid_from=0.0, now=end)
 
 
 @pytest.mark.parametrize(
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -386,6 +386,7 @@
     "duty: The duty was not taken.": DutyClaimFailed,
     "duty: Another instance has the duty.": ServiceLogLine,
     "duty: A lost record of a leader was written again.": LeaderRecordedAgain,
+    "duty: The record of a leader was lost.": ServiceLogLine,
     "duty: A promotion was asked for.": PromotionRequested,
 }
 UNEXPECTED_ERROR_TEXT = "A request failed unexpectedly."
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -164,7 +164,7 @@
             and leader.id == database.id
             and is_lease_valid(
                 confirmed_at=self.confirmed_at,
-                registered_at=self.registered_at,
+                valid_from=max(self.registered_at, self.settles_at),
                 now=now_seconds(),
             )
         )
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -99,6 +99,9 @@
         if self.view.stopping:
             return
         self.records.write_lost_records(now)
+        if not self.view.are_promotions_fenced and not self.view.is_settled():
+            # Instances that are not registered again may still use a former leader.
+            return
         for service in self.view.declarations.services:
             is_paused = self.paused_until.get(service, 0.0) > now
             if service in self.services_in_progress or is_paused:
@@ -264,6 +267,10 @@
             return
         if not self.view.are_promotions_fenced:
             self.end_other_leases(service, recorded, fence)
+            if era_of(self.view.revision) != era_of(fence):
+                self.log.info("The record of a leader was lost.", service=service)
+                self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
+                return
         outcome = self.request_promotion(service, chosen, fence)
         if outcome == "refused" and primary is not None and recorded.replaces_at_once:
             self.restore_leader(service, primary)
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -18,7 +18,7 @@
 from ...platform.metadata_store import HistoryLost
 from ..clock import now_seconds
 from .instance_registration import InstanceRegistration
-from .store_state import INSTANCES_PREFIX, StoreStateApplier
+from .store_state import INSTANCES_PREFIX, SETTLED_ERA_KEY, StoreStateApplier
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -187,6 +187,8 @@
             self.record_store_call(result)
             if not isinstance(result, Failure):
                 snapshot = result.unwrap()
+                if era_of(snapshot.revision) > era_of(self.view.revision):
+                    self.enter_era(snapshot.revision)
                 restart_history(self.history, snapshot.revision)
                 known_keys = self.applier.apply_snapshot(snapshot)
                 self.log.info(
@@ -198,8 +200,6 @@
                     known_items=len(known_keys),
                     known_revision=self.view.revision,
                 )
-                if era_of(snapshot.revision) > era_of(self.view.revision):
-                    self.enter_era(snapshot.revision)
                 self.on_change()
                 self.view.advance_revision(snapshot.revision)
                 if not allow_stale:
@@ -217,6 +217,9 @@
             )
             self.registration.renew_soon()
         self.view.begin_era()
+        if self.settings.first_start and not era_of(self.view.revision):
+            # Nothing can have been lost.
+            self.view.end_settling()
 
     def follow_forever(self) -> None:
         """Apply the store's changes until killed, from the store or from a relay."""
@@ -318,6 +321,7 @@
                 if self.relay is not None:
                     self.relay.pass_over(self.relay.current)
                 self.watcher = gevent.spawn(self.keep_running, self.follow_forever)
+            self.record_settled_era()
             interval = CONFIRM_INTERVAL_SECONDS
             if self.view.confirming_instance() != self.settings.instance:
                 interval = max(
@@ -329,6 +333,21 @@
                 asked_at = now
                 self.read_newest_revision(now)
 
+    def record_settled_era(self) -> None:
+        """Record for instances that start later that an era of the store is settled."""
+        era = era_of(self.view.revision)
+        is_due = self.applier.settled_era < era and self.view.is_settled()
+        if not is_due or self.view.confirming_instance() != self.settings.instance:
+            return
+        puts = {SETTLED_ERA_KEY: str(era).encode()}
+        result = self.store.put_if_unchanged(conditions={}, puts=puts)
+        self.record_store_call(result)
+        outcome = None if isinstance(result, Failure) else result.unwrap()
+        if isinstance(outcome, int) and era_of(outcome) == era:
+            self.applier.settled_era = era
+        else:
+            self.pause_before_retry()
+
     def read_newest_revision(self, asked_at: Seconds) -> None:
         """Ask the store for its newest revision."""
         result = self.store.newest_revision(REVISION_PROBE_KEY)
--- a/berylhinge/tasks/pooler/store_progress.py
+++ b/berylhinge/tasks/pooler/store_progress.py
@@ -5,7 +5,11 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 from ...core.pooler.catalogue import NO_DECLARATIONS
-from ...core.pooler.store_eras import era_of
+from ...core.pooler.store_eras import (
+    era_of,
+    SETTLE_SECONDS,
+    were_written_after_restore,
+)
 from ..clock import now_seconds
 
 if TYPE_CHECKING:
@@ -29,12 +33,36 @@
         self.declarations: Declarations = NO_DECLARATIONS
         self.revision = 0
         self.era_began_at: Seconds = float("-inf")
+        self.settles_at: Seconds = float("-inf")
+        self.knows_former_era = False
+        self.are_declarations_written_again = False
         self.confirmed_at: Seconds = float("-inf")
         self.pending_confirmation: RevisionConfirmation | None = None
 
     def begin_era(self) -> None:
-        """Record that a new era of the store becomes known here."""
+        """Record that a new era of the store becomes known here.
+
+        What the store lost is written again meanwhile, so it confirms nothing at first.
+        """
+        self.knows_former_era = era_of(self.revision) > 0
+        self.are_declarations_written_again = False
         self.era_began_at = now_seconds()
+        self.settles_at = self.era_began_at + SETTLE_SECONDS
+
+    def end_settling(self) -> None:
+        """Record that what the store had lost is written again."""
+        self.settles_at = float("-inf")
+
+    def is_settled(self) -> bool:
+        """Return whether what the store had lost is written again."""
+        return now_seconds() >= self.settles_at
+
+    def record_declarations(self, version: int, revision: int, known: int) -> None:
+        """Record the revision of the stored declarations; ``known`` was the last one."""
+        if self.knows_former_era and were_written_after_restore(
+            revision, known, is_newer=version >= self.declarations.version
+        ):
+            self.are_declarations_written_again = True
 
     def confirm_revision(self, revision: int, at: Seconds) -> None:
         """Record which revision was the store's newest at a moment.
@@ -46,7 +74,8 @@
         if era_of(revision) < era_of(self.revision):
             return
         if revision <= self.revision and self.declarations.version:
-            self.confirmed_at = max(self.confirmed_at, at)
+            if at >= self.settles_at or self.are_declarations_written_again:
+                self.confirmed_at = max(self.confirmed_at, at)
         elif self.pending_confirmation is None:
             self.pending_confirmation = RevisionConfirmation(
                 revision, at, now_seconds()
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -34,6 +34,7 @@
 
 INSTANCES_PREFIX = "berylhinge/instances/"
 SECRET_KEY = "berylhinge/secret"
+SETTLED_ERA_KEY = "berylhinge/settled-era"
 PROMOTIONS_PREFIX = "berylhinge/duties/promotion/"
 
 
@@ -64,6 +65,7 @@
         self.announcement_orders: dict[UpstreamId, AnnouncementOrder] = {}
         self.secrets: tuple[bytes, ...] = ()
         self.is_secret_stored = False
+        self.settled_era = 0
         self.incarnation = 0
 
     def apply_snapshot(self, snapshot: Snapshot) -> list[str]:
@@ -79,6 +81,8 @@
         for key in known:
             if key not in present:
                 self.record_missing(key)
+        if SETTLED_ERA_KEY not in present:
+            self.settled_era = 0
         if SECRET_KEY not in present:
             self.is_secret_stored = False
         for service in self.view.duty_revisions:
@@ -98,16 +102,25 @@
         if not self.record_revision(key, item.revision):
             return False
         if key == CONFIGURATION_KEY:
-            self.apply_declarations(item)
+            self.apply_declarations(item, known)
         elif key.startswith(DATABASES_PREFIX):
             is_restored = 0 < era_of(known) < era_of(item.revision)
             return self.apply_database(
                 item, key.removeprefix(DATABASES_PREFIX), is_restored=is_restored
             )
+        elif key == SETTLED_ERA_KEY:
+            self.apply_settled_era(item)
         elif key == SECRET_KEY and item.value:
             self.record_secret(item.value)
         return True
 
+    def apply_settled_era(self, item: StoredItem) -> None:
+        """Apply the mark that what a restore lost is written again."""
+        value = item.value or b""
+        self.settled_era = int(value) if value.isdigit() else 0
+        if self.settled_era == era_of(item.revision):
+            self.view.end_settling()
+
     def record_secret(self, secret: bytes) -> None:
         """Use the stored secret; what peers signed with the former one is accepted."""
         self.is_secret_stored = True
@@ -121,7 +134,7 @@
         self.known_revisions[key] = revision
         return True
 
-    def apply_declarations(self, item: StoredItem) -> None:
+    def apply_declarations(self, item: StoredItem, known_revision: int) -> None:
         """Apply the declarations if their version is newer."""
         result = decode_declarations(item.value or b"")
         if isinstance(result, Failure):
@@ -129,6 +142,9 @@
             return
         declarations = result.unwrap()
         known = self.view.declarations.version
+        self.view.record_declarations(
+            declarations.version, item.revision, known_revision
+        )
         if declarations.version > known:
             self.view.declarations = declarations
             self.log.info(
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -13,6 +13,7 @@
 from .. import registry
 from ..instance import Pooler
 from ..settings import PoolerSettings
+from ..store_state import SETTLED_ERA_KEY
 
 DECLARATIONS: dict[str, Any] = {
     "version": 3,
@@ -158,6 +159,7 @@
     fleet.add_instance()
     fleet.add_instance()
     wait_until(lambda: all(len(pooler.view.members) == 2 for pooler in fleet.instances))
+    wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
     yield fleet
     fleet.close()
 
--- a/berylhinge/tasks/pooler/tests/test_restored_store.py
+++ b/berylhinge/tasks/pooler/tests/test_restored_store.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import gevent
 import pytest
 
 from ....core.pooler.leadership import LeadershipRecord
-from ....core.pooler.store_eras import era_of
+from ....core.pooler.store_eras import era_of, SETTLE_SECONDS
 from ....platform.documents import DATABASES_PREFIX
 from ....standins.metadata_store import StoreCopy, wait_until
 from .. import instance_registration
 from ..instance import Pooler
 from ..registry import MISSING_ENTRY_SECONDS
-from ..store_state import INSTANCES_PREFIX, PROMOTIONS_PREFIX, SECRET_KEY
+from ..store_state import (
+    INSTANCES_PREFIX,
+    PROMOTIONS_PREFIX,
+    SECRET_KEY,
+    SETTLED_ERA_KEY,
+)
 from .conftest import DECLARATIONS, Fleet
 
 NEW_ROUTE = {"host": "added", "kind": "primary", "service": "s"}
@@ -240,3 +246,33 @@
         caller = fleet.caller("strict", instance=number)
         assert caller.ask("WRITE item v")[0].startswith("COMPLETE ")
     assert [counts["unauthenticated",] for counts in counters] == before
+
+
+# Guards against: an instance that started after a restore used a withdrawn key, since the
+# copy was taken before the withdrawal.
+@pytest.mark.parametrize("is_settled", [False, True])
+def test_an_instance_that_starts_after_a_restore_uses_no_withdrawn_key(
+    fleet: Fleet, is_settled: bool
+) -> None:
+    fleet.first_start = False
+    copy = fleet.store.make_copy()
+    tenants = [
+        {**tenant, "api-keys": ["k9"]} if tenant["name"] == "small" else tenant
+        for tenant in DECLARATIONS["tenants"]
+    ]
+    withdrawn = {**with_version(12), "tenants": tenants}
+    fleet.declare(withdrawn)
+    wait_until(lambda: are_in_force(fleet, 12))
+    restore(fleet, copy)
+    joining = gevent.spawn(fleet.add_instance)
+    gevent.sleep(1.5)
+    fleet.declare(withdrawn)
+    joined = joining.get(timeout=5.0)
+    assert joined.view.declarations.version == 12
+    assert fleet.caller("strict", "k2", instance=2).started.startswith("ERROR")
+    if is_settled:
+        # Later starts do not wait.
+        wait_until(lambda: fleet.store.read(SETTLED_ERA_KEY) == 2)
+        started_at = time.monotonic()
+        fleet.add_instance()
+        assert time.monotonic() - started_at < SETTLE_SECONDS / 2
