Restore the store in the soak, too

A fault of the soak takes a copy of the store when it begins and goes back to it when it ends; the operator and the databases then write again. The stand-in's databases number their announcements, as those of the platform do.

--- a/berylhinge/soak/faults.py
+++ b/berylhinge/soak/faults.py
@@ -19,17 +19,19 @@
 def begin(world: World, fault: Fault) -> None:
     """Let a fault start."""
     if fault.kind in ON_STORE:
-        harm_store(world, fault.kind)
+        harm_store(world, fault)
     elif fault.kind in ON_DATABASES:
         harm_database(world, fault)
     else:
         harm_instance(world, fault)
 
 
-def harm_store(world: World, kind: str) -> None:
+def harm_store(world: World, fault: Fault) -> None:
     """Harm the store, or change what it declares."""
-    store = world.store
-    if kind == "down":
+    store, kind = world.store, fault.kind
+    if kind == "restored":
+        world.copies[fault] = store.make_copy()
+    elif kind == "down":
         store.down = True
     elif kind == "answers-lost":
         store.lose_answers = True
@@ -87,6 +89,8 @@
     """Heal what a fault harmed; other faults of the same target end with it."""
     if fault.kind in ON_STORE:
         world.store.down = world.store.lose_answers = False
+        if fault.kind == "restored":
+            world.restore_store(world.copies.pop(fault))
     elif fault.kind in ON_DATABASES:
         database = world.group.members[fault.target]
         database.silent = database.deaf = False
--- a/berylhinge/soak/schedule.py
+++ b/berylhinge/soak/schedule.py
@@ -30,7 +30,14 @@
     "callers-reset",
 )
 ON_DATABASES = ("crash", "silent", "deaf", "delayed", "reset", "cut")
-ON_STORE = ("down", "answers-lost", "history-forgotten", "version", "key-withdrawn")
+ON_STORE = (
+    "down",
+    "answers-lost",
+    "history-forgotten",
+    "version",
+    "key-withdrawn",
+    "restored",
+)
 
 
 class Fault(NamedTuple):
--- a/berylhinge/soak/world.py
+++ b/berylhinge/soak/world.py
@@ -24,6 +24,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..standins.metadata_store import StoreCopy
+    from .schedule import Fault
+
 DATABASES = ("db-a", "db-b", "db-c")
 ANNOUNCE_SECONDS = 0.3
 STOP_SECONDS = 5.0
@@ -79,6 +82,7 @@
         self.version = 1
         self.keys = {f"k{number}": f"org-{number}" for number in range(organisations)}
         self.withdrawn: dict[str, float] = {}
+        self.copies: dict[Fault, StoreCopy] = {}
         declare(self.store, self.version, self.keys)
         self.instances: dict[str, Instance] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -149,6 +153,12 @@
         self.version += 1
         declare(self.store, self.version, self.keys)
 
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Go back to a copy of the store; the operator and the databases write again."""
+        self.store.restore(copy)
+        declare(self.store, self.version, self.keys)
+        self.announce()
+
     def close(self) -> None:
         """End every process that was started here, and the stand-ins."""
         self.announcer.kill()
--- a/berylhinge/standins/declared.py
+++ b/berylhinge/standins/declared.py
@@ -18,10 +18,14 @@
 
 def announce(store: MetadataStore, member: SessionDatabase) -> None:
     """Write the entry of a running database if it changed, or remove it."""
-    key, entry = f"servers/{member.id}", member.entry()
+    key = f"servers/{member.id}"
     if not member.running:
         store.delete(key)
-    elif store.read(key) != entry:
+        return
+    stored, entry = store.read(key), member.entry()
+    if not isinstance(stored, dict) or stored | {"sequence": 0} != entry | {
+        "sequence": 0
+    }:
         store.put(key, entry)
 
 
