Send the store what a peer knows of a later era

An instance that learned a new era from its relay took watches and conditions of that era for outdated until its own next answer of the store: one more full read, and promotions put off for up to 1.5 s as if another instance had the duty. Only what an earlier era gave out is held back now. The new test fails on the commit before (the watch has lost its history).

--- a/berylhinge/platform/metadata_store.py
+++ b/berylhinge/platform/metadata_store.py
@@ -165,7 +165,7 @@
     ) -> Result[Snapshot | HistoryLost, StoreError]:
         """Wait for changes after a qualified revision, up to ``wait_seconds``."""
         era = era_of(after)
-        if era != self.era:
+        if era < self.era:
             return Success(HistoryLost())
         query = urlencode(
             {
@@ -209,7 +209,8 @@
         condition_eras = {
             era_of(revision) for revision in conditions.values() if revision
         }
-        if not condition_eras <= {self.era}:
+        # A peer may know of a later era than the last answer here.
+        if any(era < self.era for era in condition_eras):
             return Success(Conflict())
         lease_number = 0 if lease is None else lease.number
         entries = [
--- a/berylhinge/platform/tests/test_restored_store.py
+++ b/berylhinge/platform/tests/test_restored_store.py
@@ -10,7 +10,13 @@
 from ...standins import metadata_store as standin
 from ...tasks.http_connection import HttpReply
 from ...tasks.http_server import Address, server_address
-from ..metadata_store import Conflict, HistoryLost, LeaseGone, MetadataStore
+from ..metadata_store import (
+    Conflict,
+    HistoryLost,
+    LeaseGone,
+    MetadataStore,
+    Snapshot,
+)
 from ..store_replies import decode_era
 
 KEY = "berylhinge/k"
@@ -116,3 +122,20 @@
     assert isinstance(found.unwrap(), LeaseGone)
     assert store.renew_lease(lease).unwrap() is False
     assert store.renew_lease(other).unwrap() is True
+
+
+# Guards against: an instance that learned the new era from a peer took its own conditions
+# and watches for outdated until its next call of another kind.
+def test_what_a_peer_knows_of_a_later_era_is_sent(
+    stored: standin.MetadataStore, store: MetadataStore
+) -> None:
+    store.newest_revision(KEY)
+    stored.restore(stored.make_copy())
+    stored.put(KEY, 1)
+    revision = MetadataStore(store.address).newest_revision(KEY).unwrap()
+    found = store.watch("", after=revision, wait_seconds=0.0).unwrap()
+    assert found == Snapshot((), revision)
+    behind = MetadataStore(store.address)
+    behind.era = 1
+    changed = behind.put_if_unchanged(conditions={KEY: revision}, puts={KEY: b"v"})
+    assert changed.unwrap() == revision + 1
