Give up a promotion that another one overtook

Cause: after the wait nothing asked whether the record still stood.

Before the call the promoter now reads its record from the store, and gives the promotion up if another one stands there, or none. One call for each unfenced promotion. The other instance would have to wait out this one's lease, so nothing comes between the read and the call but a pause of the process, which the platform alone could fence.

The new test fails on the commit before (the stand-in saw the overtaken token).

--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -9,6 +9,8 @@
 
 from typing import TypedDict
 
+UNEXPECTED_ERROR_TEXT = "A request failed unexpectedly."
+
 
 class LogLine(TypedDict):
     """Define the fields of every line; ``timestamp`` is in seconds of Unix time."""
@@ -320,6 +322,17 @@
     error: str
 
 
+class LeaderRecordReplaced(ServiceLogLine):
+    """Report a promotion that is given up since its record does not stand any more.
+
+    ``revision`` is that of the present record, 0 if there is none or it was not read.
+    """
+
+    revision: int
+    written: int
+    error: str
+
+
 class LeaderRecordedAgain(ServiceLogLine):
     """Report the repeated write of a record that a restored store had lost."""
 
@@ -340,60 +353,3 @@
     points: dict[str, str]
     outcome: str
     took_seconds: float
-
-
-LINE_TYPES: dict[str, type] = {
-    "log: Lines were dropped.": LogLinesDropped,
-    "pooler: The instance starts.": InstanceStarting,
-    "pooler: The instance serves.": InstanceServing,
-    "pooler: The instance is leaving.": InstanceLogLine,
-    "pooler: The instance stopped.": InstanceStopped,
-    "pooler: Settings may have changed.": InstanceLogLine,
-    "callers: A request was refused.": RequestRefused,
-    "callers: A request failed.": RequestFailed,
-    "callers: A request was served.": RequestEnded,
-    "callers: A caller left inside a transaction.": CallerDisconnected,
-    "router: A statement did not run and is tried elsewhere.": StatementRetried,
-    "registry: Declarations were not understood.": DeclarationsRejected,
-    "registry: Declarations are in force.": DeclarationsInForce,
-    "registry: An entry names no database.": RegistryEntryRejected,
-    "registry: A database announced itself.": DatabaseAnnounced,
-    "registry: A database is gone.": DatabaseLogLine,
-    "registry: A registration is malformed.": RegistrationRejected,
-    "registry: An instance registered.": InstanceRegistered,
-    "registry: An instance is gone.": PeerLogLine,
-    "registry: The store is lost.": StoreCallFailed,
-    "registry: The store is back.": StoreLogLine,
-    "registry: The store's history is lost.": StoreLogLine,
-    "registry: The store was read.": StoreRead,
-    "registry: Changes were known already.": ChangesKnown,
-    "registry: The store was restored from a copy.": StoreRestored,
-    "registry: The watch is stuck; starting it anew.": WatchStalled,
-    "registry: Registered again.": InstanceReregistered,
-    "holder: A database does not answer.": DatabaseUnresponsive,
-    "holder: A database answers again.": DatabaseLogLine,
-    "holder: A database leads.": DatabaseLeads,
-    "holder: A rollback had no answer; closed.": RollbackUnanswered,
-    "peers: A peer is silent.": PeerUnresponsive,
-    "peers: A peer answers again.": PeerLogLine,
-    "registry: A recorded leader was not understood.": RecordedLeaderMalformed,
-    "registry: Calls to the platform so far.": PlatformCallCounts,
-    "relay: The store is followed.": StoreFollowed,
-    "relay: Relayed changes were malformed.": MalformedChanges,
-    "duty: A primary was looked at.": PrimaryProbed,
-    "duty: A leader is being replaced.": LeaderReplacing,
-    "duty: No replica can lead.": NoPromotableReplica,
-    "duty: The duty was not taken.": DutyClaimFailed,
-    "duty: Another instance has the duty.": ServiceLogLine,
-    "duty: A lost record of a leader was written again.": LeaderRecordedAgain,
-    "duty: The record of a leader was lost.": ServiceLogLine,
-    "duty: A promotion was asked for.": PromotionRequested,
-}
-UNEXPECTED_ERROR_TEXT = "A request failed unexpectedly."
-
-
-def find_line_type(message_type: str) -> type | None:
-    """Return the type of the lines with a message type, None if it is unknown."""
-    if message_type.endswith(f": {UNEXPECTED_ERROR_TEXT}"):
-        return UnexpectedError
-    return LINE_TYPES.get(message_type)
--- a/berylhinge/platform/metadata_store.py
+++ b/berylhinge/platform/metadata_store.py
@@ -24,6 +24,7 @@
     decode_item,
     decode_reply,
     ERA_HEADER,
+    ItemDocument,
     LeaseDocument,
     RangeDocument,
     RevisionDocument,
@@ -160,6 +161,18 @@
             lambda document: qualify(reply.unwrap().era, document["store-revision"])
         )
 
+    def read_item(self, key: str) -> Result[StoredItem | None, StoreError]:
+        """Read one key by a linearizable read; None if it is absent."""
+        reply = self.call("GET", f"{KEY_PATH}?{urlencode({'key': key})}")
+        if isinstance(reply, Failure):
+            return reply
+        answer = reply.unwrap()
+        if answer.status == 404:
+            return Success(None)
+        return decode_reply(answer, ItemDocument).map(
+            lambda document: decode_item(document, answer.era)
+        )
+
     def watch(
         self, prefix: str, *, after: int, wait_seconds: float
     ) -> Result[Snapshot | HistoryLost, StoreError]:
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -58,7 +58,7 @@
         self.record_call = record_call
         self.on_change = on_change
         self.rng = rng
-        self.is_lost = Event()
+        self.renewal_requested = Event()
         self.own_key = INSTANCES_PREFIX + settings.instance
         self.lease: Lease | None = None
 
@@ -117,8 +117,8 @@
     def renew_forever(self) -> None:
         """Renew the lease until the stop; register again when it was lost."""
         while not self.view.stopping:
-            if self.is_lost.wait(LEASE_RENEWAL_SECONDS):
-                self.is_lost.clear()
+            if self.renewal_requested.wait(LEASE_RENEWAL_SECONDS):
+                self.renewal_requested.clear()
                 members = len(self.view.members)
                 spread = min(members / REGISTRATIONS_PER_SECOND, MAX_SPREAD_SECONDS)
                 gevent.sleep(self.rng.uniform(0.0, spread))
@@ -137,7 +137,7 @@
         """Register again, with the other instances, after a restore lost it."""
         # A promoter may not know of this instance until it is registered.
         self.view.registered_at = float("inf")
-        self.is_lost.set()
+        self.renewal_requested.set()
 
     def announce_leaving(self) -> None:
         """Register as leaving, so that this instance gets no new databases."""
--- a/berylhinge/tasks/pooler/leader_records.py
+++ b/berylhinge/tasks/pooler/leader_records.py
@@ -66,6 +66,24 @@
         )
         return outcome
 
+    def is_stored(self, service: str, revision: int) -> bool:
+        """Return whether a record that was written at a revision still stands."""
+        result = self.store.read_item(PROMOTIONS_PREFIX + service)
+        if isinstance(result, Failure):
+            found, error = 0, result.failure().detail
+        else:
+            item = result.unwrap()
+            found, error = (0 if item is None else item.revision), ""
+        if found != revision:
+            self.log.info(
+                "The record of a leader was replaced.",
+                service=service,
+                revision=found,
+                written=revision,
+                error=error,
+            )
+        return found == revision
+
     def write(
         self, service: str, recorded: RecordedLeader
     ) -> Result[int | Conflict | LeaseGone, StoreError]:
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -267,8 +267,8 @@
             return
         if not self.view.are_promotions_fenced:
             self.end_other_leases(service, recorded, fence)
-            if era_of(self.view.revision) != era_of(fence):
-                self.log.info("The record of a leader was lost.", service=service)
+            # Without a fence at the platform nothing stops a promotion that is overtaken.
+            if not self.records.is_stored(service, fence):
                 self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
                 return
         outcome = self.request_promotion(service, chosen, fence)
--- a/berylhinge/tasks/pooler/tests/test_leadership.py
+++ b/berylhinge/tasks/pooler/tests/test_leadership.py
@@ -7,12 +7,14 @@
 import pytest
 
 from ....core.pooler.failover import Verdict
-from ....core.pooler.leadership import LEASE_SECONDS
+from ....core.pooler.leadership import LEASE_SECONDS, RecordedLeader
+from ....core.pooler.store_eras import revision_in_era
 from ....standins.metadata_store import wait_until
 from ....wire.pooling import ReachabilityResponse
 from ...peer_links import Links, PeerLost
 from ..instance import Pooler
 from ..promotion_duty import PromotionTask
+from ..store_state import PROMOTIONS_PREFIX
 from .conftest import Caller, Fleet
 from .test_fleet import ask_until_done, code
 
@@ -78,6 +80,25 @@
     assert reader.ask("READ item")[0] == "ROW after"
 
 
+# Guards against: a promoter that had waited out leases asked for its promotion, although
+# another instance had recorded and made a later one meanwhile.
+def test_a_promotion_that_another_one_overtook_is_given_up(
+    unfenced_fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = unfenced_fleet
+    old, key = fleet.group.primary, PROMOTIONS_PREFIX + "s"
+    cut_off(holder_of_primary(fleet), fleet, monkeypatch)
+    promoter = next(p for p in fleet.instances if p is not holder_of_primary(fleet))
+    promotion = start_replacing(promoter)
+    wait_until(lambda: key in fleet.store.items)
+    overtaken = fleet.store.items[key]["revision"]
+    leader = next(name for name in fleet.group.members if name != old)
+    fleet.store.put(key, RecordedLeader("n9", leader, (old,), True, era=1))
+    promotion.join(LEASE_SECONDS + 2.0)
+    assert promotion.ready()
+    assert revision_in_era(fleet.store.fences.get("s", 0)) != overtaken
+
+
 def test_a_crashed_primary_is_replaced_without_waiting_for_leases(
     unfenced_fleet: Fleet,
 ) -> None:
--- a/berylhinge/tasks/pooler/tests/test_log_lines.py
+++ b/berylhinge/tasks/pooler/tests/test_log_lines.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ....core.pooler.diagnosis import explain
-from ....log_lines import find_line_type
+from ....log_line_types import find_line_type
 from ....standins.metadata_store import wait_until
 from .conftest import DECLARATIONS, Fleet
 
--- a/berylhinge/tests/test_log_lines.py
+++ b/berylhinge/tests/test_log_lines.py
@@ -10,7 +10,8 @@
     DECLARATIONS_MESSAGE_TYPE,
     FINAL_MESSAGE_TYPES,
 )
-from ..log_lines import find_line_type, InstanceLogLine, LINE_TYPES
+from ..log_line_types import find_line_type, LINE_TYPES
+from ..log_lines import InstanceLogLine
 
 PACKAGE = Path(__file__).resolve().parents[1]
 TASKS = PACKAGE / "tasks" / "pooler"
