Switch features on by the terms that a deployment has agreed on

Two kinds of deployment ask for parts that others do not. Without the new fields the settings decode as before.

--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -21,6 +21,7 @@
     next_leader_of,
     primary_of,
 )
+from ...platform.terms import NO_FEATURES
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
@@ -30,6 +31,7 @@
     from collections.abc import Iterable
 
     from ...core.pooler.catalogue import Database
+    from ...platform.terms import Features
     from ...types import (
         FailureDomainId,
         InstanceId,
@@ -78,9 +80,11 @@
         trust_seconds: Seconds,
         leaving_seconds: Seconds,
         are_promotions_fenced: bool = True,
+        features: Features = NO_FEATURES,
     ) -> None:
         """Start with nothing known."""
         super().__init__()
+        self.features = features
         self.leaving_seconds = leaving_seconds
         self.are_promotions_fenced = are_promotions_fenced
         self.own_instance = own_instance
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -12,6 +12,7 @@
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
 from ...platform.metadata_store import MetadataStore
+from ...platform.terms import features_of
 from ...wire.pooling import (
     DatabaseStatesRequest,
     ExecuteRequest,
@@ -63,6 +64,7 @@
             trust_seconds=settings.revocation_ms / 1000 * TRUST_FRACTION,
             leaving_seconds=settings.leaving_ms / 1000,
             are_promotions_fenced=settings.promotions_fenced,
+            features=features_of(settings.agreed_terms),
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
--- a/berylhinge/tasks/pooler/settings.py
+++ b/berylhinge/tasks/pooler/settings.py
@@ -4,6 +4,7 @@
 
 from typing import Annotated, NamedTuple, TypeAlias
 
+import msgspec
 from returns.result import Failure, Result
 
 from ...core.document_reader import convert_document, parse_json, TextFormat
@@ -15,6 +16,7 @@
 AddressText: TypeAlias = Annotated[
     str, TextFormat("IP:PORT", parse_address, "correct the address")
 ]
+PositiveNumber: TypeAlias = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class SettingsDocument(NamedTuple):
@@ -36,6 +38,12 @@
     rate_excess_part: float = 0.0
     rate_excess_operations: float = 0.0
     promotions_fenced: bool = True
+    agreed_terms: tuple[str, ...] = ()
+    processor_cores: PositiveNumber = 1.0
+    bandwidth_mbps: PositiveNumber = 1000.0
+    evacuation_ms: float = 0.0
+    cold_excess_factor: float = 1.0
+    cold_excess_requests: float = 0.0
 
 
 class PoolerSettings(NamedTuple):
@@ -45,7 +53,9 @@
     not be accepted for longer than ``revocation_ms``. Within ``rate_window_seconds`` an
     organisation may exceed its rate by the fraction ``rate_excess_part`` and by
     ``rate_excess_operations``. ``promotions_fenced`` tells whether the platform refuses
-    outdated promoters and stops a deposed primary.
+    outdated promoters and stops a deposed primary. ``agreed_terms`` switch features on
+    (``platform/terms``). ``evacuation_ms`` is 0 where no evacuation is in force; a cold
+    database may exceed its limit by the factor and by the requests given here.
     """
 
     instance: InstanceId
@@ -64,6 +74,12 @@
     rate_excess_part: float
     rate_excess_operations: float
     promotions_fenced: bool = True
+    agreed_terms: tuple[str, ...] = ()
+    processor_cores: float = 1.0
+    bandwidth_mbps: float = 1000.0
+    evacuation_ms: float = 0.0
+    cold_excess_factor: float = 1.0
+    cold_excess_requests: float = 0.0
 
 
 def load_pooler_settings(path: str) -> PoolerSettings:
--- a/berylhinge/tasks/pooler/tests/test_settings.py
+++ b/berylhinge/tasks/pooler/tests/test_settings.py
@@ -43,6 +43,8 @@
             {**COMPLETE_SETTINGS, "first_start": 1, "place": 3},
             ["$.place", "$.first_start"],
         ),
+        ({**COMPLETE_SETTINGS, "agreed_terms": "pool"}, ["$.agreed_terms"]),
+        ({**COMPLETE_SETTINGS, "processor_cores": 0}, ["$.processor_cores"]),
         ({"instance": "n1"}, ["$.place", *(f"$.{name}" for name in ADDRESSES)]),
         ([], ["$"]),
         ("{", ["$"]),
