Place databases on instances by capacity

Holders, rate owners and relays were ranked as if all instances were equal, so an instance with half a core and 10 Mbit/s held a database as likely as one with four times as much, and one could hold several while others held none. Scores are weighted by the smaller of cores and bandwidth, and the databases that one instance holds are bounded by its share.

--- a/berylhinge/core/pooler/assignment.py
+++ b/berylhinge/core/pooler/assignment.py
@@ -1,7 +1,8 @@
 """Choose the instance that holds a database, counts a rate or confirms declarations.
 
 Each instance ranks all instances by rendezvous hashing, so that no agreement is needed.
-Scores are cached: in a large fleet, a change of one instance must cost little.
+Scores are cached: in a large fleet, a change of one instance must cost little. Where
+instances have unequal capacity, it weighs their scores (``placement``).
 """
 
 from __future__ import annotations
@@ -10,11 +11,12 @@
 
 from ..rendezvous import RankingCache
 from .database_selection import holder_order
+from .placement import are_equal, place_databases, placement_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from ...types import FailureDomainId, InstanceId, OrganisationId
+    from ...types import FailureDomainId, InstanceId, OrganisationId, UpstreamId
     from .catalogue import Database
 
 CONFIRMER_KEY = "confirmer"
@@ -36,24 +38,65 @@
         self.failure_domains: dict[InstanceId, FailureDomainId] = {}
         self.holders_cache: dict[str, CachedHolders] = {}
         self.first_ranked: dict[str, InstanceId] = {}
+        self.placed: dict[UpstreamId, InstanceId] = {}
 
     def set_instances(
         self,
         registered: Iterable[InstanceId],
         usable: Mapping[InstanceId, FailureDomainId],
+        *,
+        weights: Mapping[InstanceId, float] | None = None,
+        databases: Iterable[Database] = (),
     ) -> None:
-        """Replace the instances; unusable registered ones keep their cached scores."""
-        self.rankings.set_nodes({*registered, *usable})
+        """Replace the instances; unusable registered ones keep their cached scores.
+
+        Where the ``weights`` of the instances differ, they decide the rankings, and how
+        many of the ``databases`` an instance holds is bounded.
+        """
+        names = {*registered, *usable}
+        if weights is not None:
+            weights = {name: weights.get(name, 1.0) for name in names}
+            weights = None if are_equal(weights) else weights
+        self.rankings.set_nodes(names, weights)
         self.failure_domains = dict(usable)
         self.holders_cache.clear()
         self.first_ranked.clear()
+        self.placed = {} if weights is None else self.place(weights, databases)
+
+    def place(
+        self, weights: Mapping[InstanceId, float], databases: Iterable[Database]
+    ) -> dict[UpstreamId, InstanceId]:
+        """Return which instance of its failure domain holds each database."""
+        by_domain: dict[FailureDomainId, list[UpstreamId]] = {}
+        for database in databases:
+            by_domain.setdefault(database.failure_domain, []).append(database.id)
+        placed: dict[UpstreamId, InstanceId] = {}
+        for domain, names in by_domain.items():
+            local = {
+                name: weights[name]
+                for name, found in self.failure_domains.items()
+                if found == domain
+            }
+            rankings = {
+                name: [
+                    instance
+                    for instance in self.rankings.iterate_ranking(placement_key(name))
+                    if instance in local
+                ]
+                for name in names
+            }
+            placed.update(place_databases(rankings, local))
+        return placed
 
     def holders(self, database: Database) -> list[InstanceId]:
         """Return the usable instances in the order in which they hold a database."""
         known = self.holders_cache.get(database.id)
         if known is None or known.failure_domain != database.failure_domain:
-            ranked = self.rankings.iterate_ranking(f"holder/{database.id}")
+            ranked = self.rankings.iterate_ranking(placement_key(database.id))
             found = holder_order(ranked, self.failure_domains, database.failure_domain)
+            placed = self.placed.get(database.id)
+            if placed is not None:
+                found = [placed, *(name for name in found if name != placed)]
             known = self.holders_cache[database.id] = CachedHolders(
                 database.failure_domain, found
             )
--- a/berylhinge/core/rendezvous.py
+++ b/berylhinge/core/rendezvous.py
@@ -51,24 +51,42 @@
     def __init__(self) -> None:
         """Start without nodes."""
         self.nodes: set[str] = set()
+        self.weights: dict[str, float] | None = None
         self.rankings: dict[str, list[tuple[float, str]]] = {}
 
-    def set_nodes(self, nodes: Iterable[str]) -> None:
-        """Replace the nodes; only the added and removed ones change the rankings."""
+    def set_nodes(
+        self, nodes: Iterable[str], weights: Mapping[str, float] | None = None
+    ) -> None:
+        """Replace the nodes; only the added and removed ones change the rankings.
+
+        A change of a known node's weight computes them anew.
+        """
         current = set(nodes)
+        if self.has_other_scores(current & self.nodes, weights):
+            self.rankings.clear()
+        self.weights = None if weights is None else dict(weights)
         added, removed = current - self.nodes, self.nodes - current
         self.nodes = current
         for key, order in self.rankings.items():
             if removed:
                 order[:] = [entry for entry in order if entry[1] not in removed]
-            for score, node in _scored(added, key, 0, None):
+            for score, node in _scored(added, key, 0, self.weights):
                 insort(order, (-score, node))
 
+    def has_other_scores(
+        self, nodes: Iterable[str], weights: Mapping[str, float] | None
+    ) -> bool:
+        """Return whether nodes have other scores with the given weights."""
+        if self.weights is None or weights is None:
+            return self.weights is not weights
+        known = self.weights
+        return any(known.get(node, 1.0) != weights.get(node, 1.0) for node in nodes)
+
     def iterate_ranking(self, key: str) -> Iterator[str]:
         """Return all nodes as ``rank_nodes`` does, except for the order of ties."""
         order = self.rankings.get(key)
         if order is None:
-            scored = _scored(self.nodes, key, 0, None)
+            scored = _scored(self.nodes, key, 0, self.weights)
             order = self.rankings[key] = sorted(
                 (-score, node) for score, node in scored
             )
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -67,6 +67,7 @@
     address: str
     incarnation: int
     leaving: bool
+    weight: float = 1.0
 
 
 class FleetView(StoreProgress):
@@ -81,10 +82,12 @@
         leaving_seconds: Seconds,
         are_promotions_fenced: bool = True,
         features: Features = NO_FEATURES,
+        weight: float = 1.0,
     ) -> None:
-        """Start with nothing known."""
+        """Start with nothing known; ``weight`` is this instance's capacity."""
         super().__init__()
         self.features = features
+        self.weight = weight
         self.leaving_seconds = leaving_seconds
         self.are_promotions_fenced = are_promotions_fenced
         self.own_instance = own_instance
@@ -200,7 +203,13 @@
         """Return which instance holds each database, owns each rate and confirms."""
         if not self.is_assignment_current:
             self.is_assignment_current = True
-            self.cached_assignment.set_instances(self.members, self.usable_instances())
+            weights = {name: member.weight for name, member in self.members.items()}
+            self.cached_assignment.set_instances(
+                self.members,
+                self.usable_instances(),
+                weights={**weights, self.own_instance: self.weight},
+                databases=self.databases.values(),
+            )
         return self.cached_assignment
 
     def confirming_instance(self) -> InstanceId:
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from ...core.peer_envelopes import new_channel, replace_secrets
+from ...core.pooler.placement import instance_weight
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
 from ...platform.metadata_store import MetadataStore
@@ -65,6 +66,7 @@
             leaving_seconds=settings.leaving_ms / 1000,
             are_promotions_fenced=settings.promotions_fenced,
             features=features_of(settings.agreed_terms),
+            weight=instance_weight(settings.processor_cores, settings.bandwidth_mbps),
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -77,6 +77,7 @@
                 leaving,
                 self.applier.incarnation,
                 self.lease.era,
+                self.view.weight,
             )
         )
         # The first instance of all creates the secret together with its registration, and
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from math import isfinite
-from typing import NamedTuple, TYPE_CHECKING
+from typing import Annotated, NamedTuple, TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure
@@ -43,7 +43,7 @@
 
     ``incarnation`` is the revision of the process's first registration; it is 0 in that
     registration itself. ``era`` is that of the store when this was written; a restored
-    copy delivers it in a later one.
+    copy delivers it in a later one. ``weight`` is the instance's capacity.
     """
 
     address: str
@@ -51,6 +51,7 @@
     leaving: bool
     incarnation: int
     era: int = 0
+    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
 class StoreStateApplier:
@@ -253,6 +254,7 @@
             registration.address,
             incarnation,
             registration.leaving,
+            registration.weight,
         )
         if known != member:
             self.view.clear_suspect(name)
