Let the soak play deployments that ask for all features

A case carries the agreed terms, and every other seed plays with all of them and with instances of unequal capacity, so that new parts meet the same faults. Kept cases play as before.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 # folder of their site files.
 REGRESSION_SITES = further/vaunutunniste-pooli further-grown/vaunutunniste-pooli-grown \
 	sites/kattevakt-pool sites/arns-hinge grown/arns-hinge-grown \
-	grown/kattevakt-pool-grown
+	grown/kattevakt-pool-grown shifted/kattevakt-pool-now-grown \
+	demands/dfu-tipflow-grown demands/lcb-ortung-grown
 
 .PHONY: demo test check format fuzz bench measures slopes regression
 
--- a/berylhinge/cli/soak.py
+++ b/berylhinge/cli/soak.py
@@ -11,6 +11,7 @@
 import gevent
 
 from .. import __version__
+from ..platform.terms import FEATURE_TERMS
 from ..soak import Fault, plan, run_faults, shrink, Soaked
 from ..soak.cases import Case, read_case, write_case
 from ..soak.world import DATABASES
@@ -54,7 +55,9 @@
     names = [f"n{number}" for number in range(instances)]
     for number in range(seed, seed + runs):
         planned = plan(number, seconds=seconds, instances=names, databases=DATABASES)
-        case = Case(number, seconds, instances, "", tuple(planned))
+        # Every other seed plays a deployment that asks for all features.
+        terms = FEATURE_TERMS if number % 2 else ()
+        case = Case(number, seconds, instances, "", tuple(planned), terms)
         if play(case, keep):
             continue
         failed += 1
@@ -89,13 +92,7 @@
     with tempfile.TemporaryDirectory(prefix="berylhinge-soak-") as name:
         folder = Path(name)
         try:
-            found = run_faults(
-                case.faults,
-                seed=case.seed,
-                seconds=case.seconds,
-                instances=case.instances,
-                folder=folder,
-            )
+            found = run_faults(case, folder=folder)
         except TimeoutError as error:
             click.echo(f"seed {case.seed}: {error}")
             keep_logs(case, folder, keep)
--- a/berylhinge/soak/cases.py
+++ b/berylhinge/soak/cases.py
@@ -13,20 +13,25 @@
 
 
 class Case(NamedTuple):
-    """Keep a run that failed once, with a line on its cause."""
+    """Keep a run that failed once, with a line on its cause.
+
+    ``agreed_terms`` switch features of the poolers on.
+    """
 
     seed: int
     seconds: float
     instances: int
     cause: str
     faults: tuple[Fault, ...]
+    agreed_terms: tuple[str, ...] = ()
 
 
 def read_case(path: Path) -> Case:
     """Return a kept case."""
     document = msgspec.json.decode(path.read_bytes())
     faults = tuple(Fault(**fault) for fault in document.pop("faults"))
-    return Case(faults=faults, **document)
+    terms = tuple(document.pop("agreed_terms", ()))
+    return Case(faults=faults, agreed_terms=terms, **document)
 
 
 def write_case(case: Case, path: Path) -> None:
--- a/berylhinge/soak/soak.py
+++ b/berylhinge/soak/soak.py
@@ -19,6 +19,7 @@
     from collections.abc import Sequence
     from pathlib import Path
 
+    from .cases import Case
     from .judge import Violation
     from .schedule import Fault
 
@@ -43,16 +44,19 @@
     promotions: int
 
 
-def run_faults(
-    planned: Sequence[Fault], *, seed: int, seconds: float, instances: int, folder: Path
-) -> Soaked:
-    """Play faults for some seconds and judge what was seen."""
-    world = World(folder, instances=instances, organisations=ORGANISATIONS)
+def run_faults(case: Case, *, folder: Path) -> Soaked:
+    """Play a case's faults and judge what was seen."""
+    world = World(
+        folder,
+        instances=case.instances,
+        organisations=ORGANISATIONS,
+        agreed_terms=case.agreed_terms,
+    )
     try:
         for name in world.instances:
             world.start(name)
         wait_for_all(world)
-        return play(world, planned, seed, seconds)
+        return play(world, case.faults, case.seed, case.seconds)
     finally:
         world.close()
 
--- a/berylhinge/soak/tests/test_soak.py
+++ b/berylhinge/soak/tests/test_soak.py
@@ -11,6 +11,7 @@
 from gevent.server import StreamServer
 
 from ...cli.soak import main, play
+from ...platform.terms import FEATURE_TERMS
 from ..cases import Case, read_case, write_case
 from ..proxy import LoopbackProxy
 from ..schedule import Fault, plan
@@ -75,7 +76,7 @@
 
 
 def test_a_case_is_kept_whole(tmp_path: Path) -> None:
-    case = Case(7, 5.0, 3, "a cause", (Fault("kill", "n1", 1.0, 0.5),))
+    case = Case(7, 5.0, 3, "a cause", (Fault("kill", "n1", 1.0, 0.5),), ("pool",))
     write_case(case, tmp_path / "case.json")
     assert read_case(tmp_path / "case.json") == case
 
@@ -85,11 +86,13 @@
     assert CliRunner().invoke(main, arguments).exit_code == 2
 
 
-def test_a_fresh_seed_keeps_every_promise() -> None:
+@pytest.mark.parametrize("terms", [(), FEATURE_TERMS])
+def test_a_fresh_seed_keeps_every_promise(terms: tuple[str, ...]) -> None:
     seed = random.SystemRandom().randrange(10**6)
     names = ["n0", "n1", "n2"]
     faults = plan(seed, seconds=8.0, instances=names, databases=DATABASES)
-    assert play(Case(seed, 8.0, 3, "", tuple(faults)), None), f"seed {seed}"
+    case = Case(seed, 8.0, 3, "", tuple(faults), terms)
+    assert play(case, None), f"seed {seed}"
 
 
 @pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
--- a/berylhinge/soak/world.py
+++ b/berylhinge/soak/world.py
@@ -22,7 +22,7 @@
 from .proxy import LoopbackProxy
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from ..standins.metadata_store import StoreCopy
     from .schedule import Fault
@@ -31,6 +31,8 @@
 ANNOUNCE_SECONDS = 0.3
 STOP_SECONDS = 5.0
 GRACE_SECONDS = 3.0
+# Capacities of the instances in turn, in a fleet of unequal ones.
+CORES = (1.0, 0.5, 2.15)
 OWN_LISTENERS = ("readiness", "peers", "metrics")
 # Below the ports that Linux gives to outgoing connections (ip_local_port_range).
 PORTS = (10_000, 32_000)
@@ -67,9 +69,17 @@
 class World:
     """Own one store, one group of databases and some pooler processes."""
 
-    def __init__(self, folder: Path, *, instances: int, organisations: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        instances: int,
+        organisations: int,
+        agreed_terms: Sequence[str] = (),
+    ) -> None:
         """Start the stand-ins; ``start`` starts the processes."""
         self.folder = folder
+        self.agreed_terms = agreed_terms
         self.store = MetadataStore(Address("127.0.0.1", 0))
         self.group = DatabaseGroup("s")
         self.paths: dict[str, LoopbackProxy] = {}
@@ -87,10 +97,11 @@
         self.instances: dict[str, Instance] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         for number in range(instances):
-            self.add(f"n{number}", first=number == 0)
+            cores = CORES[number % len(CORES)] if agreed_terms else CORES[0]
+            self.add(f"n{number}", first=number == 0, cores=cores)
         self.announcer = gevent.spawn(self.announce_forever)
 
-    def add(self, name: str, *, first: bool) -> None:
+    def add(self, name: str, *, first: bool, cores: float) -> None:
         """Write an instance's settings."""
         store = LoopbackProxy("127.0.0.1", server_address(self.store.server).port)
         callers = next(self.addresses)
@@ -103,6 +114,8 @@
             "promotions": store.address,
             "first_start": first,
             "grace_seconds": GRACE_SECONDS,
+            "agreed_terms": self.agreed_terms,
+            "processor_cores": cores,
             **{key: next(self.addresses) for key in OWN_LISTENERS},
         }
         path = self.folder / f"{name}.json"
