Record only the database of a promotion that may still take effect

Cause: where the platform does not check fencing tokens, an order without an answer may be carried out seconds later. A promoter that took the former one for lost recorded the database with the longest log, the former primary. The platform answers with success although nothing changes, the former primary still answers as a primary and is used, and the earlier order takes its commits back.

Change: while an order may still take effect (its database does not lead, not every call was refused, less than 8.9 s since the record), only its database is recorded. A promoter orders nothing later than 5.9 s after its record, and gives the lead back only after a refusal without a lost answer. A former leader that is recorded again is used once it leads in a later term, or once its promoter had an accepted answer and has waited for the effect. Fenced promotions stay as they are. Notices of leaders move to a module of their own.

The test of a fleet on an unfenced platform loses writes at the former primary with the former rules, and none with these.

--- a/berylhinge/core/pooler/failover.py
+++ b/berylhinge/core/pooler/failover.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from ...types import LogPoint, Seconds, UpstreamId
     from .catalogue import Database
@@ -80,15 +80,22 @@
     points: Mapping[UpstreamId, LogPoint],
     *,
     preferred: UpstreamId = "",
+    former: Collection[UpstreamId] = (),
 ) -> Database | None:
     """Return the reachable database with the longest log.
 
     ``points`` has the log position of each reachable one. Ties go to ``preferred``,
-    whose earlier promotion may still take effect, else to the highest id.
+    whose earlier promotion may still take effect, else to one that is not among the
+    ``former`` leaders, which would have to prove that it leads again.
     """
     usable = [entry for entry in candidates if entry.id in points and not entry.leaving]
     return max(
         usable,
-        key=lambda entry: (points[entry.id], entry.id == preferred, entry.id),
+        key=lambda entry: (
+            points[entry.id],
+            entry.id == preferred,
+            entry.id not in former,
+            entry.id,
+        ),
         default=None,
     )
--- a/berylhinge/core/pooler/leadership.py
+++ b/berylhinge/core/pooler/leadership.py
@@ -47,7 +47,8 @@
     set if the former leader must not be used from the record on; otherwise it serves
     until the new leader announces itself. ``era`` is that of the store when this was
     written. ``origin`` is the revision of the first record of this promotion, 0 in that
-    record itself; a record that a restored store lost is written again.
+    record itself; a record that a restored store lost is written again. A leader with
+    an ``after_term`` led before and is used only once it leads in a later term.
     """
 
     promoter: InstanceId
@@ -56,6 +57,7 @@
     replaces_at_once: bool
     era: int = 0
     origin: int = 0
+    after_term: int = 0
 
 
 class LeadershipRecord(NamedTuple):
@@ -106,15 +108,20 @@
 
 def _may_lead(database: Database, record: LeadershipRecord | None) -> bool:
     """Tell whether a record allows a database that announces itself as primary."""
-    if record is None or database.id == record.recorded.leader:
+    if record is None:
         return True
+    if database.id == record.recorded.leader:
+        # It may have announced itself before; what proved its lead names the record.
+        is_proven = database.led_since == record.revision
+        return record.recorded.after_term == 0 or is_proven
     is_newer = database.led_since > record.revision
     return is_newer and database.id not in record.recorded.former
 
 
 def encode_recorded_leader(recorded: RecordedLeader) -> bytes:
     """Encode a recorded leader for the store."""
-    return msgspec.json.encode(recorded)
+    # Instances of the former version decode a record of its fields only.
+    return msgspec.json.encode(recorded if recorded.after_term else recorded[:-1])
 
 
 def decode_recorded_leader(value: bytes) -> Result[RecordedLeader, str]:
@@ -133,6 +140,7 @@
     current: UpstreamId | None,
     replaces_at_once: bool,
     era: int,
+    after_term: int = 0,
 ) -> RecordedLeader:
     """Return the record of a promotion of ``leader`` in place of ``current``."""
     former = list(known.recorded.former) if known is not None else []
@@ -145,6 +153,7 @@
         tuple(reversed(kept[:MAX_FORMER_LEADERS])),
         replaces_at_once,
         era,
+        after_term=after_term,
     )
 
 
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -311,9 +311,14 @@
 
 
 class NoPromotableReplica(ServiceLogLine):
-    """Count the replicas reached when none of them could be promoted."""
+    """Count the replicas reached when none of them could be promoted.
+
+    While an order for ``pending`` may still take effect, only that database could be.
+    """
 
     reached: int
+    pending: str | None
+    pending_seconds: float | None
 
 
 class DutyClaimFailed(ServiceLogLine):
@@ -345,11 +350,15 @@
     """Report a promotion's fencing token and the log positions compared.
 
     ``took_seconds`` is the time from the decision to the platform's answer.
+    ``repeats_pending`` is set if an earlier order for the database may take effect too;
+    ``after_term`` is that of a record.
     """
 
     database: str
     replaced: str | None
     fence: int
+    repeats_pending: bool
+    after_term: int
     points: dict[str, str]
     outcome: str
     took_seconds: float
--- a/berylhinge/tasks/pooler/database_probe.py
+++ b/berylhinge/tasks/pooler/database_probe.py
@@ -93,7 +93,11 @@
         else:
             may_lead = self.view.may_use_as_primary(self.database)
             is_primary = self.tracker.record_status(answer, asked_at, may_lead=may_lead)
-            if is_primary and self.view.is_next_leader(self.database):
+            if (
+                is_primary
+                and self.view.is_next_leader(self.database)
+                and self.view.is_lead_proven(self.database, self.tracker.point)
+            ):
                 self.view.record_lead(self.database)
                 self.log.info(
                     "A database leads.",
--- a/berylhinge/tasks/pooler/database_tracker.py
+++ b/berylhinge/tasks/pooler/database_tracker.py
@@ -82,8 +82,9 @@
         It proves nothing by that unless it ``may_lead``.
         """
         self.record_answer()
-        self.point = answer.point or self.point
         status = line_protocol.parse_status(answer.rows[0]) if answer.rows else None
+        told = status.point if status is not None else None
+        self.point = answer.point or told or self.point
         is_primary = status is not None and status.role is DatabaseRole.PRIMARY
         if status is not None and is_primary and may_lead:
             self.record_proof(asked_at, status.point)
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -21,6 +21,7 @@
     next_leader_of,
     primary_of,
 )
+from ...core.pooler.promotion_orders import is_lead_proven
 from ...platform.terms import NO_FEATURES
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
@@ -140,6 +141,10 @@
         found = self.next_leader_of(database.service)
         return found is not None and found.id == database.id
 
+    def is_lead_proven(self, database: Database, point: LogPoint | None) -> bool:
+        """Return whether the next leader leads if it answers as a primary at a point."""
+        return is_lead_proven(self.leadership.get(database.service), point)
+
     def record_lead(self, database: Database) -> None:
         """Record that the recorded leader leads, before it announces so."""
         record = self.leadership[database.service]
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -10,7 +10,6 @@
 from ...core.pooler.catalogue import databases_of
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.failover import (
-    choose_successor,
     judge_primary,
     PROMOTION_TIMEOUT_SECONDS,
     Verdict,
@@ -18,17 +17,21 @@
 from ...core.pooler.leadership import (
     choose_witnesses,
     is_promotion_due,
-    LeadershipRecord,
-    lease_wait,
     may_replace_unreached,
     next_recorded_leader,
 )
+from ...core.pooler.promotion_orders import (
+    ACCEPTED_EFFECT_SECONDS,
+    choose_leader,
+    is_surely_refused,
+    may_order,
+    pending_order,
+    term_to_exceed,
+)
 from ...core.pooler.store_eras import era_of
 from ...core.rendezvous import rank_nodes
 from ...platform import line_protocol
 from ...wire.pooling import (
-    LeadershipNotice,
-    LeadershipNoticeTaken,
     ReachabilityRequest,
     ReachabilityResponse,
 )
@@ -36,6 +39,7 @@
 from ..http_connection import ConnectionFailed
 from ..peer_links import PeerLost
 from .database_connection import ConnectRefused, DatabaseConnection
+from .leader_notices import LeaderNotices
 from .leader_records import LeaderRecords
 
 if TYPE_CHECKING:
@@ -55,9 +59,6 @@
 WITNESS_TIMEOUT_SECONDS = 0.4
 # Number of instances in line for a service's duty that watch its primary.
 STANDBY_COUNT = 3
-# An instance that does not confirm a new leader within this time may still use the old
-# one until its lease ends.
-NOTICE_TIMEOUT_SECONDS = 0.25
 # Pause before a promotion call without an answer is repeated.
 REPEAT_PAUSE_SECONDS = 0.3
 # Pauses after a check that found the primary reachable, and before another attempt.
@@ -84,14 +85,16 @@
         self.held_databases = held_databases
         self.links = links
         self.records = LeaderRecords(view, store, log)
+        self.notices = LeaderNotices(view, links, log)
         self.promotions = promotions
         self.metrics = metrics
         self.log = log
         self.services_in_progress: set[str] = set()
         self.paused_until: dict[str, Seconds] = {}
         self.missing_since: dict[str, Seconds] = {}
+        # Origin of the record whose order was surely refused, for each service.
+        self.refused_origins: dict[str, int] = {}
         links.register_call(ReachabilityRequest, self.answer_reachability)
-        links.register_call(LeadershipNotice, self.answer_leadership_notice)
 
     def watch(self) -> None:
         """Judge the primary of every service, and start the action it needs."""
@@ -243,10 +246,28 @@
             if job.value is not None and job.value.reachable and job.value.point
         }
         known = self.view.leadership.get(service)
-        preferred = known.recorded.leader if known is not None else ""
-        chosen = choose_successor(candidates, points, preferred=preferred)
+        is_fenced = self.view.are_promotions_fenced
+        pending = None
+        if not is_fenced:
+            pending = pending_order(
+                known,
+                primary,
+                refused_origin=self.refused_origins.get(service, 0),
+                now=now_seconds(),
+            )
+        chosen = choose_leader(
+            candidates, points, known, pending, are_promotions_fenced=is_fenced
+        )
         if chosen is None:
-            self.log.info("No replica can lead.", service=service, reached=len(points))
+            self.log.info(
+                "No replica can lead.",
+                service=service,
+                reached=len(points),
+                pending=pending.leader if pending else None,
+                pending_seconds=(
+                    round(pending.until - now_seconds(), 3) if pending else None
+                ),
+            )
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
             return
         recorded = next_recorded_leader(
@@ -254,26 +275,30 @@
             promoter=self.view.own_instance,
             leader=chosen.id,
             current=primary.id if primary is not None else None,
-            replaces_at_once=(
-                primary is None
-                or not primary.leaving
-                or not self.view.are_promotions_fenced
-            ),
+            replaces_at_once=(primary is None or not primary.leaving or not is_fenced),
             era=era_of(self.view.revision),
+            after_term=(
+                0 if is_fenced else term_to_exceed(chosen, points[chosen.id], known)
+            ),
         )
+        recorded_at = now_seconds()
         fence = self.records.acquire_duty(service, recorded)
         if fence is None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
             return
-        if not self.view.are_promotions_fenced:
-            self.end_other_leases(service, recorded, fence)
+        if not is_fenced:
+            self.notices.end_other_leases(service, recorded, fence)
             # Without a fence at the platform nothing stops a promotion that is overtaken.
             if not self.records.is_stored(service, fence):
                 self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
                 return
-        outcome = self.request_promotion(service, chosen, fence)
-        if outcome == "refused" and primary is not None and recorded.replaces_at_once:
-            self.restore_leader(service, primary)
+        outcome = self.request_promotion(service, chosen, fence, recorded_at)
+        if outcome == "refused" and pending is None:
+            self.refused_origins[service] = fence
+            if primary is not None and recorded.replaces_at_once:
+                self.record_again(service, primary.id)
+        if outcome == "accepted" and recorded.after_term:
+            self.confirm_leader(service, recorded, fence)
         self.metrics.count("promotions_total", outcome)
         self.log.info(
             "A promotion was asked for.",
@@ -281,12 +306,16 @@
             database=chosen.id,
             replaced=primary.id if primary else None,
             fence=fence,
+            repeats_pending=pending is not None,
+            after_term=recorded.after_term,
             points={name: str(point) for name, point in points.items()},
             outcome=outcome,
             took_seconds=round(now_seconds() - started_at, 3),
         )
 
-    def request_promotion(self, service: str, chosen: Database, fence: int) -> str:
+    def request_promotion(
+        self, service: str, chosen: Database, fence: int, recorded_at: Seconds
+    ) -> str:
         """Ask the platform for a promotion, again while the answer is lost.
 
         A call without an answer may still take effect; repeating it changes nothing
@@ -294,64 +323,41 @@
         """
         end_at = now_seconds() + PROMOTION_TIMEOUT_SECONDS
         self.paused_until[service] = end_at
-        while True:
+        is_fenced = self.view.are_promotions_fenced
+        answers: list[bool | None] = []
+        # A stall may have used up the time in which other instances expect the order.
+        while is_fenced or may_order(recorded_at, now_seconds()):
             result = self.promotions.promote(
                 service, chosen.id, holder=self.view.own_instance, fence=fence
             )
-            if not isinstance(result, Failure):
-                return "accepted" if result.unwrap() else "refused"
+            answers.append(None if isinstance(result, Failure) else result.unwrap())
+            if answers[-1]:
+                return "accepted"
+            if is_surely_refused(answers) or (is_fenced and answers[-1] is False):
+                return "refused"
             is_replaced = self.view.leadership[service].origin > fence
             if is_replaced or now_seconds() + REPEAT_PAUSE_SECONDS >= end_at:
-                return "unknown"
+                break
             gevent.sleep(REPEAT_PAUSE_SECONDS)
+        return "unknown"
 
-    def end_other_leases(
-        self, service: str, recorded: RecordedLeader, revision: int
+    def confirm_leader(
+        self, service: str, recorded: RecordedLeader, fence: int
     ) -> None:
-        """Wait until no instance uses a former leader of a service any more."""
-        recorded_at = now_seconds()
-        # Every instance that was registered before the record must be known here.
-        while self.view.revision < revision and lease_wait(recorded_at, now_seconds()):
-            self.view.changed.wait(NOTICE_TIMEOUT_SECONDS)
-        notice = LeadershipNotice(service, recorded, revision)
-        peers = self.view.members.keys() - {self.view.own_instance}
-        jobs = {name: gevent.spawn(self.send_notice, name, notice) for name in peers}
-        gevent.joinall(list(jobs.values()))
-        missing = sorted(name for name, job in jobs.items() if not job.value)
-        wait = lease_wait(recorded_at, now_seconds()) if missing else 0.0
-        self.log.info(
-            "A leader is being replaced.",
-            service=service,
-            revision=revision,
-            unconfirmed=missing,
-            notified_seconds=round(now_seconds() - recorded_at, 3),
-            wait_seconds=round(wait, 3),
-        )
-        gevent.sleep(wait)
+        """Record that a former leader leads once its accepted promotion took effect.
 
-    def send_notice(self, name: InstanceId, notice: LeadershipNotice) -> bool:
-        """Tell one instance of a recorded leader; return whether it confirmed."""
-        try:
-            answer = self.links.call(name, notice, NOTICE_TIMEOUT_SECONDS)
-        except PeerLost:
-            return False
-        return bool(answer.revision >= notice.revision)
-
-    def answer_leadership_notice(
-        self, sender: InstanceId, message: LeadershipNotice
-    ) -> LeadershipNoticeTaken:
-        """Apply a recorded leader before the store delivers it."""
-        revision = message.revision
-        record = LeadershipRecord(message.recorded, revision, now_seconds(), revision)
-        self.view.record_leader(message.service, record)
-        return LeadershipNoticeTaken(self.view.leadership[message.service].origin)
+        Its term does not rise if it was not replaced, so that nothing else proves it.
+        """
+        gevent.sleep(ACCEPTED_EFFECT_SECONDS)
+        if self.view.leadership[service].origin == fence:
+            self.record_again(service, recorded.leader)
 
-    def restore_leader(self, service: str, primary: Database) -> None:
-        """Record the former leader again after the platform refused a promotion."""
+    def record_again(self, service: str, leader: UpstreamId) -> None:
+        """Record a leader that leads at the platform without another promotion."""
         recorded = next_recorded_leader(
             self.view.leadership.get(service),
             promoter=self.view.own_instance,
-            leader=primary.id,
+            leader=leader,
             current=None,
             replaces_at_once=True,
             era=era_of(self.view.revision),
--- a/berylhinge/tasks/pooler/tests/test_leadership.py
+++ b/berylhinge/tasks/pooler/tests/test_leadership.py
@@ -183,3 +183,38 @@
         assert fleet.group.primary != lost.id
     finally:
         fleet.close()
+
+
+# Guards against: the former primary, whose log is the longest, was recorded as next leader
+# while a lost promoter's order for a replica was under way, and served until its effect.
+def test_no_write_runs_at_a_former_primary_while_a_promotion_is_under_way(
+    unfenced_fleet: Fleet,
+) -> None:
+    fleet = unfenced_fleet
+    group, old = fleet.group, fleet.group.primary
+    caller = fleet.caller("strict")
+    others = [name for name in group.members if name != old]
+    for name in others:
+        group.members[name].deaf = True
+    assert code(caller.ask("WRITE item before")) == ""
+    # The lost promoter is not registered, so that its record is not left time.
+    recorded = RecordedLeader("n9", others[0], (old,), True, era=1)
+    fleet.store.put(PROMOTIONS_PREFIX + "s", recorded)
+    wait_until(lambda: all("s" in pooler.view.leadership for pooler in fleet.instances))
+    # Orders take 2 s; what the instances ask for meanwhile takes effect after that.
+    gevent.spawn_later(2.0, fleet.promote, "s", others[0])
+    fleet.store.on_promotion = lambda service, name: bool(
+        gevent.spawn_later(2.0, fleet.promote, service, name)
+    )
+    written: list[tuple[str, str]] = []
+    deadline = time.monotonic() + 5.0
+    while time.monotonic() < deadline:
+        text = f"later-{len(written)}"
+        if code(caller.ask(f"WRITE item {text}")) == "":
+            written.append(("item", text))
+        gevent.sleep(0.05)
+    undone = {write for entry in group.rolled_back for write in entry.writes}
+    assert not undone.intersection(written)
+    assert written
+    assert group.primary == others[0]
+    assert group.stale_commits == []
