Share the slots of a database fairly and refuse early

One queue ordered by priority and latency goal let an organisation at six times its usual rate take the slots of all others of its class, mixed the running times of all routes in one mean, and kept statements until their deadline before it refused them.

Deployments with the term for fair slots get a scheduler that orders by class with a floor for those behind, shares slot time inside a class by start-time fair queueing, and keeps late statements behind timely ones. It estimates running times by priority and access, refuses on arrival what cannot end before its deadline, and judges waiting statements again. Its refusals say when room is expected. Reads that may run at a replica yield at a primary, and are tried at another database after such a refusal; when none is left, the refusal is returned at once.

Deployments without the term keep slot_queue.

--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -78,6 +78,15 @@
         "More work was waiting at the database than the request's time allows.", ()
     ),
     "no-slot": Cause("No slot of the database came free in time.", ()),
+    "over-share": Cause(
+        "The organisation had more work waiting at the database than its share.", ()
+    ),
+    "primary-busy": Cause(
+        "The primary had no room for a read beside what only it can run.", ()
+    ),
+    "no-room": Cause(
+        "The database could not have ended the statement before its deadline.", ()
+    ),
     "no-connection": Cause("No connection to the database came free in time.", ()),
     "no-database": Cause(
         "No primary is known for the service.", DATABASE_MESSAGE_TYPES
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -5,9 +5,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 import gevent
-from gevent.event import AsyncResult
 
-from ...core.pooler import slot_queue
 from ...core.pooler.failure_results import (
     error_result,
     lost_answer_result,
@@ -16,6 +14,7 @@
     not_run_result,
 )
 from ...core.pooler.floors import newest_proof
+from ...core.pooler.slot_claims import SlotClaim, SlotRefusal
 from ...core.pooler.statements import Effect, ErrorCode, refused_result, StatementResult
 from ...platform import line_protocol
 from ...types import AccessMode, DatabaseRole
@@ -29,6 +28,7 @@
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
+    from ...core.pooler.slot_scheduling import SlotWaiter
     from ...platform.line_protocol import DatabaseAnswer
     from ...types import InstanceId, LogPoint, Seconds
     from ...wire.pooling import ExecuteRequest, LeadershipProof, RollbackRequest
@@ -66,7 +66,9 @@
         self.database = database
         self.view = view
         self.log = log
-        self.slots = StatementSlots(database.slots)
+        self.slots = StatementSlots(
+            database.slots, shares_fairly=view.features.shares_slots_fairly
+        )
         self.pinned_connections: dict[tuple[InstanceId, int], PinnedConnection] = {}
         self.tracker = DatabaseTracker()
         self.pool = ConnectionPool(
@@ -90,7 +92,7 @@
         self, result: StatementResult, reason: str, arrived_at: Seconds
     ) -> ExecuteResponse:
         """Add the known state of the database and its service to a result."""
-        wait = slot_queue.expected_wait(self.slots.queue)
+        wait = self.slots.expected_wait()
         proved = self.leadership_proof(arrived_at)
         return ExecuteResponse(result, reason, self.tracker.newest_point, wait, proved)
 
@@ -104,7 +106,7 @@
 
     def database_state(self) -> DatabaseState:
         """Return the known state of the database."""
-        wait = slot_queue.expected_wait(self.slots.queue)
+        wait = self.slots.expected_wait()
         proved = proof_for_peer(self.tracker.leadership_proof, now_seconds())
         reachable = not self.tracker.has_failed
         point = self.tracker.newest_point
@@ -129,7 +131,7 @@
             if needs_primary and not pinned:
                 self.await_lead(request, deadline)
             self.check_may_lead(request, needs_primary)
-            self.wait_for_slot(request, pinned, arrived_at, deadline)
+            slot = self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
             started_at, ran_seconds = now_seconds(), None
             try:
@@ -143,7 +145,7 @@
                 )
                 ran_seconds = now_seconds() - started_at
             finally:
-                self.slots.release_slot(ran_seconds)
+                self.slots.release_slot(slot, ran_seconds)
             if request.transaction and not result.transaction_ended:
                 until = now_seconds() + request.idle_seconds
                 self.pinned_connections[key] = PinnedConnection(
@@ -206,37 +208,29 @@
         pinned: bool,
         arrived_at: Seconds,
         deadline: Seconds,
-    ) -> None:
+    ) -> SlotWaiter:
         """Wait for a slot; raise UnitFailed when none becomes free in time."""
         if self.tracker.is_unresponsive:
             raise self.pool.unreachable_failure(request)
-        waiter = slot_queue.enqueue(
-            self.slots.queue,
-            pinned=pinned,
-            priority=request.priority,
-            goal_at=arrived_at + request.latency_goal_seconds,
-            give_up_at=deadline,
-            now=arrived_at,
+        is_primary = self.database.role is DatabaseRole.PRIMARY
+        claim = SlotClaim(
+            request.organisation,
+            request.priority,
+            request.access,
+            pinned,
+            request.may_run_at_replica and is_primary,
+            arrived_at + request.latency_goal_seconds,
+            deadline,
         )
-        if waiter is None:
-            wait = slot_queue.expected_wait(self.slots.queue)
-            detail = f"{wait:.3f} s of expected wait is past the deadline"
-            result = not_run_result(request, detail, retry_after_seconds=wait)
-            raise UnitFailed(result, "queue-full")
-        slot_given = self.slots.slot_waiters[waiter.number] = AsyncResult()
-        self.slots.assign_free_slots()
-        started = None
-        try:
-            started = slot_given.wait(max(0.0, deadline - now_seconds()))
-        finally:
-            if not started:
-                self.slots.remove_waiter(waiter, slot_given)
-        if started is False:
+        found = self.slots.wait_for_slot(claim, arrived_at)
+        if found is None:
             raise self.pool.unreachable_failure(request)
-        if started is None:
-            raise UnitFailed(
-                not_run_result(request, "no slot became free in time"), "no-slot"
+        if isinstance(found, SlotRefusal):
+            result = not_run_result(
+                request, found.detail, retry_after_seconds=found.retry_after_seconds
             )
+            raise UnitFailed(result, found.reason)
+        return found
 
     def run_on_connection(
         self,
@@ -264,7 +258,9 @@
                 raise
             timeout = deadline - now_seconds()
             if is_single and request.access is AccessMode.READ:
-                timeout = min(timeout, slot_queue.answer_timeout(self.slots.queue))
+                timeout = min(
+                    timeout, self.slots.answer_timeout(request.priority, request.access)
+                )
             sent_at = now_seconds()
             after = request.after if is_single and not request.begin_mode else None
             self.tracker.pending_since[connection.number] = sent_at
@@ -371,6 +367,7 @@
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
+        self.slots.refuse_hopeless()
         for key, pinned in list(self.pinned_connections.items()):
             if pinned.expires_at <= now:
                 del self.pinned_connections[key]
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -13,6 +13,7 @@
     not_run_result,
 )
 from ...core.pooler.floors import lag_of, read_floor
+from ...core.pooler.slot_claims import FAIR_REFUSAL_REASONS
 from ...core.pooler.statements import Effect, StatementResult
 from ...types import AccessMode, DatabaseRole
 from ...wire.pooling import ExecuteRequest, ExecuteResponse, RollbackRequest
@@ -110,6 +111,25 @@
     destination: Destination | None
 
 
+def may_run_at_replica(call: RoutingRequest) -> bool:
+    """Tell whether a statement reads only, on a route that does not need the primary."""
+    is_read = call.planned_statement.access is AccessMode.READ
+    transaction = call.planned_statement.transaction
+    if transaction is not None:
+        is_read = transaction.read_only
+    return is_read and call.route.consistency is not Consistency.PRIMARY
+
+
+def is_retried(call: RoutingRequest, reason: str) -> bool:
+    """Tell whether a statement that did not run is tried again.
+
+    Without room at one database, a read may find some at another one.
+    """
+    if reason in FAIR_REFUSAL_REASONS:
+        return may_run_at_replica(call)
+    return reason in RETRY_REASONS
+
+
 class Router:
     """Run statements for the callers of this instance."""
 
@@ -156,6 +176,9 @@
         )
         while True:
             destination = self.choose_destination(call, tried)
+            if destination is None and last.reason in FAIR_REFUSAL_REASONS:
+                # No other database is left, and a refusal is never held back.
+                break
             if destination is None:
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
@@ -173,7 +196,7 @@
             )
             self.record_response(destination.database, last, sent_at)
             result = last.result
-            if result.effect is not Effect.NONE or last.reason not in RETRY_REASONS:
+            if result.effect is not Effect.NONE or not is_retried(call, last.reason):
                 binding = None
                 if (
                     call.planned_statement.transaction is not None
@@ -218,11 +241,7 @@
         self, call: RoutingRequest, tried: TriedDestinations
     ) -> Destination | None:
         """Return the next destination for a statement, or None if there is none now."""
-        is_read = call.planned_statement.access is AccessMode.READ
-        transaction = call.planned_statement.transaction
-        if transaction is not None:
-            is_read = transaction.read_only
-        if not is_read or call.route.consistency is Consistency.PRIMARY:
+        if not may_run_at_replica(call):
             return self.choose_primary_destination(call, tried)
         return self.choose_read_destination(call, tried)
 
@@ -315,6 +334,7 @@
             latency_goal_seconds=goal_at - now,
             give_up_seconds=call.deadline - now,
             idle_seconds=self.view.declarations.idle_transaction_seconds,
+            may_run_at_replica=may_run_at_replica(call),
         )
 
     def execute_at_holder(
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -17,7 +17,8 @@
     ``transaction`` is the sender's number of an open transaction, 0 for none.
     ``begin_mode`` is how to begin a transaction first: empty for none, ``plain`` or
     ``read``. A replica whose log ends before ``after`` refuses the statement.
-    Times count from the arrival.
+    Times count from the arrival. A statement that ``may_run_at_replica`` yields at a
+    primary to those that may not.
     """
 
     database: UpstreamId
@@ -35,6 +36,7 @@
     latency_goal_seconds: Seconds
     give_up_seconds: Seconds
     idle_seconds: Seconds
+    may_run_at_replica: bool = False
 
     @property
     def continues_transaction(self) -> bool:
