Report who waits for slots, who uses them and what was refused

Operators could not see why a database refused a statement for lack of room. Adds a counter of refusals by reason and priority, a histogram of the time to a refusal, gauges of waiting statements and of the largest organisation's part, and a log line for each refusal with its retry hint.

--- a/berylhinge/core/pooler/slot_admission.py
+++ b/berylhinge/core/pooler/slot_admission.py
@@ -30,7 +30,6 @@
     mean_seconds,
     position_of,
     TIMELY,
-    waiting_count,
     waiting_seconds,
     WaitingStatement,
 )
@@ -288,8 +287,3 @@
         for entry in queue.classes.values()
     )
     return running_wait(queue) + waiting / queue.slots
-
-
-def waiting_by_class(queue: FairSlots) -> dict[tuple[bool, int], int]:
-    """Return how many statements of each class wait, pinned ones left out."""
-    return {key: waiting_count(entry) for key, entry in queue.classes.items()}
--- a/berylhinge/core/pooler/slot_claims.py
+++ b/berylhinge/core/pooler/slot_claims.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from ...types import AccessMode, OrganisationId, Seconds
+    from ...wire.pooling import ExecuteRequest
 
 # Reasons of refusals for lack of room: the organisation's own excess, the work that
 # only a primary can run, or the load of the database.
@@ -36,3 +37,23 @@
     reason: str
     detail: str
     retry_after_seconds: Seconds = 0.0
+
+
+def claim_of(
+    request: ExecuteRequest,
+    arrived_at: Seconds,
+    deadline: Seconds,
+    *,
+    pinned: bool,
+    yields: bool,
+) -> SlotClaim:
+    """Return the claim of a statement that arrived at a database's holder."""
+    return SlotClaim(
+        request.organisation,
+        request.priority,
+        request.access,
+        pinned,
+        yields,
+        arrived_at + request.latency_goal_seconds,
+        deadline,
+    )
--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -35,6 +35,7 @@
     "holder: A database does not answer.": lines.DatabaseUnresponsive,
     "holder: A database answers again.": lines.DatabaseLogLine,
     "holder: A database leads.": lines.DatabaseLeads,
+    "holder: A statement got no slot.": lines.SlotRefused,
     "holder: A rollback had no answer; closed.": lines.RollbackUnanswered,
     "peers: A peer is silent.": lines.PeerUnresponsive,
     "peers: A peer answers again.": lines.PeerLogLine,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -252,6 +252,18 @@
     incarnation: int
 
 
+class SlotRefused(DatabaseLogLine):
+    """Report why a statement got no slot, and when room is expected for its caller."""
+
+    request_id: str
+    reason: str
+    organisation: str
+    priority: int
+    waited_seconds: float
+    retry_after_seconds: float
+    detail: str
+
+
 class DatabaseLeads(DatabaseLogLine):
     """Report that a database leads its service, before it announces so."""
 
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -42,6 +42,9 @@
     "reads_total": CounterSpec("Reads by the role that served them.", ("role",)),
     "peer_messages_total": CounterSpec("Peer messages.", ("event",)),
     "peer_bytes_total": CounterSpec("Peer bytes.", ("event",)),
+    "slot_refusals_total": CounterSpec(
+        "Statements refused for lack of room at a database.", ("reason", "priority")
+    ),
     "promotions_total": CounterSpec("Promotions.", ("result",)),
     "store_calls_total": CounterSpec("Platform calls.", ("result",)),
     "platform_calls_total": CounterSpec(
@@ -56,6 +59,8 @@
     "hub_lag_seconds": "Longest recent stall of the hub.",
     "store_era": "How many times the users' store was restored, as it says.",
     "store_revision": "Newest revision of the users' store that is known.",
+    "slot_waiting": "Statements that wait for a slot, by database and priority.",
+    "slot_largest_share": "Largest organisation's part of the admitted slot time.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
@@ -83,6 +88,12 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_SECONDS,
         )
+        self.slot_refusal = Histogram(
+            "berylhinge_slot_refusal_seconds",
+            "Time from a statement's arrival at a database's queue to its refusal.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_SECONDS,
+        )
         for reason in RefusalReason:
             self.counts["refusals_total"][
                 reason.value, StatementOutcome.NOT_RUN.value
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -14,7 +14,7 @@
     not_run_result,
 )
 from ...core.pooler.floors import newest_proof
-from ...core.pooler.slot_claims import SlotClaim, SlotRefusal
+from ...core.pooler.slot_claims import claim_of, SlotRefusal
 from ...core.pooler.statements import Effect, ErrorCode, refused_result, StatementResult
 from ...platform import line_protocol
 from ...types import AccessMode, DatabaseRole
@@ -35,6 +35,7 @@
     from ..logs import Log
     from .database_connection import DatabaseConnection
     from .fleet_view import FleetView
+    from .slot_reports import SlotReports
 
 # The status is requested when nothing has proved for this long that the primary leads.
 PROOF_RENEWAL_SECONDS = 0.6
@@ -61,11 +62,14 @@
 class DatabaseTask:
     """Own the queue, the connections and the observed state of one database."""
 
-    def __init__(self, database: Database, view: FleetView, log: Log) -> None:
+    def __init__(
+        self, database: Database, view: FleetView, log: Log, reports: SlotReports
+    ) -> None:
         """Start without connections."""
         self.database = database
         self.view = view
         self.log = log
+        self.reports = reports
         self.slots = StatementSlots(
             database.slots, shares_fairly=view.features.shares_slots_fairly
         )
@@ -213,19 +217,13 @@
         if self.tracker.is_unresponsive:
             raise self.pool.unreachable_failure(request)
         is_primary = self.database.role is DatabaseRole.PRIMARY
-        claim = SlotClaim(
-            request.organisation,
-            request.priority,
-            request.access,
-            pinned,
-            request.may_run_at_replica and is_primary,
-            arrived_at + request.latency_goal_seconds,
-            deadline,
-        )
+        yields = request.may_run_at_replica and is_primary
+        claim = claim_of(request, arrived_at, deadline, pinned=pinned, yields=yields)
         found = self.slots.wait_for_slot(claim, arrived_at)
         if found is None:
             raise self.pool.unreachable_failure(request)
         if isinstance(found, SlotRefusal):
+            self.reports.record_refusal(request, found, arrived_at)
             result = not_run_result(
                 request, found.detail, retry_after_seconds=found.retry_after_seconds
             )
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -16,20 +16,23 @@
 from ..clock import now_seconds
 from .database_task import DatabaseTask
 from .fleet_view import PEER_FAILOVER_SECONDS
+from .slot_reports import SlotReports
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
     from ...types import InstanceId, Seconds, UpstreamId
     from ...wire.pooling import DatabaseStatesRequest, ExecuteRequest
     from ..logs import Log
+    from ..metrics import Metrics
     from .fleet_view import FleetView
 
 
 class HeldDatabases:
     """Own the database tasks of this instance."""
 
-    def __init__(self, view: FleetView, log: Log) -> None:
+    def __init__(self, view: FleetView, log: Log, metrics: Metrics) -> None:
         """Start without databases."""
+        self.reports = SlotReports(metrics, log)
         self.view = view
         self.log = log
         self.tasks: dict[UpstreamId, DatabaseTask] = {}
@@ -43,7 +46,9 @@
         if found is None or found.database.born_ms != known.born_ms:
             if found is not None:
                 found.close()
-            found = self.tasks[database] = DatabaseTask(known, self.view, self.log)
+            found = self.tasks[database] = DatabaseTask(
+                known, self.view, self.log, self.reports
+            )
         found.database = found.pool.database = known
         return found
 
@@ -117,6 +122,12 @@
         age = now_seconds() - self.view.confirmed_at
         return DatabaseStatesResponse((*held, *others), self.view.revision, age)
 
+    def update_gauges(self) -> None:
+        """Set the gauges of the slots of all held databases."""
+        self.reports.update_gauges(
+            (name, task.slots) for name, task in self.tasks.items()
+        )
+
     def reported_state(self, database: Database) -> DatabaseState:
         """Return the state of a database as its holder last reported it."""
         observation = self.view.observations.get(database.id, UNOBSERVED)
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -121,7 +121,9 @@
             on_fault=Log("links", settings.instance).fault,
         )
         register_message_types(links)
-        self.held_databases = HeldDatabases(view, Log("holder", settings.instance))
+        self.held_databases = HeldDatabases(
+            view, Log("holder", settings.instance), self.metrics
+        )
         links.register_call(
             ExecuteRequest, self.held_databases.run_statement, takes_delay=True
         )
@@ -201,6 +203,8 @@
         """Return the metrics."""
         self.metrics.gauge("store_era", self.store.era)
         self.metrics.gauge("store_revision", self.view.revision)
+        if self.links is not None:
+            self.held_databases.update_gauges()
         body, content_type = self.metrics.render()
         return respond(start_response, 200, body, content_type=content_type)
 
