Start a statement at a free slot whatever its estimated running time

An estimate beyond every deadline, for instance after statements waited for connections while they held a slot, made fair slots refuse everything of its kind. Nothing ran, so the estimate was never corrected. A statement for which a slot is free is admitted and started now; a test with running times of 9 s that return to 11 ms guards it.

--- a/berylhinge/core/pooler/fair_slots.py
+++ b/berylhinge/core/pooler/fair_slots.py
@@ -97,6 +97,11 @@
     return queue.slots + STATEMENTS_BEYOND_SLOTS
 
 
+def has_free_slot(queue: FairSlots) -> bool:
+    """Tell whether a statement that arrived now would start at once."""
+    return queue.running < concurrency_limit(queue) and not queue.waiting
+
+
 def class_key(claim: SlotClaim) -> ClassKey:
     """Return the class of a statement; lower keys go first."""
     return claim.yields, claim.priority
@@ -221,7 +226,9 @@
         return None
     waiter, band = found
     cost = mean_seconds(waiter.claim, queue.times)
-    if now + cost > waiter.claim.give_up_at:
+    # The last one is always started: else an estimate that once was too long would let
+    # nothing run and so never be corrected.
+    if now + cost > waiter.claim.give_up_at and len(queue.waiting) > 1:
         remove_statement(queue, waiter)
         queue.hopeless.append(waiter)
         return waiter
--- a/berylhinge/core/pooler/slot_admission.py
+++ b/berylhinge/core/pooler/slot_admission.py
@@ -15,8 +15,8 @@
     add_statement,
     class_key,
     class_of,
-    concurrency_limit,
     FairSlots,
+    has_free_slot,
     LOWER_CLASSES_SHARE,
     remove_statement,
     schedule_check,
@@ -75,7 +75,8 @@
     One of an open transaction waits as long as it can, since it holds a connection.
     """
     judged = judge(queue, claim, None, now)
-    if judged.margin_seconds < 0.0 and not claim.pinned:
+    is_exempt = claim.pinned or has_free_slot(queue)
+    if judged.margin_seconds < 0.0 and not is_exempt:
         return make_refusal(queue, claim, judged, now)
     # One that would miss its goal must not make those behind it miss theirs.
     waiter = add_statement(queue, claim, judged.band, now)
@@ -163,7 +164,7 @@
     now: Seconds,
 ) -> Seconds:
     """Return how long a statement of a band waits behind those that go before it."""
-    if queue.running < concurrency_limit(queue) and not queue.waiting:
+    if has_free_slot(queue):
         return 0.0
     key = class_key(claim)
     above = [queue.classes[found] for found in queue.class_order if found < key]
--- a/berylhinge/core/pooler/tests/test_fair_slots.py
+++ b/berylhinge/core/pooler/tests/test_fair_slots.py
@@ -10,6 +10,7 @@
 from ....types import AccessMode
 from .. import fair_slots, slot_admission
 from ..fair_slots import FairSlots
+from ..running_times import running_time
 from ..slot_claims import SlotClaim, SlotRefusal
 from ..slot_classes import WaitingStatement
 
@@ -226,6 +227,19 @@
     assert total(outcomes, 1).counts["primary-busy"] > 0
 
 
+def test_an_estimate_beyond_every_deadline_is_corrected() -> None:
+    """Guards against a database that refuses everything after a slow minute."""
+    queue, load = FairSlots(SLOTS), Load(SMALL, 1.0)
+    for number in range(200):
+        now = 1.0 + number * 0.1
+        found = slot_admission.enqueue(queue, claim_of(load, SMALL[0], now), now)
+        assert isinstance(found, WaitingStatement)
+        assert fair_slots.start_next(queue, now) == found
+        fair_slots.finish_running(queue, found.number, 9.0 if number < 50 else 0.011)
+    expected = running_time(queue.times, 0, READ)
+    assert expected.mean_seconds < 0.02
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_random_walk(seed: int) -> None:
     """Guards against starvation, idle slots, second answers and state that grows."""
