--- a/berylhinge/core/pooler/database_selection.py
+++ b/berylhinge/core/pooler/database_selection.py
@@ -81,24 +81,44 @@
     now: Seconds,
 ) -> list[Database]:
     """Return the databases that can serve a read, best first; primaries always can."""
-    usable = []
-    for database in databases:
-        observation = observations.get(database.id, UNOBSERVED)
-        if database.role is not DatabaseRole.PRIMARY and not can_serve_read(
-            observation, requirement, lag, now
-        ):
-            continue
-        usable.append(
-            (
-                expected_cost(database, observation, failure_domain, now),
-                database.id,
+    usable = [
+        (
+            expected_cost(
                 database,
-            )
+                observations.get(database.id, UNOBSERVED),
+                failure_domain,
+                now,
+            ),
+            database.id,
+            database,
         )
+        for database in usable_databases(
+            databases, observations, requirement, lag=lag, now=now
+        )
+    ]
     usable.sort(key=lambda entry: entry[:2])
     return [database for _, _, database in usable]
 
 
+def usable_databases(
+    databases: Iterable[Database],
+    observations: Mapping[str, DatabaseObservation],
+    requirement: ReadRequirement,
+    *,
+    lag: Callable[[LogPoint], Seconds],
+    now: Seconds,
+) -> list[Database]:
+    """Return the databases that can serve a read; primaries always can."""
+    return [
+        database
+        for database in databases
+        if database.role is DatabaseRole.PRIMARY
+        or can_serve_read(
+            observations.get(database.id, UNOBSERVED), requirement, lag, now
+        )
+    ]
+
+
 def can_serve_read(
     observation: DatabaseObservation,
     requirement: ReadRequirement,
--- a/berylhinge/core/pooler/failure_results.py
+++ b/berylhinge/core/pooler/failure_results.py
@@ -41,6 +41,13 @@
     )
 
 
+def begins_on_primary(request: ExecuteRequest) -> bool:
+    """Tell whether a statement outside a transaction, or the first in it, may write."""
+    if request.begin_mode:
+        return request.begin_mode == "plain"
+    return request.access is AccessMode.WRITE and not request.transaction
+
+
 def error_result(
     statement: ExecuteRequest, code: ErrorCode, detail: str
 ) -> StatementResult:
