Balance reads on reported load where a deployment asks for it

Change: holders measure their databases and report the load on answers and states that are sent anyway, in an optional last field. The read balancer owns what was sent since and what is set aside. Nothing new is asked of databases, peers or the store. Without the switch no load is reported, and a test compares the order of reads with the former one.

Metrics: believed share of slots, statements, age of the report, spread of a service, and databases set aside by reason. One log line when a database is set aside or returns.

--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -16,6 +16,7 @@
     "callers: A request was served.": lines.RequestEnded,
     "callers: A caller left inside a transaction.": lines.CallerDisconnected,
     "router: A statement did not run and is tried elsewhere.": lines.StatementRetried,
+    "router: A database was set aside for reads, or returned.": lines.DatabaseSetAside,
     "registry: Declarations were not understood.": lines.DeclarationsRejected,
     "registry: Declarations are in force.": lines.DeclarationsInForce,
     "registry: An entry names no database.": lines.RegistryEntryRejected,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -163,6 +163,21 @@
     database: str
 
 
+class DatabaseSetAside(DatabaseLogLine):
+    """Report why a database gets few reads, or with an empty reason that it returned.
+
+    The shares are those of the last report, each organisation counted alike.
+    """
+
+    service: str
+    reason: str
+    times: int
+    failed_percent: int | None
+    slow_percent: int | None
+    organisations: int | None
+    report_age: float | None
+
+
 class DatabaseUnresponsive(DatabaseLogLine):
     """Report for how long a database has not answered its holder."""
 
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -43,6 +43,9 @@
     "peer_messages_total": CounterSpec("Peer messages.", ("event",)),
     "peer_bytes_total": CounterSpec("Peer bytes.", ("event",)),
     "promotions_total": CounterSpec("Promotions.", ("result",)),
+    "databases_set_aside_total": CounterSpec(
+        "Databases that were set aside for reads, or returned.", ("reason",)
+    ),
     "store_calls_total": CounterSpec("Platform calls.", ("result",)),
     "platform_calls_total": CounterSpec(
         "Calls to the users' platform by their name.", ("call", "result")
@@ -56,6 +59,11 @@
     "hub_lag_seconds": "Longest recent stall of the hub.",
     "store_era": "How many times the users' store was restored, as it says.",
     "store_revision": "Newest revision of the users' store that is known.",
+    "database_busy_share": "Share of the slots in use as last reported, by database.",
+    "database_statements": "Statements that wait or run as last reported, by database.",
+    "database_load_age_seconds": "Age of the last report of load, by database.",
+    "database_set_aside": "1 if set aside for reads, by database and reason.",
+    "service_load_spread": "Busiest database's share of slots over the mean, by service.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -9,6 +9,7 @@
 
 from ...core.pooler import slot_queue
 from ...core.pooler.failure_results import (
+    begins_on_primary,
     error_result,
     lost_answer_result,
     may_commit,
@@ -23,6 +24,7 @@
 from ..clock import now_seconds
 from ..http_connection import ConnectionFailed
 from .connection_pool import ConnectionPool, UnitFailed
+from .database_meter import DatabaseMeter
 from .database_probe import DatabaseProbe, STATUS_TIMEOUT_SECONDS
 from .database_tracker import DatabaseTracker, proof_for_peer
 from .statement_slots import StatementSlots
@@ -51,13 +53,6 @@
     needs_primary: bool
 
 
-def begins_on_primary(request: ExecuteRequest) -> bool:
-    """Tell whether a statement outside a transaction, or the first in it, may write."""
-    if request.begin_mode:
-        return request.begin_mode == "plain"
-    return request.access is AccessMode.WRITE and not request.transaction
-
-
 class DatabaseTask:
     """Own the queue, the connections and the observed state of one database."""
 
@@ -67,6 +62,7 @@
         self.view = view
         self.log = log
         self.slots = StatementSlots(database.slots)
+        self.meter = DatabaseMeter(self.slots, enabled=view.features.balances_reads)
         self.pinned_connections: dict[tuple[InstanceId, int], PinnedConnection] = {}
         self.tracker = DatabaseTracker()
         self.pool = ConnectionPool(
@@ -84,6 +80,7 @@
             reason = ""
         except UnitFailed as failure:
             result, reason = failure.result, failure.reason
+            self.meter.record_failure(request, reason)
         return self.make_response(result, reason, arrived_at)
 
     def make_response(
@@ -92,7 +89,8 @@
         """Add the known state of the database and its service to a result."""
         wait = slot_queue.expected_wait(self.slots.queue)
         proved = self.leadership_proof(arrived_at)
-        return ExecuteResponse(result, reason, self.tracker.newest_point, wait, proved)
+        point, load = self.tracker.newest_point, self.meter.report()
+        return ExecuteResponse(result, reason, point, wait, proved, load)
 
     def leadership_proof(self, arrived_at: Seconds) -> LeadershipProof | None:
         """Return the newest proof that the service's primary leads, with its age."""
@@ -106,9 +104,9 @@
         """Return the known state of the database."""
         wait = slot_queue.expected_wait(self.slots.queue)
         proved = proof_for_peer(self.tracker.leadership_proof, now_seconds())
-        reachable = not self.tracker.has_failed
-        point = self.tracker.newest_point
-        return DatabaseState(self.database.id, point, wait, proved, reachable, 0.0)
+        point, reachable = self.tracker.newest_point, not self.tracker.has_failed
+        known = (self.database.id, point, wait, proved, reachable, 0.0)
+        return DatabaseState(*known, self.meter.report())
 
     def run_in_slot(
         self,
@@ -144,6 +142,7 @@
                 ran_seconds = now_seconds() - started_at
             finally:
                 self.slots.release_slot(ran_seconds)
+                self.meter.record_run(request, ran_seconds, needs_primary)
             if request.transaction and not result.transaction_ended:
                 until = now_seconds() + request.idle_seconds
                 self.pinned_connections[key] = PinnedConnection(
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -7,6 +7,7 @@
 
 from ...core.pooler.assignment import InstanceAssignment
 from ...core.pooler.catalogue import may_take_work
+from ...core.pooler.database_load import BelievedLoad
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
 from ...core.pooler.failover import (
     DatabaseHealth,
@@ -31,6 +32,7 @@
     from collections.abc import Iterable
 
     from ...core.pooler.catalogue import Database
+    from ...core.pooler.database_load import DatabaseLoad
     from ...platform.terms import Features
     from ...types import (
         FailureDomainId,
@@ -95,6 +97,7 @@
         self.suspects: set[InstanceId] = set()
         self.floors: dict[str, FloorHistory] = {}
         self.observations: dict[UpstreamId, DatabaseObservation] = {}
+        self.loads: dict[UpstreamId, BelievedLoad] = {}
         self.bounded_reads_until: dict[str, Seconds] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
         self.changed = Broadcast()
@@ -267,6 +270,7 @@
         leadership_proof: LeadershipProof | None,
         asked_at: Seconds,
         age: Seconds = 0.0,
+        load: DatabaseLoad | None = None,
     ) -> None:
         """Record the state of a database and its service that an answer reported.
 
@@ -282,6 +286,8 @@
                 observed_at=observed_at,
                 wait_seconds=wait_seconds,
             )
+            if load is not None:
+                self.loads[database.id] = BelievedLoad(load, observed_at)
         if leadership_proof is not None:
             proof = FloorProof(
                 asked_at - leadership_proof.age_seconds, leadership_proof.point
@@ -302,8 +308,14 @@
                     leadership_proof=state.leadership_proof,
                     asked_at=asked_at,
                     age=state.age_seconds,
+                    load=state.load,
                 )
 
+    def reported_load(self, database: UpstreamId) -> DatabaseLoad | None:
+        """Return the load of a database as its holder last reported it."""
+        believed = self.loads.get(database)
+        return None if believed is None else believed.load
+
     def expect_bounded_reads(self, service: str) -> None:
         """Expect more reads of bounded age, which need recent proofs."""
         self.bounded_reads_until[service] = now_seconds() + READ_DEMAND_SECONDS
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -121,8 +121,10 @@
         """Return the state of a database as its holder last reported it."""
         observation = self.view.observations.get(database.id, UNOBSERVED)
         age = now_seconds() - observation.observed_at
+        wait = observation.wait_seconds
+        load = self.view.reported_load(database.id)
         return DatabaseState(
-            database.id, observation.point, observation.wait_seconds, None, True, age
+            database.id, observation.point, wait, None, True, age, load
         )
 
     def is_holder(self, database: UpstreamId) -> bool:
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -201,6 +201,8 @@
         """Return the metrics."""
         self.metrics.gauge("store_era", self.store.era)
         self.metrics.gauge("store_revision", self.view.revision)
+        if self.links is not None:
+            self.router.read_balancer.set_gauges()
         body, content_type = self.metrics.render()
         return respond(start_response, 200, body, content_type=content_type)
 
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -6,7 +6,11 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 from ...core.pooler.catalogue import Consistency, databases_of, Route
-from ...core.pooler.database_selection import read_order, ReadRequirement
+from ...core.pooler.database_selection import (
+    read_order,
+    ReadRequirement,
+    usable_databases,
+)
 from ...core.pooler.failure_results import (
     lost_answer_result,
     may_commit,
@@ -19,6 +23,7 @@
 from ..clock import now_seconds
 from ..peer_links import PeerLost
 from .fleet_view import rounded_age
+from .read_balancer import ReadBalancer
 from .tried_destinations import RETRY_MIN_PAUSE_SECONDS, TriedDestinations
 
 if TYPE_CHECKING:
@@ -130,6 +135,7 @@
         self.await_proof = await_proof
         self.metrics = metrics
         self.log = log
+        self.read_balancer = ReadBalancer(view, metrics=metrics, log=log)
 
     def run_statement(
         self, call: RoutingRequest, binding: TransactionBinding | None
@@ -168,6 +174,7 @@
             )
             attempts += 1
             sent_at = now_seconds()
+            self.read_balancer.record_sent(destination.database)
             last = self.execute_at_holder(
                 destination.holder, self.execute_request(call, destination, number)
             )
@@ -269,18 +276,7 @@
         need = ReadRequirement(
             route.consistency, floor, session_floor, route.max_staleness_seconds
         )
-        candidates = read_order(
-            [
-                database
-                for database in databases_of(self.view.databases, route.service)
-                if not database.leaving
-            ],
-            self.view.observations,
-            need,
-            failure_domain=self.view.failure_domain,
-            lag=lambda point: lag_of(floors, point, now),
-            now=now,
-        )
+        candidates = self.order_reads(route.service, need, now)
         points = [point for point in (floor, session_floor) if point is not None]
         after = max(points) if floor is not None else None
         for database in candidates:
@@ -293,6 +289,30 @@
             return Destination(holder, database, after, begin)
         return self.choose_primary_destination(call, tried)
 
+    def order_reads(
+        self, service: str, need: ReadRequirement, now: Seconds
+    ) -> list[Database]:
+        """Return the databases that can serve a read in the order to try them."""
+        floors = self.view.floors_of(service)
+        databases = [
+            database
+            for database in databases_of(self.view.databases, service)
+            if not database.leaving
+        ]
+        lag = partial(lag_of, floors, now=now)
+        known = self.view.observations
+        if self.view.features.balances_reads:
+            usable = usable_databases(databases, known, need, lag=lag, now=now)
+            return self.read_balancer.order_reads(service, usable, now)
+        return read_order(
+            databases,
+            known,
+            need,
+            failure_domain=self.view.failure_domain,
+            lag=lag,
+            now=now,
+        )
+
     def execute_request(
         self, call: RoutingRequest, destination: Destination, number: int
     ) -> ExecuteRequest:
@@ -361,6 +381,7 @@
             wait_seconds=done.wait_seconds,
             leadership_proof=done.leadership_proof,
             asked_at=sent_at,
+            load=done.load,
         )
 
     def abandon_transaction(self, binding: TransactionBinding) -> None:
--- a/berylhinge/tasks/pooler/service_states.py
+++ b/berylhinge/tasks/pooler/service_states.py
@@ -141,4 +141,5 @@
             proof_for_peer(proof, now),
             True,
             now - known.observed_at,
+            self.view.reported_load(database.id),
         )
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from ..core.pooler.database_load import DatabaseLoad
 from ..core.pooler.leadership import RecordedLeader
 from ..core.pooler.statements import PreparedStatement, StatementResult
 from ..types import AccessMode, LogPoint, OrganisationId, Seconds, UpstreamId
@@ -60,6 +61,7 @@
 
     ``reason`` says why it failed. ``point`` and ``wait_seconds`` are the database's log
     position and expected queueing time, ``leadership_proof`` is its service's newest.
+    ``load`` is sent where reads are balanced.
     """
 
     result: StatementResult
@@ -67,6 +69,7 @@
     point: LogPoint | None = None
     wait_seconds: Seconds = 0.0
     leadership_proof: LeadershipProof | None = None
+    load: DatabaseLoad | None = None
 
 
 @sent_as("Abandon")
@@ -105,6 +108,7 @@
     leadership_proof: LeadershipProof | None
     reachable: bool
     age_seconds: Seconds
+    load: DatabaseLoad | None = None
 
 
 @sent_as("Looked")
