--- a/berylhinge/core/pooler/slot_scheduling.py
+++ b/berylhinge/core/pooler/slot_scheduling.py
@@ -130,6 +130,20 @@
 clear_waiting.register(FairSlots, fair_slots.clear_waiting)
 
 
+@singledispatch
+def waiting_count(queue: SlotScheduler) -> int:
+    """Return how many statements wait."""
+    raise TypeError(f"got {type(queue)}, expected a queue for slots")
+
+
+waiting_count.register(SlotQueue, slot_queue.waiting_count)
+
+
+@waiting_count.register(FairSlots)
+def _(queue: FairSlots) -> int:
+    return len(queue.waiting)
+
+
 @singledispatch
 def expected_wait(queue: SlotScheduler) -> Seconds:
     """Return the expected wait that other instances are told."""
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -46,6 +46,9 @@
         "Statements refused for lack of room at a database.", ("reason", "priority")
     ),
     "promotions_total": CounterSpec("Promotions.", ("result",)),
+    "databases_set_aside_total": CounterSpec(
+        "Databases that were set aside for reads, or returned.", ("reason",)
+    ),
     "store_calls_total": CounterSpec("Platform calls.", ("result",)),
     "platform_calls_total": CounterSpec(
         "Calls to the users' platform by their name.", ("call", "result")
@@ -61,6 +64,11 @@
     "store_revision": "Newest revision of the users' store that is known.",
     "slot_waiting": "Statements that wait for a slot, by database and priority.",
     "slot_largest_share": "Largest organisation's part of the admitted slot time.",
+    "database_busy_share": "Share of the slots in use as last reported, by database.",
+    "database_statements": "Statements that wait or run as last reported, by database.",
+    "database_load_age_seconds": "Age of the last report of load, by database.",
+    "database_set_aside": "1 if set aside for reads, by database and reason.",
+    "service_load_spread": "Busiest database's share of slots over the mean, by service.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -207,6 +207,7 @@
         self.metrics.gauge("store_revision", self.view.revision)
         if self.links is not None:
             self.held_databases.update_gauges()
+            self.router.read_balancer.set_gauges()
         body, content_type = self.metrics.render()
         return respond(start_response, 200, body, content_type=content_type)
 
