Reach peers by the process that runs, not by the registered one

After a restart of the whole fleet the store still holds the registrations of the former processes, and a watch delivers the new ones in batches of up to 1 s. Until then messages went to former incarnations, whose successors dropped them: statements and token requests timed out, peers that ran were suspected, and writes ended in doubt.

A process that drops a message to its former incarnation now says so, and peers learn the newest incarnation and address from authenticated messages. What does no harm if it runs twice is repeated at once; a statement that may commit is sent only to a process that was heard. For 1 s after its start an instance suspects no peer that it has not heard; statements wait for news of it, and readiness waits for the holders of primaries. A token request whose rate owner is lost goes to the next one.

--- a/berylhinge/core/peer_envelopes.py
+++ b/berylhinge/core/peer_envelopes.py
@@ -155,6 +155,23 @@
     return accept_sequence(state, envelope)
 
 
+def open_former_message(state: ChannelState, data: bytes) -> Envelope | None:
+    """Return an authentic message to a former incarnation of this instance.
+
+    Its sender does not know of the restart. It may be a replayed message, so its body
+    must have no effect.
+    """
+    encoded = data[TAG_BYTES:]
+    if not is_signed(state.signing_keys, data[:TAG_BYTES], encoded):
+        return None
+    try:
+        envelope = DECODER.decode(encoded)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    is_former = envelope.recipient_incarnation < state.incarnation
+    return envelope if is_former and envelope.recipient == state.own_instance else None
+
+
 def is_signed(keys: tuple[bytes, ...], tag: bytes, encoded: bytes) -> bool:
     """Tell whether the tag is valid for any key; each comparison is constant-time."""
     return any(hmac.compare_digest(tag, compute_tag(key, encoded)) for key in keys)
--- a/berylhinge/tasks/membership_task.py
+++ b/berylhinge/tasks/membership_task.py
@@ -14,10 +14,10 @@
     PeerVersionReceived,
     SendMessage,
 )
+from ..core.peer_contacts import PeerAddress
 from ..core.roster import Member
 from ..wire.membership import MembershipMessage, MembershipStatus, MemberUpdate
 from .loops import spawn_loop
-from .peer_links import PeerAddress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/berylhinge/tasks/peer_frames.py
+++ b/berylhinge/tasks/peer_frames.py
@@ -25,6 +25,16 @@
     body: msgspec.Raw
 
 
+class RestartNotice(NamedTuple):
+    """Tell a sender that its message went to the recipient's former incarnation.
+
+    The dropped message with this call number will not be answered; what has no effect
+    if it ran twice may be repeated to the new incarnation.
+    """
+
+    call_id: int
+
+
 class Handler(NamedTuple):
     """Describe how messages of a kind are handled.
 
--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -6,7 +6,7 @@
 import time
 from contextlib import contextmanager
 from itertools import count
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import gevent
 import msgspec
@@ -16,22 +16,28 @@
 from returns.result import Failure
 
 from ..core.message_delays import measure_excess_delay
-from ..core.peer_envelopes import ChannelState, Envelope, open_message, seal_message
+from ..core.peer_contacts import PeerAddress, PeerContacts
+from ..core.peer_envelopes import (
+    ChannelState,
+    DropReason,
+    Envelope,
+    open_former_message,
+    open_message,
+    seal_message,
+)
 from ..types import InstanceId
 from ..wire.kinds import kind_of
 from .clock import now_seconds
 from .http_server import Address
-from .peer_frames import Frame, Handler
+from .peer_frames import Frame, Handler, RestartNotice
+from .peer_outboxes import Outboxes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from ..core.message_delays import ClockOffset
 
-SEND_BUFFER_MESSAGES = 4_096
 RECEIVE_BUFFER_MESSAGES = 4_096
-RECONNECT_MIN_MS = 20
-RECONNECT_MAX_MS = 1_000
 MAX_MESSAGE_BYTES = 8_000_000
 BATCH_MESSAGES = 64
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -39,20 +45,6 @@
 LOSS_CHECK_SECONDS = 0.1
 
 
-class PeerAddress(NamedTuple):
-    """Describe a peer's inbox: its address and the incarnation that reads it."""
-
-    address: str
-    incarnation: int
-
-
-class Outbox(NamedTuple):
-    """Describe the socket that sends to a peer's inbox."""
-
-    address: str
-    socket: pynng.Push0
-
-
 class PeerLost(Exception):
     """Report that a peer did not answer in time or is not known."""
 
@@ -92,13 +84,11 @@
         self.on_count = on_count
         self.on_fault = on_fault
         self.advertised_address = str(self.address)
-        self.outboxes: dict[InstanceId, Outbox] = {}
-        self.peers: dict[InstanceId, PeerAddress] = {}
-        self.learned_peers: dict[InstanceId, PeerAddress] = {}
-        self.received_incarnations: dict[InstanceId, int] = {}
+        self.outboxes = Outboxes()
+        self.contacts = PeerContacts()
         self.handlers: dict[str, Handler] = {}
         self.clock_offsets: dict[InstanceId, ClockOffset] = {}
-        self.types_by_kind: dict[str, type] = {}
+        self.types_by_kind: dict[str, type] = {kind_of(RestartNotice): RestartNotice}
         self.pending_calls: dict[int, AsyncResult] = {}
         self.last_received_at: dict[InstanceId, float] = {}
         self.awaited_since: dict[InstanceId, list[float]] = {}
@@ -142,54 +132,31 @@
         """Stop reading and close every socket."""
         if self.reader is not None:
             self.reader.kill()
-        for outbox in self.outboxes.values():
-            outbox.socket.close()
+        self.outboxes.close_all()
         self.inbox.close()
 
     def set_peers(self, peers: dict[InstanceId, PeerAddress]) -> None:
         """Replace the known peers and close outboxes to outdated addresses."""
-        self.peers = peers
-        for instance in peers:
-            self.learned_peers.pop(instance, None)
-        for instance, outbox in list(self.outboxes.items()):
-            peer = peers.get(instance) or self.learned_peers.get(instance)
-            if peer is None or peer.address != outbox.address:
-                del self.outboxes[instance]
-                outbox.socket.close()
+        self.contacts.replace_registered(peers)
+        for instance in list(self.outboxes.open):
+            self.outboxes.close_outdated(instance, self.contacts.find(instance))
 
     def close_outbox(self, instance: InstanceId) -> None:
         """Close the connection to a peer, so that the next message dials anew."""
-        outbox = self.outboxes.pop(instance, None)
-        if outbox is not None:
-            outbox.socket.close()
-
-    def ensure_outbox(self, instance: InstanceId, peer: PeerAddress) -> pynng.Push0:
-        """Return the peer's outbox, dialling in the background at first use."""
-        existing = self.outboxes.get(instance)
-        if existing is not None:
-            return existing.socket
-        outbox = pynng.Push0(
-            send_buffer_size=SEND_BUFFER_MESSAGES,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
-        outbox.dial(f"tcp://{peer.address}", block=False)
-        self.outboxes[instance] = Outbox(peer.address, outbox)
-        return outbox
+        self.outboxes.close(instance)
 
     def send(
         self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
     ) -> bool:
         """Send without waiting; return false if the message certainly was not sent."""
-        peer = self.peers.get(instance) or self.learned_peers.get(instance)
+        peer = self.contacts.find(instance)
         if peer is None:
             self.on_count("unknown-peer", 0)
             return False
-        outbox = self.ensure_outbox(instance, peer)
+        outbox = self.outboxes.ensure(instance, peer)
         body = msgspec.Raw(self.encoder.encode(message))
         # A peer that has sent a message here knows the address of this inbox.
-        known = self.received_incarnations.get(instance) == peer.incarnation
-        origin = "" if known else self.advertised_address
+        origin = "" if self.contacts.has_heard(instance) else self.advertised_address
         sent_ms = int(now_seconds() * 1000)
         frame = Frame(kind_of(type(message)), call, reply, origin, sent_ms, body)
         data = seal_message(
@@ -211,16 +178,15 @@
 
     def is_connected(self, instance: InstanceId) -> bool:
         """Return whether a connection to the peer's inbox is open."""
-        outbox = self.outboxes.get(instance)
-        return outbox is not None and bool(outbox.socket.pipes)
+        return self.outboxes.is_connected(instance)
 
     def connect(self, instance: InstanceId) -> bool:
         """Dial a peer and wait briefly until connected."""
-        peer = self.peers.get(instance)
+        peer = self.contacts.find(instance)
         if peer is None:
             self.on_count("unknown-peer", 0)
             return False
-        self.ensure_outbox(instance, peer)
+        self.outboxes.ensure(instance, peer)
         deadline = time.monotonic() + CONNECT_TIMEOUT_SECONDS
         while not self.is_connected(instance):
             if time.monotonic() >= deadline:
@@ -263,9 +229,30 @@
         message: Any,
         timeout_seconds: float,
         is_lost: Callable[[], bool] | None = None,
+        *,
+        may_repeat: bool = False,
     ) -> Any:
-        """Send and return the answer; raise PeerLost on timeout or ``is_lost``."""
+        """Send and return the answer; raise PeerLost on timeout or ``is_lost``.
+
+        A peer that restarted since it was last heard drops the message. It is sent once
+        more if it ``may_repeat``, that is if it does no harm should it run twice.
+        """
         deadline = time.monotonic() + timeout_seconds
+        answer = self.call_once(instance, message, deadline, is_lost)
+        if isinstance(answer, RestartNotice) and may_repeat:
+            answer = self.call_once(instance, message, deadline, is_lost)
+        if isinstance(answer, RestartNotice):
+            raise PeerLost(instance, sent=True)
+        return answer
+
+    def call_once(
+        self,
+        instance: InstanceId,
+        message: Any,
+        deadline: float,
+        is_lost: Callable[[], bool] | None,
+    ) -> Any:
+        """Send and return the answer, or the notice that the peer restarted."""
         if not self.connect(instance):
             raise PeerLost(instance, sent=False)
         call_id = next(self.call_ids)
@@ -313,6 +300,8 @@
         opened = open_message(self.channel, data)
         if isinstance(opened, Failure):
             self.on_count(opened.failure().value, len(data))
+            if opened.failure() is DropReason.STALE_RECIPIENT:
+                self.send_restart_notice(data)
             return
         envelope = opened.unwrap()
         sender = envelope.sender
@@ -325,12 +314,14 @@
             return
         self.on_count("received", len(data))
         delay = self.measure_delay(envelope, frame)
-        self.received_incarnations[sender] = envelope.sender_incarnation
+        self.contacts.received_incarnations[sender] = envelope.sender_incarnation
         self.last_received_at[sender] = time.monotonic()
-        if frame.sender_address and sender not in self.peers:
-            self.learned_peers[sender] = PeerAddress(
-                frame.sender_address, envelope.sender_incarnation
-            )
+        self.learn_address(envelope, frame)
+        if isinstance(message, RestartNotice):
+            pending = self.pending_calls.get(message.call_id)
+            if pending is not None:
+                pending.set(message)
+            return
         if frame.reply_to:
             answer = self.pending_calls.get(frame.reply_to)
             if answer is not None:
@@ -338,10 +329,35 @@
             return
         self.dispatch_message(sender, frame, message, delay)
 
+    def learn_address(self, envelope: Envelope, frame: Frame) -> None:
+        """Learn where the sender of a message receives answers."""
+        self.contacts.learn(
+            envelope.sender, frame.sender_address, envelope.sender_incarnation
+        )
+        peer = self.contacts.find(envelope.sender)
+        self.outboxes.close_outdated(envelope.sender, peer)
+
+    def send_restart_notice(self, data: bytes) -> None:
+        """Tell the sender of a message to a former incarnation that this is another."""
+        envelope = open_former_message(self.channel, data)
+        if envelope is None:
+            return
+        try:
+            frame = self.decoder.decode(envelope.body)
+        except (msgspec.MsgspecError, RecursionError):
+            return
+        self.learn_address(envelope, frame)
+        sender = self.contacts.find(envelope.sender)
+        is_current = sender and sender.incarnation == envelope.sender_incarnation
+        if is_current and frame.kind != kind_of(RestartNotice):
+            self.send(envelope.sender, RestartNotice(frame.call_id))
+
     def measure_delay(self, envelope: Envelope, frame: Frame) -> float:
         """Return a message's delay beyond that of the sender's quickest recent one."""
         sender = envelope.sender
-        if envelope.sender_incarnation != self.received_incarnations.get(sender):
+        if envelope.sender_incarnation != self.contacts.received_incarnations.get(
+            sender
+        ):
             # The sender's machine may have restarted, which resets its clock.
             self.clock_offsets.pop(sender, None)
         offset = self.clock_offsets.get(sender)
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -127,6 +127,7 @@
         )
         links.register(RollbackRequest, self.held_databases.abandon_transaction)
         links.register_call(DatabaseStatesRequest, self.held_databases.report_databases)
+        self.peer_monitor = PeerMonitor(view, links, Log("peers", settings.instance))
         self.rate_limiter = RateLimiter(
             view,
             links,
@@ -136,9 +137,9 @@
                 settings.rate_excess_part,
                 settings.rate_excess_operations,
             ),
+            is_starting=self.peer_monitor.starting.is_starting,
         )
         links.register_call(TokenRequest, self.rate_limiter.answer_token_request)
-        self.peer_monitor = PeerMonitor(view, links, Log("peers", settings.instance))
         self.promotion_task = PromotionTask(
             view,
             self.held_databases,
@@ -153,6 +154,7 @@
             self.held_databases,
             links,
             await_proof=self.peer_monitor.await_proof,
+            await_peer=self.peer_monitor.await_peer,
             metrics=self.metrics,
             log=Log("router", settings.instance),
         )
@@ -194,7 +196,12 @@
 
     def answer_readiness(self, environ: Any, start_response: Any) -> list[bytes]:
         """Answer the load balancer whether new callers may be sent here."""
-        serving = self.ready and self.view.is_confirmed() and not self.view.stopping
+        serving = (
+            self.ready
+            and self.view.is_confirmed()
+            and self.peer_monitor.has_reached_fleet()
+            and not self.view.stopping
+        )
         return respond(start_response, 200 if serving else 503, b"{}")
 
     def answer_metrics(self, environ: Any, start_response: Any) -> list[bytes]:
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from ...core.peer_contacts import PeerAddress
 from ...core.pooler.catalogue import databases_of
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.floors import newest_proof
@@ -19,9 +20,10 @@
     TokenGrant,
 )
 from ..clock import now_seconds
-from ..peer_links import Links, PeerAddress, PeerLost
+from ..peer_links import Links, PeerLost
 from .promotion_duty import STANDBY_COUNT
 from .service_states import MAX_RELAYED_PROOF_AGE_SECONDS, ServiceStates
+from .starting_peers import StartingPeers
 
 if TYPE_CHECKING:
     from ...types import InstanceId, Seconds
@@ -53,7 +55,8 @@
 # How long a read waits for a leadership proof before it goes to the primary.
 PROOF_WAIT_SECONDS = 0.05
 # A peer that does not answer a probe within this time is skipped.
-PROBE_TIMEOUT_SECONDS = 0.3
+PROBE_TIMEOUT_SECONDS = 0.3  # Pause between two probes of a peer that has not been heard and was not reached.
+UNHEARD_PAUSE_SECONDS = 0.02
 
 RESPONSE_TYPES = (
     DatabaseStatesResponse,
@@ -82,6 +85,8 @@
         self.running_probes: dict[InstanceId, gevent.Greenlet] = {}
         self.probed_at: dict[InstanceId, Seconds] = {}
         self.suspect_pauses: dict[InstanceId, Seconds] = {}
+        self.starting = StartingPeers(view, links)
+        self.is_fleet_reached = False
         self.service_states = ServiceStates(view, links, renew_proof=self.renew_proof)
 
     def update_link_peers(self) -> None:
@@ -108,12 +113,37 @@
             for peer in due
             if now - self.probed_at.get(peer, 0.0) >= MIN_PROBE_INTERVAL_SECONDS
         }
+        unheard = self.starting.unheard_leaders()
         for peer in (
-            probe_allowed | self.silent_peers() | self.due_suspects(now)
+            probe_allowed | unheard | self.silent_peers() | self.due_suspects(now)
         ) - self.running_probes.keys():
             if peer != self.view.own_instance:
                 self.spawn_probe(peer)
 
+    def has_reached_fleet(self) -> bool:
+        """Return whether statements can be served: no holder of a primary is awaited.
+
+        Once that was so, a restart of another instance does not change it.
+        """
+        if not self.is_fleet_reached and not self.starting.unheard_leaders():
+            self.is_fleet_reached = True
+            passed = now_seconds() - self.starting.started_at
+            self.log.info("The holders are reached.", seconds=round(passed, 3))
+        return self.is_fleet_reached
+
+    def await_peer(self, peer: InstanceId, seconds: Seconds) -> bool:
+        """Wait briefly until the running process of a peer is heard; return whether."""
+        until = now_seconds() + seconds
+        while not self.starting.is_reachable(peer) and not self.view.is_suspect(peer):
+            remaining = until - now_seconds()
+            if remaining <= 0.0:
+                return False
+            probe = self.running_probes.get(peer) or self.spawn_probe(peer)
+            probe.join(remaining)
+            if probe.ready() and not self.starting.is_reachable(peer):
+                gevent.sleep(min(remaining, UNHEARD_PAUSE_SECONDS))
+        return self.starting.is_reachable(peer)
+
     def max_confirmed_age(self) -> Seconds:
         """Return at which age of its confirmation this instance asks for another."""
         if self.view.own_instance in self.view.relays():
@@ -222,13 +252,18 @@
         asked_at = now_seconds()
         try:
             report = self.links.call(
-                peer, DatabaseStatesRequest(), PROBE_TIMEOUT_SECONDS
+                peer,
+                DatabaseStatesRequest(),
+                PROBE_TIMEOUT_SECONDS,
+                may_repeat=True,
             )
         except PeerLost as error:
             if self.view.may_have_stalled_since(asked_at):
                 # The answer may have arrived while this process was stalled.
                 return
             self.links.close_outbox(peer)
+            if self.starting.is_starting(peer):
+                return
             if not self.view.is_suspect(peer):
                 self.view.mark_suspect(peer)
                 self.log.info("A peer is silent.", peer=peer, sent=error.sent)
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -191,7 +191,10 @@
         """Ask one witness whether it reaches a database; None if it did not answer."""
         try:
             answer = self.links.call(
-                name, ReachabilityRequest(primary.id), WITNESS_TIMEOUT_SECONDS
+                name,
+                ReachabilityRequest(primary.id),
+                WITNESS_TIMEOUT_SECONDS,
+                may_repeat=True,
             )
         except PeerLost:
             return None
@@ -332,7 +335,9 @@
     def send_notice(self, name: InstanceId, notice: LeadershipNotice) -> bool:
         """Tell one instance of a recorded leader; return whether it confirmed."""
         try:
-            answer = self.links.call(name, notice, NOTICE_TIMEOUT_SECONDS)
+            answer = self.links.call(
+                name, notice, NOTICE_TIMEOUT_SECONDS, may_repeat=True
+            )
         except PeerLost:
             return False
         return bool(answer.revision >= notice.revision)
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -22,6 +22,8 @@
 from .fleet_view import PEER_FAILOVER_SECONDS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ...core.pooler.catalogue import Quota
     from ...types import InstanceId, OrganisationId, Seconds
     from ..peer_links import Links
@@ -31,6 +33,11 @@
 # owner's buckets hold only what the tolerance allows.
 FULL_BUCKETS_SECONDS = 20.0
 
+# A rate owner that does not answer is passed over, and the next one is asked, so that an
+# operation is not refused for the loss of one instance.
+MAX_OWNERS_ASKED = 2
+STARTING_OWNER_PAUSE_SECONDS = 0.02
+
 
 class PrefetchedTokens(NamedTuple):
     """Describe tokens granted ahead for later operations, and when they expire."""
@@ -67,11 +74,13 @@
         *,
         first_start: bool,
         tolerance: RateTolerance,
+        is_starting: Callable[[InstanceId], bool],
     ) -> None:
         """Start without buckets; on a first start new ones are full for a while."""
         self.view = view
         self.links = links
         self.tolerance = tolerance
+        self.is_starting = is_starting
         self.full_buckets_until = now_seconds() + (
             FULL_BUCKETS_SECONDS if first_start else 0.0
         )
@@ -97,7 +106,7 @@
             queue.append(decision)
         else:
             self.waiting[organisation] = [decision]
-            gevent.spawn(self.admit_waiting, organisation, rate_owner)
+            gevent.spawn(self.admit_waiting, organisation)
         admission: Admission = decision.get()
         return admission
 
@@ -125,16 +134,12 @@
             gevent.sleep(tokens.wait_seconds)
         return Admission(bool(tokens.granted), tokens.retry_after_seconds)
 
-    def admit_waiting(
-        self, organisation: OrganisationId, rate_owner: InstanceId
-    ) -> None:
+    def admit_waiting(self, organisation: OrganisationId) -> None:
         """Admit the waiting operations in one request; repeat for newer ones."""
         while decisions := self.waiting.get(organisation):
             self.waiting[organisation] = []
             try:
-                admissions = self.request_admissions(
-                    organisation, rate_owner, len(decisions)
-                )
+                admissions = self.request_admissions(organisation, len(decisions))
             except Exception:
                 for decision in decisions:
                     decision.set(Admission(False, PEER_FAILOVER_SECONDS))
@@ -144,25 +149,17 @@
         del self.waiting[organisation]
 
     def request_admissions(
-        self, organisation: OrganisationId, rate_owner: InstanceId, count: int
+        self, organisation: OrganisationId, count: int
     ) -> list[Admission]:
         """Return the rate owner's grants, or those of the fallback without an owner."""
-        asked_at = now_seconds()
         demand = self.demands.get(organisation)
         expected_operations = (
             int(demand.operations_per_second * SPARE_LIFETIME_SECONDS) if demand else 0
         )
-        try:
-            tokens: TokenGrant = self.links.call(
-                rate_owner,
-                TokenRequest(organisation, count, expected_operations),
-                PEER_FAILOVER_SECONDS,
-            )
-        except PeerLost:
-            if not self.view.may_have_stalled_since(asked_at):
-                self.view.mark_suspect(rate_owner)
-                self.links.close_outbox(rate_owner)
-            tokens = self.take_fallback(organisation, count)
+        asked_at = now_seconds()
+        tokens = self.ask_rate_owner(
+            TokenRequest(organisation, count, expected_operations)
+        )
         if tokens.spare:
             until = asked_at + SPARE_LIFETIME_SECONDS
             self.prefetched[organisation] = PrefetchedTokens(tokens.spare, until)
@@ -172,6 +169,31 @@
         granted = [Admission(True, 0.0)] * tokens.granted
         return granted + [refused] * (count - tokens.granted)
 
+    def ask_rate_owner(self, request: TokenRequest) -> TokenGrant:
+        """Ask the rate owner; ask once more if it was lost or may still be starting."""
+        attempts = 0
+        while attempts < MAX_OWNERS_ASKED:
+            rate_owner = self.view.rate_owner(request.organisation)
+            if rate_owner == self.view.own_instance:
+                return self.answer_token_request(rate_owner, request)
+            asked_at = now_seconds()
+            try:
+                tokens: TokenGrant = self.links.call(
+                    rate_owner, request, PEER_FAILOVER_SECONDS, may_repeat=True
+                )
+            except PeerLost:
+                if self.is_starting(rate_owner):
+                    gevent.sleep(STARTING_OWNER_PAUSE_SECONDS)
+                    continue
+                if self.view.may_have_stalled_since(asked_at):
+                    break
+                self.view.mark_suspect(rate_owner)
+                self.links.close_outbox(rate_owner)
+                attempts += 1
+            else:
+                return tokens
+        return self.take_fallback(request.organisation, request.requested)
+
     def take_fallback(self, organisation: OrganisationId, count: int) -> TokenGrant:
         """Take tokens from the share that an instance may spend without the owner."""
         quota = self.view.declarations.quotas.get(organisation)
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -39,6 +39,9 @@
 AVOID_UNREACHED_SECONDS = 0.5
 # A peer's answer may arrive this much later than the statement's own deadline.
 PEER_ANSWER_MARGIN_SECONDS = 0.05
+# How long one attempt waits for news of a holder that has not been heard yet. A read
+# then tries another database, and what needs the primary waits again.
+PEER_NEWS_WAIT_SECONDS = 0.1
 # Reasons after which a statement that did not run may be tried elsewhere.
 RETRY_REASONS = frozenset(
     {
@@ -53,6 +56,7 @@
         "late",
         "no-connection",
         "peer-lost",
+        "peer-starting",
         "answer-lagging",
         "answer-read-only",
         "answer-busy",
@@ -120,6 +124,7 @@
         links: Links,
         *,
         await_proof: Callable[[str], None],
+        await_peer: Callable[[InstanceId, Seconds], bool],
         metrics: Metrics,
         log: Log,
     ) -> None:
@@ -128,6 +133,7 @@
         self.held_databases = held_databases
         self.links = links
         self.await_proof = await_proof
+        self.await_peer = await_peer
         self.metrics = metrics
         self.log = log
 
@@ -323,6 +329,19 @@
         """Run a statement at its holder, which may be this instance."""
         if holder == self.view.own_instance:
             return self.held_databases.run_statement(self.view.own_instance, message)
+        asked_at = now_seconds()
+        if not self.await_peer(
+            holder, min(PEER_NEWS_WAIT_SECONDS, message.give_up_seconds)
+        ):
+            reason = "peer-lost" if self.view.is_suspect(holder) else "peer-starting"
+            return ExecuteResponse(
+                not_run_result(message, f"{holder} has not been heard yet"), reason
+            )
+        waited = now_seconds() - asked_at
+        message = message._replace(
+            latency_goal_seconds=message.latency_goal_seconds - waited,
+            give_up_seconds=message.give_up_seconds - waited,
+        )
         timeout = message.give_up_seconds + PEER_ANSWER_MARGIN_SECONDS
         # Only the answer says whether a write was committed, so it is awaited even from
         # a suspected peer.
@@ -331,7 +350,7 @@
         try:
             with self.links.awaiting_answer(holder):
                 done: ExecuteResponse = self.links.call(
-                    holder, message, timeout, is_lost
+                    holder, message, timeout, is_lost, may_repeat=not can_commit
                 )
         except PeerLost as error:
             self.view.mark_suspect(holder)
--- a/berylhinge/tasks/pooler/service_states.py
+++ b/berylhinge/tasks/pooler/service_states.py
@@ -97,7 +97,10 @@
         asked_at = now_seconds()
         try:
             report = self.links.call(
-                relay, ServiceStatesRequest(services), RELAY_TIMEOUT_SECONDS
+                relay,
+                ServiceStatesRequest(services),
+                RELAY_TIMEOUT_SECONDS,
+                may_repeat=True,
             )
         except PeerLost:
             self.passed_over_until = now_seconds() + PASSED_OVER_SECONDS
--- a/berylhinge/tasks/pooler/store_relay.py
+++ b/berylhinge/tasks/pooler/store_relay.py
@@ -114,6 +114,7 @@
                 StoreChangesRequest(self.view.revision),
                 HOLD_SECONDS + ANSWER_MARGIN_SECONDS,
                 partial(self.view.is_suspect, relay),
+                may_repeat=True,
             )
         except PeerLost:
             self.pass_over(relay)
--- a/berylhinge/tasks/pooler/tests/test_leadership.py
+++ b/berylhinge/tasks/pooler/tests/test_leadership.py
@@ -36,11 +36,13 @@
     links = [other.links for other in fleet.instances]
     calls = {id(link): link.call for link in links if link is not None}
 
-    def call_unless_cut(links: Links, name: str, *arguments: Any) -> Any:
+    def call_unless_cut(
+        links: Links, name: str, *arguments: Any, **options: Any
+    ) -> Any:
         if pooler.view.own_instance == name or links is pooler.links:
             gevent.sleep(0.05)
             raise PeerLost(name, sent=False)
-        return calls[id(links)](name, *arguments)
+        return calls[id(links)](name, *arguments, **options)
 
     monkeypatch.setattr(Links, "call", call_unless_cut)
 
--- a/berylhinge/tasks/proxy.py
+++ b/berylhinge/tasks/proxy.py
@@ -300,7 +300,7 @@
             others = [
                 member.instance for member in members if member != self.own_member
             ]
-            known = sum(name in self.links.peers for name in others)
+            known = sum(name in self.links.contacts.registered for name in others)
             self.majority_was_known = known >= majority_size(len(others))
         return self.majority_was_known
 
--- a/berylhinge/tasks/tests/test_peer_links.py
+++ b/berylhinge/tasks/tests/test_peer_links.py
@@ -1,14 +1,18 @@
 from __future__ import annotations
 
+import time
 from collections import Counter
 from typing import NamedTuple
 
 import gevent
+import msgspec
 import pytest
 
-from ...core.peer_envelopes import new_channel
+from ...core.peer_contacts import PeerAddress
+from ...core.peer_envelopes import new_channel, seal_message
 from ..http_server import Address
-from ..peer_links import Links, PeerAddress, PeerLost
+from ..peer_frames import Frame
+from ..peer_links import Links, PeerLost
 
 SECRET = b"s" * 32
 OTHER_SECRET = b"o" * 32
@@ -23,11 +27,13 @@
     text: str
 
 
-def make_links(name: str, secrets: list[bytes]) -> tuple[Links, Counter]:
+def make_links(
+    name: str, secrets: list[bytes], incarnation: int = 1
+) -> tuple[Links, Counter]:
     counts: Counter = Counter()
     links = Links(
         LOOPBACK,
-        channel=new_channel(name, 1, secrets),
+        channel=new_channel(name, incarnation, secrets),
         on_count=lambda event, size: counts.update([event]),
     )
     links.register(Answer)
@@ -145,3 +151,64 @@
     finally:
         first.stop()
         second.stop()
+
+
+@pytest.fixture
+def restarted_pair():
+    """Run two instances that both restarted, and know each other's former process."""
+    first, _ = make_links("first", [SECRET], incarnation=7)
+    second, second_counts = make_links("second", [SECRET], incarnation=8)
+    first.set_peers({"second": PeerAddress(str(second.address), 1)})
+    second.set_peers({"first": PeerAddress(str(first.address), 1)})
+    yield first, second, second_counts
+    first.stop()
+    second.stop()
+
+
+def test_a_call_reaches_a_peer_whose_restart_is_not_known_yet(restarted_pair):
+    # Without a notice, calls time out until the store has delivered the registration.
+    first, second, second_counts = restarted_pair
+    answer = first.call("second", Question("hello"), 5.0, may_repeat=True)
+    assert answer == Answer("hello!")
+    assert second_counts["stale-recipient"] == 1
+    assert first.contacts.has_heard("second")
+    assert second.call("first", Question("back"), 5.0) == Answer("back!")
+
+
+def test_a_call_that_must_not_run_twice_is_not_repeated_after_a_restart(
+    restarted_pair,
+):
+    # The former process may have run it before it died.
+    first, _, second_counts = restarted_pair
+    started_at = time.monotonic()
+    with pytest.raises(PeerLost) as lost:
+        first.call("second", Question("hello"), 5.0)
+    assert lost.value.sent
+    assert time.monotonic() - started_at < 2.0
+    assert second_counts["received"] == 0
+
+
+def test_an_outdated_registration_does_not_replace_what_a_peer_said(restarted_pair):
+    first, second, _ = restarted_pair
+    first.call("second", Question("hello"), 5.0, may_repeat=True)
+    first.set_peers({"second": PeerAddress(str(second.address), 1)})
+    assert first.call("second", Question("again"), 5.0) == Answer("again!")
+
+
+def test_a_restart_notice_for_a_former_process_is_not_sent(restarted_pair):
+    # A replayed message of a former process must not make a peer answer it.
+    first, second, second_counts = restarted_pair
+    first.call("second", Question("hello"), 5.0, may_repeat=True)
+    former = new_channel("first", 3, [SECRET])
+    frame = Frame("Question", 9, 0, str(first.address), 0, msgspec.Raw(b"\x90"))
+    sent = second_counts["sent"]
+    second.receive_message(
+        seal_message(
+            former,
+            msgspec.msgpack.encode(frame),
+            recipient="second",
+            recipient_incarnation=1,
+        )
+    )
+    assert second_counts["stale-recipient"] == 2
+    assert second_counts["sent"] == sent
