--- a/berylhinge/tasks/pooler/leader_notices.py
+++ b/berylhinge/tasks/pooler/leader_notices.py
@@ -60,7 +60,9 @@
     def send_notice(self, name: InstanceId, notice: LeadershipNotice) -> bool:
         """Tell one instance of a recorded leader; return whether it confirmed."""
         try:
-            answer = self.links.call(name, notice, NOTICE_TIMEOUT_SECONDS)
+            answer = self.links.call(
+                name, notice, NOTICE_TIMEOUT_SECONDS, may_repeat=True
+            )
         except PeerLost:
             return False
         return bool(answer.revision >= notice.revision)
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -194,7 +194,10 @@
         """Ask one witness whether it reaches a database; None if it did not answer."""
         try:
             answer = self.links.call(
-                name, ReachabilityRequest(primary.id), WITNESS_TIMEOUT_SECONDS
+                name,
+                ReachabilityRequest(primary.id),
+                WITNESS_TIMEOUT_SECONDS,
+                may_repeat=True,
             )
         except PeerLost:
             return None
