--- a/berylhinge/tasks/pooler/tests/test_read_balancer.py
+++ b/berylhinge/tasks/pooler/tests/test_read_balancer.py
@@ -46,6 +46,7 @@
         unused,
         unused,
         await_proof=unused,
+        await_peer=unused,
         metrics=Metrics(),
         log=ListLog(),  # type: ignore[arg-type]
     )
