Keep the rate bound over changes of owner, and wait for tokens of a new one

A new rate owner starts with few tokens, so after a restart of the fleet organisations inside their rate were refused at once.

New owners and isolated instances now divide the tolerated excess. Operations that a new bucket refuses ask again within 0.6 of their latency goal. After the loss of an owner the next one is asked before the isolated share is used. Retry hints differ for operations refused together.

--- a/berylhinge/core/pooler/tests/test_token_buckets.py
+++ b/berylhinge/core/pooler/tests/test_token_buckets.py
@@ -1,16 +1,20 @@
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 from hypothesis import given, strategies as st
 
 from ..catalogue import Quota
 from ..token_buckets import (
     grant_tokens,
+    ISOLATED_EXCESS_FRACTION,
     isolated_quota,
     new_bucket,
     RateTolerance,
     spare_tokens,
     TokenBucket,
+    tolerated_excess,
 )
 
 QUOTA = Quota(10.0, 10.0)
@@ -72,5 +76,69 @@
     assert spare_tokens(TokenBucket(tokens, 0.0), QUOTA, 9, 2) == expected
 
 
-def test_isolated_instances_together_have_less_than_the_whole_rate() -> None:
-    assert isolated_quota(QUOTA, 7).rate * 7 < QUOTA.rate
+@pytest.mark.parametrize("rate", [5.0, 20.0, 400.0])
+def test_isolated_instances_together_stay_within_their_part_of_the_excess(
+    rate: float,
+) -> None:
+    quota = Quota(rate, rate)
+    share = isolated_quota(quota, 7, TOLERANCE)
+    assert share.rate * 7 < quota.rate
+    in_window = (share.rate * TOLERANCE.window_seconds + share.burst) * 7
+    excess = tolerated_excess(quota, TOLERANCE)
+    assert in_window <= excess * ISOLATED_EXCESS_FRACTION * 1.001
+
+
+def test_refused_operations_are_told_different_times() -> None:
+    # Those that were refused together would come back together and be refused again.
+    bucket, hints = TokenBucket(0.0, 0.0), []
+    for _ in range(5):
+        found = grant_tokens(bucket, QUOTA, 1, 0.0)
+        bucket = found.bucket
+        hints.append(found.retry_after_seconds)
+    assert hints == sorted(set(hints))
+    assert hints[-1] - hints[0] == pytest.approx(4 / QUOTA.rate)
+    # A hint tells when a token is there for who comes back then.
+    for number, hint in enumerate(hints):
+        found = grant_tokens(bucket, QUOTA, 1, hint + 1e-6)
+        bucket = found.bucket
+        assert found.granted == 1, number
+
+
+@pytest.mark.parametrize("rate", [2.0, 20.0, 300.0])
+@pytest.mark.parametrize("burst_factor", [0.5, 1.0, 4.0])
+@pytest.mark.parametrize("seed", range(20))
+def test_two_changes_of_rate_owner_keep_the_bound_in_every_window(
+    rate: float, burst_factor: float, seed: int
+) -> None:
+    # Every instance takes what it can, from a full bucket on; some reach no owner.
+    rng, quota = Random(seed), Quota(rate, rate * burst_factor)
+    start = rng.uniform(0.0, 4.0)
+    changes = sorted(start + rng.uniform(0.0, 5.0) for _ in range(2))
+    bucket = new_bucket(quota, 0.0, None)
+    isolated: dict[int, TokenBucket] = {}
+    used_at: list[float] = []
+    share = isolated_quota(quota, 7, TOLERANCE)
+    for step in range(1_200):
+        now = step / 100
+        if changes and now >= changes[0]:
+            changes.pop(0)
+            bucket = new_bucket(quota, now, TOLERANCE)
+        found = grant_tokens(bucket, quota, 1 + rng.randrange(50), now)
+        bucket = found.bucket
+        used_at += [
+            now + max(0.0, found.wait_seconds - number / rate)
+            for number in range(found.granted)
+        ]
+        for name in range(7) if share.burst >= 1.0 and now >= start else ():
+            known = isolated.get(name) or new_bucket(share, now, None)
+            found = grant_tokens(known, share, 1, now)
+            isolated[name] = found.bucket
+            used_at += [now] * found.granted
+    used_at.sort()
+    allowed = (rate * 5.0 + quota.burst) * 1.1 + 20.0
+    first, most = 0, 0
+    for last, moment in enumerate(used_at):
+        while used_at[first] < moment - 5.0 - 1e-6:
+            first += 1
+        most = max(most, last - first + 1)
+    assert most <= allowed
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -2,7 +2,7 @@
 
 The rate owner is the live instance that ranks first for the organisation. A new rate
 owner does not know what its predecessor granted, so it starts with few tokens. An
-instance that reaches no rate owner grants from a small share of its own.
+instance that reaches no rate owner grants from a small share of the tolerated excess.
 """
 
 from __future__ import annotations
@@ -18,38 +18,47 @@
 # if unused.
 SPARE_MIN_FILL_FRACTION = 0.5
 SPARE_LIFETIME_SECONDS = 1.0
-# An instance that reaches no rate owner grants this fraction of an equal share, since
-# the rate owner goes on granting the whole rate to the others.
-ISOLATED_SHARE_FRACTION = 0.5
-# A new rate owner's bucket starts with this fraction of the tolerated excess. While the
-# bucket is new, operations wait longer for a token: its real fill is unknown, and the
-# operations of an organisation within its rate soon catch up.
-NEW_BUCKET_EXCESS_FRACTION = 0.5
+# Instances that reach no rate owner together grant this fraction of the tolerated
+# excess in a window, since the rate owner goes on granting the whole rate to the others.
+ISOLATED_EXCESS_FRACTION = 0.05
+# A new rate owner's bucket starts with this fraction of the tolerated excess: two
+# changes of rate owner in one window and the isolated instances share the excess. While
+# the bucket is new, operations may wait longer and ask again: its real fill is unknown,
+# and the operations of an organisation within its rate soon catch up.
+NEW_BUCKET_EXCESS_FRACTION = 0.475
 NEW_BUCKET_SECONDS = 3.0
-NEW_BUCKET_MAX_WAIT_SECONDS = 0.12
 # An operation may wait this long for a token: enough to even out jitter, and short
 # compared to any latency goal. One that would wait longer is refused at once.
 MAX_WAIT_SECONDS = 0.03
+# Longest time that a refusal adds for the operations that were refused before it. An
+# organisation far over its rate would otherwise be told ever longer times.
+MAX_QUEUED_RETRY_SECONDS = 2.0
 
 
 class TokenBucket(NamedTuple):
-    """Hold the tokens as of ``updated_at``; fewer than 0 when some are reserved."""
+    """Hold the tokens as of ``updated_at``; fewer than 0 when some are reserved.
+
+    ``awaited`` tokens were announced to refused operations that may be asked again.
+    """
 
     tokens: float
     updated_at: Seconds
     created_at: Seconds = float("-inf")
+    awaited: float = 0.0
 
 
 class BucketGrant(NamedTuple):
     """Hold the remaining bucket and the tokens granted, to be used after a wait.
 
-    ``retry_after_seconds`` is when a refused operation may find a token.
+    ``retry_after_seconds`` is when the first refused operation may find a token. The
+    fill of a new bucket is a guess (``is_new``), so refused operations may ask again.
     """
 
     bucket: TokenBucket
     granted: int
     wait_seconds: Seconds
     retry_after_seconds: Seconds
+    is_new: bool = False
 
 
 class RateTolerance(NamedTuple):
@@ -74,9 +83,16 @@
     """
     if tolerance is None:
         return TokenBucket(quota.burst, now)
+    excess = tolerated_excess(quota, tolerance) * NEW_BUCKET_EXCESS_FRACTION
+    # Operations may still wait for tokens that the previous rate owner reserved.
+    start = max(0.0, excess - quota.rate * MAX_WAIT_SECONDS)
+    return TokenBucket(min(quota.burst, start), now, now)
+
+
+def tolerated_excess(quota: Quota, tolerance: RateTolerance) -> float:
+    """Return how many operations beyond its quota an organisation may get in a window."""
     allowed = quota.rate * tolerance.window_seconds + quota.burst
-    excess = allowed * tolerance.excess_fraction + tolerance.excess_operations
-    return TokenBucket(min(quota.burst, excess * NEW_BUCKET_EXCESS_FRACTION), now, now)
+    return allowed * tolerance.excess_fraction + tolerance.excess_operations
 
 
 def grant_tokens(
@@ -86,18 +102,20 @@
     passed = max(0.0, now - bucket.updated_at)
     tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
     is_new = now - bucket.created_at < NEW_BUCKET_SECONDS
-    reserved = quota.rate * (
-        NEW_BUCKET_MAX_WAIT_SECONDS if is_new else MAX_WAIT_SECONDS
-    )
+    reserved = quota.rate * MAX_WAIT_SECONDS
     given = max(0, min(requested, int(tokens + reserved)))
-    left = tokens - given
+    refused, left = requested - given, tokens - given
     if quota.rate <= 0.0:
-        return BucketGrant(
-            bucket._replace(tokens=left, updated_at=now), given, 0.0, 1.0
-        )
+        kept = bucket._replace(tokens=left, updated_at=now)
+        return BucketGrant(kept, given, 0.0, 1.0)
     wait = max(0.0, -left) / quota.rate if given else 0.0
-    retry = max(0.0, 1.0 - reserved - left) / quota.rate if given < requested else 0.0
-    return BucketGrant(bucket._replace(tokens=left, updated_at=now), given, wait, retry)
+    awaited = max(0.0, bucket.awaited - passed * quota.rate)
+    retry = 0.0
+    if refused:
+        retry = (max(0.0, 1.0 - reserved - left) + awaited) / quota.rate
+    awaited = min(awaited + refused, quota.rate * MAX_QUEUED_RETRY_SECONDS)
+    kept = bucket._replace(tokens=left, updated_at=now, awaited=awaited)
+    return BucketGrant(kept, given, wait, retry, is_new)
 
 
 def spare_tokens(
@@ -108,7 +126,13 @@
     return max(0, min(requested, int(free / max(1, instances))))
 
 
-def isolated_quota(quota: Quota, instances: int) -> Quota:
-    """Return the quota of an instance that does not reach the rate owner."""
-    share = ISOLATED_SHARE_FRACTION / max(1, instances)
-    return quota._replace(rate=quota.rate * share, burst=quota.burst * share)
+def isolated_quota(quota: Quota, instances: int, tolerance: RateTolerance) -> Quota:
+    """Return the quota of an instance that does not reach the rate owner.
+
+    All such instances together stay within their fraction of the tolerated excess.
+    """
+    share = ISOLATED_EXCESS_FRACTION / 2.0 / max(1, instances)
+    budget = tolerated_excess(quota, tolerance) * share
+    return quota._replace(
+        rate=budget / max(1.0, tolerance.window_seconds), burst=budget
+    )
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -212,7 +212,9 @@
         route = self.view.declarations.routes[self.route_name]
         organisation = self.view.declarations.keys.get(self.key, "-")
         if self.binding is None:
-            admission = self.callers.rate_limiter.admit(organisation)
+            admission = self.callers.rate_limiter.admit(
+                organisation, route.latency_goal_seconds
+            )
             if not admission.admitted:
                 result = not_run_result(
                     statement,
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -37,6 +37,11 @@
 # operation is not refused for the loss of one instance.
 MAX_OWNERS_ASKED = 2
 STARTING_OWNER_PAUSE_SECONDS = 0.02
+# Part of an operation's latency goal that it may spend waiting for a token of a new
+# bucket; the rest is left for the statement.
+MAX_WAIT_GOAL_FRACTION = 0.6
+# Operations that wait for a token ask again after this time at least, in one request.
+MIN_TOKEN_PAUSE_SECONDS = 0.02
 
 
 class PrefetchedTokens(NamedTuple):
@@ -58,10 +63,14 @@
 
 
 class Admission(NamedTuple):
-    """State whether an operation may run, and if not, after how long to retry."""
+    """State whether an operation may run, and if not, after how long to retry.
+
+    ``may_wait`` tells that the bucket is new, so that the operation need not be refused.
+    """
 
     admitted: bool
     retry_after_seconds: Seconds
+    may_wait: bool = False
 
 
 class RateLimiter:
@@ -90,8 +99,25 @@
         self.demands: dict[OrganisationId, Demand] = {}
         self.waiting: dict[OrganisationId, list[AsyncResult]] = {}
 
-    def admit(self, organisation: OrganisationId) -> Admission:
-        """Count one operation; wait for its token if one comes soon."""
+    def admit(
+        self, organisation: OrganisationId, latency_goal_seconds: Seconds = 0.0
+    ) -> Admission:
+        """Count one operation; wait for its token if one comes soon.
+
+        After a change of rate owner it waits for longer, within its latency goal.
+        """
+        wait_until = now_seconds() + latency_goal_seconds * MAX_WAIT_GOAL_FRACTION
+        while True:
+            admission = self.admit_once(organisation)
+            if admission.admitted or not admission.may_wait:
+                return admission
+            pause = max(MIN_TOKEN_PAUSE_SECONDS, admission.retry_after_seconds)
+            if now_seconds() + pause > wait_until:
+                return admission
+            gevent.sleep(pause)
+
+    def admit_once(self, organisation: OrganisationId) -> Admission:
+        """Count one operation, and refuse it if its token does not come soon."""
         quota = self.view.declarations.quotas.get(organisation)
         if quota is None:
             return Admission(True, 0.0)
@@ -132,7 +158,9 @@
         tokens = self.take_tokens(organisation, quota, 1)
         if tokens.wait_seconds > 0.0:
             gevent.sleep(tokens.wait_seconds)
-        return Admission(bool(tokens.granted), tokens.retry_after_seconds)
+        return Admission(
+            bool(tokens.granted), tokens.retry_after_seconds, tokens.may_wait
+        )
 
     def admit_waiting(self, organisation: OrganisationId) -> None:
         """Admit the waiting operations in one request; repeat for newer ones."""
@@ -165,9 +193,16 @@
             self.prefetched[organisation] = PrefetchedTokens(tokens.spare, until)
         if tokens.wait_seconds > 0.0:
             gevent.sleep(tokens.wait_seconds)
-        refused = Admission(False, tokens.retry_after_seconds)
-        granted = [Admission(True, 0.0)] * tokens.granted
-        return granted + [refused] * (count - tokens.granted)
+        quota = self.view.declarations.quotas.get(organisation)
+        # Tokens for the refused operations are expected one after the other.
+        interval = 1.0 / quota.rate if quota is not None and quota.rate > 0.0 else 0.0
+        refused = [
+            Admission(
+                False, tokens.retry_after_seconds + number * interval, tokens.may_wait
+            )
+            for number in range(count - tokens.granted)
+        ]
+        return [Admission(True, 0.0)] * tokens.granted + refused
 
     def ask_rate_owner(self, request: TokenRequest) -> TokenGrant:
         """Ask the rate owner; ask once more if it was lost or may still be starting."""
@@ -199,7 +234,9 @@
         quota = self.view.declarations.quotas.get(organisation)
         if quota is None:
             return TokenGrant(count, 0, 0.0, 0.0)
-        fallback_quota = isolated_quota(quota, len(self.view.members))
+        fallback_quota = isolated_quota(quota, len(self.view.members), self.tolerance)
+        if fallback_quota.burst < 1.0:
+            return TokenGrant(0, 0, 0.0, PEER_FAILOVER_SECONDS)
         now = now_seconds()
         bucket = self.fallback_buckets.get(organisation) or new_bucket(
             fallback_quota, now, None
@@ -222,7 +259,11 @@
         outcome = grant_tokens(bucket, quota, count, now)
         self.owned_buckets[organisation] = outcome.bucket
         return TokenGrant(
-            outcome.granted, 0, outcome.wait_seconds, outcome.retry_after_seconds
+            outcome.granted,
+            0,
+            outcome.wait_seconds,
+            outcome.retry_after_seconds,
+            outcome.is_new,
         )
 
     def answer_token_request(
--- /dev/null
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import gevent
+import pytest
+
+from ....core.pooler.catalogue import Quota
+from ....core.pooler.token_buckets import RateTolerance
+from ....wire.pooling import TokenGrant
+from ...peer_links import PeerLost
+from ..rates import RateLimiter
+
+QUOTA = Quota(200.0, 200.0)
+TOLERANCE = RateTolerance(5.0, 0.1, 20.0)
+# More than a new bucket holds; an organisation inside its rate sends as many in 0.6 s.
+OPERATIONS = 120
+
+
+class Owners:
+    """Stand in for the view and the links: the named owners never answer."""
+
+    def __init__(self, owners: list[str], starting: int = 0) -> None:
+        self.owners = owners
+        self.starting = starting
+        self.suspects: list[str] = []
+        self.own_instance = "own"
+        self.members = dict.fromkeys(["own", *owners])
+        self.declarations = SimpleNamespace(quotas={"o": QUOTA})
+
+    def rate_owner(self, organisation: str) -> str:
+        alive = [name for name in self.owners if name not in self.suspects]
+        return alive[0] if alive else self.own_instance
+
+    def mark_suspect(self, instance: str) -> None:
+        self.suspects.append(instance)
+
+    def may_have_stalled_since(self, moment: float) -> bool:
+        return False
+
+    def close_outbox(self, instance: str) -> None:
+        pass
+
+    def is_starting(self, instance: str) -> bool:
+        self.starting -= 1
+        return self.starting >= 0
+
+    def call(self, instance: str, *arguments: Any, **options: Any) -> TokenGrant:
+        raise PeerLost(instance, sent=True)
+
+
+def make_limiter(owners: Owners) -> RateLimiter:
+    view: Any = owners
+    return RateLimiter(
+        view, view, first_start=False, tolerance=TOLERANCE, is_starting=view.is_starting
+    )
+
+
+@pytest.mark.parametrize(("goal_seconds", "all_admitted"), [(1.5, True), (0.0, False)])
+def test_operations_wait_within_their_goal_for_a_new_owners_tokens(
+    goal_seconds: float, all_admitted: bool
+) -> None:
+    # After a restart of the fleet, every organisation asks at once.
+    limiter = make_limiter(Owners([]))
+    asked = [gevent.spawn(limiter.admit, "o", goal_seconds) for _ in range(OPERATIONS)]
+    gevent.joinall(asked, raise_error=True)
+    refused = [job.value for job in asked if not job.value.admitted]
+    assert (not refused) == all_admitted
+    hints = [admission.retry_after_seconds for admission in refused]
+    assert len(set(hints)) == len(hints)
+
+
+def test_the_next_owner_is_asked_when_one_is_lost() -> None:
+    # The share of an isolated instance refuses nearly everything.
+    owners = Owners(["lost"])
+    assert make_limiter(owners).admit("o").admitted
+    assert owners.suspects == ["lost"]
+
+
+def test_an_owner_that_may_be_starting_is_not_passed_over() -> None:
+    # Its bucket and that of the next one would both grant.
+    owners = Owners(["late"], starting=3)
+    make_limiter(owners).admit("o")
+    assert owners.starting == -1
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -135,13 +135,15 @@
 class TokenGrant(NamedTuple):
     """Grant tokens for waiting operations, the last of them after ``wait_seconds``.
 
-    ``spare`` are for operations to come and lapse soon.
+    ``spare`` are for operations to come and lapse soon. Refused operations ``may_wait``
+    and ask again while the rate owner's bucket is new.
     """
 
     granted: int
     spare: int
     wait_seconds: Seconds
     retry_after_seconds: Seconds
+    may_wait: bool = False
 
 
 @sent_as("Reach")
