Check a platform configuration before it is sent

Instances ignore a configuration that they do not understand or that is not newer, which showed only after it was sent. berylhingectl check-configuration reads a file with the types that instances decode, and prints all bad fields, entries that nothing can use and limits that contradict each other at once, with the differences from the version in force if that is given. API keys are not shown.

--- a/berylhinge/cli/ctl.py
+++ b/berylhinge/cli/ctl.py
@@ -33,6 +33,7 @@
 from ..tasks.instance_inspection import drain_instance, fetch_statuses, list_instances
 from ..tasks.platform_client import PlatformClient
 from .applied import check_in_force, end, withdraw_everywhere
+from .check_configuration import check_configuration
 from .explain import explain
 from .output import (
     difference_table,
@@ -326,6 +327,7 @@
 
 
 main.add_command(explain)
+main.add_command(check_configuration)
 
 if __name__ == "__main__":
     main()
