Evict connections by expected use and bound idle transactions

A connection belongs to one organisation, and there are more organisations than connections. A full pool evicted the longest idle connection, which is often needed again soon, and callers idle in transactions could hold all connections. With fair slots the victim is the connection expected to be needed last by the organisation's recent use, idle transactions hold at most three quarters of the connections, and one organisation's a quarter.

A statement takes a free slot against the estimate only with 100 ms left. A fleet test failed once as unreachable: one with 1 ms left ran out of time while it opened a connection, which counts as a failure of the database.

--- a/berylhinge/core/pooler/connection_pool.py
+++ b/berylhinge/core/pooler/connection_pool.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from ...types import OrganisationId, Seconds
     from .statements import PreparedStatement
@@ -30,6 +30,12 @@
 MAX_PREPARED_NAMES = 200
 
 
+# Parts of an instance's connections that the idle transactions of all organisations,
+# and of one of them, may hold; the others are left to single statements.
+IDLE_TRANSACTIONS_PART = 0.75
+ORGANISATION_TRANSACTIONS_PART = 0.25
+
+
 class IdleConnection(NamedTuple):
     """Describe an idle connection, its organisation and its session state."""
 
@@ -78,10 +84,12 @@
     *,
     held: int,
     limit: int,
+    find_victim: Callable[[Sequence[IdleConnection]], int] | None = None,
 ) -> UseIdle | OpenNew | WaitForIdle:
     """Choose how a statement gets a connection.
 
-    A full pool evicts from the organisation with the most idle connections.
+    A full pool evicts the victim that ``find_victim`` returns, by default one of the
+    organisation with the most idle connections.
     """
     own = [entry for entry in idle if entry.organisation == organisation]
     if own:
@@ -89,6 +97,8 @@
         return UseIdle(best.number)
     if held < limit:
         return OpenNew(None)
+    if idle and find_victim is not None:
+        return OpenNew(find_victim(idle))
     if idle:
         idle_counts: dict[OrganisationId, int] = {}
         for entry in idle:
@@ -100,6 +110,16 @@
     return WaitForIdle()
 
 
+def may_open_transaction(
+    holders: Sequence[OrganisationId], organisation: OrganisationId, limit: int
+) -> bool:
+    """Tell whether a transaction may begin, given who holds each idle transaction."""
+    own = holders.count(organisation)
+    return len(holders) < max(1, int(limit * IDLE_TRANSACTIONS_PART)) and own < max(
+        1, int(limit * ORGANISATION_TRANSACTIONS_PART)
+    )
+
+
 def plan_setup(
     values: Mapping[str, str],
     prepared: frozenset[str],
--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -87,6 +87,9 @@
     "no-room": Cause(
         "The database could not have ended the statement before its deadline.", ()
     ),
+    "transactions-full": Cause(
+        "Idle transactions held too many of the database's connections.", ()
+    ),
     "no-connection": Cause("No connection to the database came free in time.", ()),
     "no-database": Cause(
         "No primary is known for the service.", DATABASE_MESSAGE_TYPES
--- a/berylhinge/core/pooler/fair_slots.py
+++ b/berylhinge/core/pooler/fair_slots.py
@@ -40,6 +40,9 @@
 # evenly between them. It costs the first class little of its goal and still lets
 # statements of some 50 ms through before their time budget of seconds ends.
 LOWER_CLASSES_SHARE = 0.1
+# Shortest time left for a trial. A new connection that is not open by the deadline is
+# taken for a failure of the database.
+MIN_TRIAL_SECONDS = 0.1
 
 ClassKey: TypeAlias = tuple[bool, int]
 
@@ -102,6 +105,14 @@
     return queue.running < concurrency_limit(queue) and not queue.waiting
 
 
+def may_try(claim: SlotClaim, now: Seconds) -> bool:
+    """Tell whether a statement may take a free slot against the estimate.
+
+    Else an estimate that once was too long would let nothing run and stay so.
+    """
+    return claim.give_up_at - now >= MIN_TRIAL_SECONDS
+
+
 def class_key(claim: SlotClaim) -> ClassKey:
     """Return the class of a statement; lower keys go first."""
     return claim.yields, claim.priority
@@ -226,9 +237,8 @@
         return None
     waiter, band = found
     cost = mean_seconds(waiter.claim, queue.times)
-    # The last one is always started: else an estimate that once was too long would let
-    # nothing run and so never be corrected.
-    if now + cost > waiter.claim.give_up_at and len(queue.waiting) > 1:
+    is_trial = len(queue.waiting) == 1 and may_try(waiter.claim, now)
+    if now + cost > waiter.claim.give_up_at and not is_trial:
         remove_statement(queue, waiter)
         queue.hopeless.append(waiter)
         return waiter
--- a/berylhinge/core/pooler/slot_admission.py
+++ b/berylhinge/core/pooler/slot_admission.py
@@ -18,6 +18,7 @@
     FairSlots,
     has_free_slot,
     LOWER_CLASSES_SHARE,
+    may_try,
     remove_statement,
     schedule_check,
 )
@@ -75,7 +76,7 @@
     One of an open transaction waits as long as it can, since it holds a connection.
     """
     judged = judge(queue, claim, None, now)
-    is_exempt = claim.pinned or has_free_slot(queue)
+    is_exempt = claim.pinned or (has_free_slot(queue) and may_try(claim, now))
     if judged.margin_seconds < 0.0 and not is_exempt:
         return make_refusal(queue, claim, judged, now)
     # One that would miss its goal must not make those behind it miss theirs.
--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from gevent.event import AsyncResult
 
 from ...core.pooler import connection_pool
+from ...core.pooler.connection_uses import (
+    choose_victim,
+    ConnectionUses,
+    forget_unused,
+    record_use,
+)
 from ...core.pooler.failure_results import not_run_result
 from ...core.pooler.statements import ErrorCode, refused_result, StatementResult
 from ..clock import now_seconds
@@ -17,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ...core.pooler.catalogue import Database
     from ...types import OrganisationId, Seconds
@@ -64,6 +71,7 @@
         self.last_number = 0
         self.limited_until: Seconds = 0.0
         self.waiting: list[AsyncResult] = []
+        self.uses = ConnectionUses()
 
     @property
     def connection_limit(self) -> int:
@@ -77,6 +85,8 @@
 
     def acquire(self, request: ExecuteRequest, deadline: Seconds) -> DatabaseConnection:
         """Return a connection of the organisation; raise UnitFailed."""
+        if self.view.features.shares_slots_fairly:
+            record_use(self.uses, request.organisation, now_seconds())
         while (left := deadline - now_seconds()) > 0.0:
             if self.tracker.is_unresponsive:
                 raise self.unreachable_failure(request)
@@ -110,7 +120,8 @@
         connection_pool.UseIdle | connection_pool.OpenNew | connection_pool.WaitForIdle
     ):
         """Return how to get a connection for a statement: take, open or wait."""
-        is_limited = now_seconds() < self.limited_until
+        now = now_seconds()
+        is_limited = now < self.limited_until
         return connection_pool.choose_connection(
             [entry.describe_idle() for entry in self.idle.values()],
             request.organisation,
@@ -119,8 +130,28 @@
             limit=min(self.open_count, self.connection_limit)
             if is_limited
             else self.connection_limit,
+            find_victim=partial(choose_victim, self.uses, now=now)
+            if self.view.features.shares_slots_fairly
+            else None,
         )
 
+    def check_may_open_transaction(
+        self, request: ExecuteRequest, holders: Sequence[OrganisationId]
+    ) -> None:
+        """Raise UnitFailed if idle transactions hold too many connections."""
+        if not self.view.features.shares_slots_fairly:
+            return
+        if not connection_pool.may_open_transaction(
+            holders, request.organisation, self.connection_limit
+        ):
+            own = holders.count(request.organisation)
+            detail = f"{len(holders)} transactions are idle, {own} of the organisation"
+            # One of them ends by then, by itself or by the declared limit.
+            result = not_run_result(
+                request, detail, retry_after_seconds=request.idle_seconds
+            )
+            raise UnitFailed(result, "transactions-full")
+
     def unreachable_failure(self, request: ExecuteRequest) -> UnitFailed:
         """Return the failure of a statement while the database does not answer."""
         silent = now_seconds() - self.tracker.health.failed_since
@@ -184,6 +215,7 @@
 
     def close_expired(self, *, is_holder: bool) -> None:
         """Close connections past their idle limit."""
+        forget_unused(self.uses, now_seconds())
         known = [entry.describe_idle() for entry in self.idle.values()]
         for number in connection_pool.expired_connections(
             known, is_holder=is_holder, now=now_seconds()
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -135,6 +135,10 @@
             if needs_primary and not pinned:
                 self.await_lead(request, deadline)
             self.check_may_lead(request, needs_primary)
+            if request.transaction and not pinned:
+                idle = [kept.connection for kept in self.pinned_connections.values()]
+                holders = [entry.organisation for entry in idle]
+                self.pool.check_may_open_transaction(request, holders)
             slot = self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
             started_at, ran_seconds = now_seconds(), None
--- a/berylhinge/tasks/pooler/tests/test_slot_sharing.py
+++ b/berylhinge/tasks/pooler/tests/test_slot_sharing.py
@@ -60,6 +60,22 @@
     assert "berylhinge_slot_refusals_total" in text
 
 
+def test_idle_transactions_are_bounded(fair_fleet: Fleet) -> None:
+    """Guards against one organisation's idle callers taking all connections."""
+    instance = fair_fleet.instances[0]
+    begin = execute_request("READ a", READ, begin="plain")
+    reasons = []
+    for number in range(1, 60):
+        begin = begin._replace(transaction=number)
+        done = instance.held_databases.run_statement("n1", begin)
+        reasons.append(done.reason)
+    task = instance.held_databases.tasks["i-a"]
+    limit = task.pool.connection_limit
+    assert reasons.index("transactions-full") == max(1, limit // 4)
+    assert len(task.pinned_connections) == max(1, limit // 4)
+    assert not task.slots.queue.running
+
+
 @pytest.mark.parametrize(
     ("route", "text", "most_attempts"),
     [("strict", "WRITE a 1", 1), ("strict", "READ a", 1), ("aged", "READ a", 3)],
