Send no trailing defaults to peers and keep the last refusal unretried

The former version refuses a message with more fields than it knows, so the new optional field of ExecuteRequest would have failed every statement sent to one during an upgrade, with or without the term. Fields at the end of a message that have their defaults are not sent any more, and the field is set only where the deployment asks for fair slots.

A read refused at its last database was counted and logged as tried elsewhere. It is not any more.

--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -18,7 +18,7 @@
 from ..core.message_delays import measure_excess_delay
 from ..core.peer_envelopes import ChannelState, Envelope, open_message, seal_message
 from ..types import InstanceId
-from ..wire.kinds import kind_of
+from ..wire.kinds import kind_of, omit_defaults
 from .clock import now_seconds
 from .http_server import Address
 from .peer_frames import Frame, Handler
@@ -186,7 +186,7 @@
             self.on_count("unknown-peer", 0)
             return False
         outbox = self.ensure_outbox(instance, peer)
-        body = msgspec.Raw(self.encoder.encode(message))
+        body = msgspec.Raw(self.encoder.encode(omit_defaults(message)))
         # A peer that has sent a message here knows the address of this inbox.
         known = self.received_incarnations.get(instance) == peer.incarnation
         origin = "" if known else self.advertised_address
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -176,9 +176,6 @@
         )
         while True:
             destination = self.choose_destination(call, tried)
-            if destination is None and last.reason in FAIR_REFUSAL_REASONS:
-                # No other database is left, and a refusal is never held back.
-                break
             if destination is None:
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
@@ -206,9 +203,14 @@
                         destination._replace(after=None, begin=""), number
                     )
                 return RoutedResult(result, last.reason, binding, attempts, destination)
-            self.record_retry(call, destination, last, tried)
             tried.add(destination.holder, destination.database.id, last.reason)
             last_destination = destination
+            if last.reason in FAIR_REFUSAL_REASONS and (
+                self.choose_destination(call, tried) is None
+            ):
+                # No other database is left, and a refusal is never held back.
+                break
+            self.record_retry(call, destination, last, tried)
         return RoutedResult(last.result, last.reason, None, attempts, last_destination)
 
     def record_retry(
@@ -334,7 +336,8 @@
             latency_goal_seconds=goal_at - now,
             give_up_seconds=call.deadline - now,
             idle_seconds=self.view.declarations.idle_transaction_seconds,
-            may_run_at_replica=may_run_at_replica(call),
+            may_run_at_replica=self.view.features.shares_slots_fairly
+            and may_run_at_replica(call),
         )
 
     def execute_at_holder(
--- a/berylhinge/wire/tests/test_kinds.py
+++ b/berylhinge/wire/tests/test_kinds.py
@@ -7,7 +7,7 @@
 
 from ...core import minting, permits, unit_messages
 from .. import fleet, membership, peers, pooling
-from ..kinds import kind_of, sent_as
+from ..kinds import kind_of, omit_defaults, sent_as
 
 KINDS = {
     "Ping": membership.Ping,
@@ -73,3 +73,31 @@
     data = msgspec.msgpack.encode(Renamed(7))
     assert data == msgspec.msgpack.encode(Unnamed(7))
     assert msgspec.msgpack.decode(data, type=Renamed) == Renamed(7)
+
+
+class Extended(NamedTuple):
+    number: int
+    text: str = ""
+    flag: bool = False
+
+
+@pytest.mark.parametrize(
+    ("message", "sent"),
+    [
+        (Extended(7), (7,)),
+        (Extended(7, flag=True), (7, "", True)),
+        (Extended(7, "a"), (7, "a")),
+        (Unnamed(7), (7,)),
+        ("text", "text"),
+    ],
+)
+def test_fields_with_defaults_are_not_sent_at_the_end(
+    message: Any, sent: object
+) -> None:
+    # Guards against a rolling upgrade in which instances of the former version refuse
+    # every message with a new optional field.
+    assert omit_defaults(message) == sent
+    data = msgspec.msgpack.encode(omit_defaults(message))
+    assert msgspec.msgpack.decode(data, type=type(message)) == message
+    if message == Extended(7):
+        assert msgspec.msgpack.decode(data, type=Unnamed) == Unnamed(7)
