--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -26,7 +26,7 @@
     seal_message,
 )
 from ..types import InstanceId
-from ..wire.kinds import kind_of
+from ..wire.kinds import kind_of, omit_defaults
 from .clock import now_seconds
 from .http_server import Address
 from .peer_frames import Frame, Handler, RestartNotice
@@ -154,7 +154,7 @@
             self.on_count("unknown-peer", 0)
             return False
         outbox = self.outboxes.ensure(instance, peer)
-        body = msgspec.Raw(self.encoder.encode(message))
+        body = msgspec.Raw(self.encoder.encode(omit_defaults(message)))
         # A peer that has sent a message here knows the address of this inbox.
         origin = "" if self.contacts.has_heard(instance) else self.advertised_address
         sent_ms = int(now_seconds() * 1000)
