Count the age of a load report by who else acts on it

Cause: a report that an instance got with its own answer is known to it alone, while one that a third instance passed on is in use at many. Both were aged alike, so that a chooser with fresh answers reacted too weakly.

Change: the age of an unshared report counts by 0.3.

Shared reports are served as before.

--- a/berylhinge/core/pooler/database_load.py
+++ b/berylhinge/core/pooler/database_load.py
@@ -55,11 +55,16 @@
 
 
 class BelievedLoad(NamedTuple):
-    """Hold a report, its moment, and what this instance sent to the database since."""
+    """Hold a report, its moment, and what this instance sent to the database since.
+
+    Other instances act on the same report if it ``is_shared``, because a third one
+    passed it on.
+    """
 
     load: DatabaseLoad
     observed_at: Seconds
     sent_since: int = 0
+    is_shared: bool = False
 
 
 class LoadMeter:
--- a/berylhinge/core/pooler/load_balancing.py
+++ b/berylhinge/core/pooler/load_balancing.py
@@ -24,20 +24,24 @@
 
 # A report is in use for its age and this much longer.
 REPORT_USE_SECONDS = 0.1
+# Weight of the age of a report that only this instance has. Others act on reports of
+# other moments, so that they do not all move at once (benchmarks/bench_read_balancing).
+UNSHARED_AGE_WEIGHT = 0.3
 # A database nobody has reported on counts as half used, to be tried but not flooded.
 ASSUMED_BUSY_SHARE = 0.5
 # Share of a primary's capacity that reads leave free beside its own work, since writes
 # have no other place when they come in a burst.
 PRIMARY_RESERVE_SHARE = 0.15
-# Smallest share of a primary's capacity that counts as free for reads.
+# Smallest share of a database's capacity that counts as free, so that one that is
+# full or fails still gets a few reads, which show that it has recovered.
 MIN_FREE_SHARE = 0.02
 # A database slower than this many times the fastest costs callers the excess, which
 # counts by the weight. A mix of statements alone makes a factor below 2.
 SLOW_RUN_FACTOR = 2.0
 SLOW_RUN_WEIGHT = 2.0
 # Reads stay in their failure domain while its databases are used less than the lower
-# share: waits are then below the 2 to 3 ms of a round trip and a fifth of a running
-# time. From the upper share on they are spread over all.
+# share: the mean wait at four slots is then a fifth of a running time. From the upper
+# share on, where it exceeds a running time, they are spread over all.
 NEAR_BUSY_SHARE = 0.6
 SPREAD_BUSY_SHARE = 0.85
 # Exponent of the share of good outcomes by which a database's free capacity counts.
@@ -99,11 +103,8 @@
     arrival_rate = sum(
         rate * _read_share(entry) for rate, entry in zip(rates, candidates, strict=True)
     )
-    age = max(
-        now - entry.believed.observed_at if entry.believed else 0.0
-        for entry in candidates
-    )
-    arrivals = max(1.0, arrival_rate * (max(0.0, age) + REPORT_USE_SECONDS))
+    age = max(_weighted_age(entry, now) for entry in candidates)
+    arrivals = max(1.0, arrival_rate * (age + REPORT_USE_SECONDS))
     level = _fill_level(free, backlogs, arrivals)
     parts = [
         width * max(0.0, level - backlog)
@@ -177,6 +178,14 @@
     return max(1e-4, entry.believed.load.run_seconds)
 
 
+def _weighted_age(entry: Candidate, now: Seconds) -> Seconds:
+    """Return for how long the fleet has acted on a report."""
+    if entry.believed is None:
+        return 0.0
+    age = max(0.0, now - entry.believed.observed_at)
+    return age if entry.believed.is_shared else UNSHARED_AGE_WEIGHT * age
+
+
 def _busy_share(entry: Candidate) -> float:
     """Return the share of the slots in use."""
     return entry.believed.load.busy_share if entry.believed else ASSUMED_BUSY_SHARE
--- a/berylhinge/core/pooler/outliers.py
+++ b/berylhinge/core/pooler/outliers.py
@@ -22,7 +22,7 @@
 # Organisations whose outcomes are kept at most, so that reports stay cheap.
 MAX_ORGANISATIONS = 64
 # A statement is delayed when it runs this many times longer than is typical, and at
-# least this long, which is past most latency goals' share for one statement.
+# least this long; shorter delays endanger no latency goal of 150 ms or more.
 SLOW_FACTOR = 6.0
 SLOW_MIN_SECONDS = 0.1
 # Step by which the typical running time follows the median.
--- a/berylhinge/core/pooler/tests/test_load_balancing.py
+++ b/berylhinge/core/pooler/tests/test_load_balancing.py
@@ -23,12 +23,15 @@
     *,
     age: float = 0.5,
     is_near: bool = False,
+    is_shared: bool = True,
     sent_since: int = 0,
     is_set_aside: bool = False,
     is_avoided: bool = False,
 ) -> Candidate:
     role = DatabaseRole.PRIMARY if name == "p" else DatabaseRole.REPLICA
-    believed = None if load is None else BelievedLoad(load, NOW - age, sent_since)
+    believed = (
+        None if load is None else BelievedLoad(load, NOW - age, sent_since, is_shared)
+    )
     return Candidate(
         database(name, role), believed, name == "p", is_near, is_avoided, is_set_aside
     )
@@ -64,7 +67,14 @@
             for name, load in zip("abc", (IDLE, QUEUED, QUEUED), strict=True)
         )
     )
+    unshared = first_shares(
+        *(
+            candidate(name, load, age=0.75, is_shared=False)
+            for name, load in zip("abc", (IDLE, QUEUED, QUEUED), strict=True)
+        )
+    )
     assert 0.5 < fresh["a"] < 0.8
+    assert stale["a"] < unshared["a"] < fresh["a"]
     assert 0.33 < stale["a"] < 0.42
 
 
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -287,7 +287,9 @@
                 wait_seconds=wait_seconds,
             )
             if load is not None:
-                self.loads[database.id] = BelievedLoad(load, observed_at)
+                self.loads[database.id] = BelievedLoad(
+                    load, observed_at, is_shared=age > 0.0
+                )
         if leadership_proof is not None:
             proof = FloorProof(
                 asked_at - leadership_proof.age_seconds, leadership_proof.point
