Evacuate a failure domain on the operators' order

Cause: nothing kept statements from the databases of a failure domain that operators were about to work on, short of announcing each database as leaving.

A key op/evacuate/DOMAIN now empties a domain within the declared bound, where the deployment agrees on it. Instances check at the caller's side and again at the holder before a statement is sent. Primaries move one at a time by the planned replacement; what has no database elsewhere is refused at once.

The stand-in database can announce a failure domain.

--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -88,6 +88,10 @@
     "given-up": Cause(
         "The holder does not reach the database.", DATABASE_MESSAGE_TYPES
     ),
+    "evacuated": Cause(
+        "The failure domain of what could have run it is evacuated.",
+        ("evacuation: An evacuation reached a stage.",),
+    ),
     "lead-lost": Cause(NOT_LEADING_TEXT, DATABASE_MESSAGE_TYPES),
     "lead-pending": Cause(
         "The database that takes over did not lead in time.", DATABASE_MESSAGE_TYPES
--- a/berylhinge/core/pooler/evacuation.py
+++ b/berylhinge/core/pooler/evacuation.py
@@ -111,9 +111,7 @@
         if stage >= Stage.NO_NEW_WORK:
             continue
         possible.append(database)
-        if database.role is DatabaseRole.PRIMARY or stage is Stage.SERVING:
-            preferred.append(database)
-        elif stage is Stage.RETURNING and draw < return_share(evacuation, now):
+        if database.role is DatabaseRole.PRIMARY or stage is Stage.SERVING or (stage is Stage.RETURNING and draw < return_share(evacuation, now)):
             preferred.append(database)
     has_replica = any(entry.role is not DatabaseRole.PRIMARY for entry in preferred)
     return preferred if has_replica else possible
@@ -198,13 +196,17 @@
     attempts: Mapping[str, Seconds],
     *,
     is_last_under_way: bool,
+    is_last_running: bool = False,
     now: Seconds,
 ) -> bool:
     """Tell whether an instance may move a service now: it moves one at a time.
 
-    ``last`` is the newest move, which is over when its new primary is known;
-    ``attempts`` has the moment of the newest attempt for each service.
+    ``last`` is the newest move, which is under way until its new primary is known, and
+    runs until the platform answered; ``attempts`` has the moment of the newest attempt
+    for each service.
     """
+    if is_last_running:
+        return False
     if now - attempts.get(service, float("-inf")) < MOVE_RETRY_SECONDS:
         return False
     if last is None or not is_last_under_way:
--- a/berylhinge/core/pooler/tests/test_evacuation.py
+++ b/berylhinge/core/pooler/tests/test_evacuation.py
@@ -113,10 +113,8 @@
     now: float,
     expected: bool,
 ) -> None:
-    known = {name: ORDER for name in evacuated}
-    assert (
-        is_service_stopped(databases, primary, known, limit=5.0, now=now) is expected
-    )
+    known = dict.fromkeys(evacuated, ORDER)
+    assert is_service_stopped(databases, primary, known, limit=5.0, now=now) is expected
 
 
 @pytest.mark.parametrize(
@@ -140,7 +138,7 @@
     due = is_move_due(
         PRIMARY,
         [PRIMARY, NEAR, FAR],
-        {name: ORDER for name in evacuated},
+        dict.fromkeys(evacuated, ORDER),
         place_in_line=rank,
         promotion_seconds=2.0,
         recorded_at=recorded_at,
@@ -161,6 +159,12 @@
     )
 
 
+def test_a_move_that_still_runs_is_not_overlapped() -> None:
+    assert not may_start_move(
+        "b", Move("a", 10.0), {}, is_last_under_way=True, is_last_running=True, now=12.0
+    )
+
+
 @pytest.mark.parametrize(
     ("service", "under_way", "now", "expected"),
     [
--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -50,6 +50,11 @@
     "duty: A lost record of a leader was written again.": lines.LeaderRecordedAgain,
     "duty: The record of a leader was replaced.": lines.LeaderRecordReplaced,
     "duty: A promotion was asked for.": lines.PromotionRequested,
+    "registry: An evacuation was not understood.": lines.EvacuationRejected,
+    "evacuation: An evacuation reached a stage.": lines.EvacuationProceeding,
+    "evacuation: An evacuation names an unknown failure domain.": (
+        lines.FailureDomainLogLine
+    ),
 }
 
 
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -353,3 +353,23 @@
     points: dict[str, str]
     outcome: str
     took_seconds: float
+
+
+class EvacuationRejected(InstanceLogLine):
+    """Report why the value of a key that asks for an evacuation is not used."""
+
+    key: str
+    error: str
+
+
+class FailureDomainLogLine(InstanceLogLine):
+    """Define the fields of lines about one failure domain."""
+
+    failure_domain: str
+
+
+class EvacuationProceeding(FailureDomainLogLine):
+    """Report a stage of an evacuation, and the databases held here with work there."""
+
+    stage: str
+    in_use: list[str]
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -17,10 +17,11 @@
     Service,
 )
 from ..tasks.http_server import parse_address
-from ..types import DatabaseRole
+from ..types import DatabaseRole, FailureDomainId
 
 CONFIGURATION_KEY = "op/config"
 DATABASES_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 CONSISTENCY_BY_KIND = {
     "primary": Consistency.PRIMARY,
@@ -177,3 +178,18 @@
     except MALFORMED_VALUE_ERRORS:
         return FIRST_ANNOUNCEMENT
     return AnnouncementOrder(entry.get("born", 0), entry.get("sequence", 0))
+
+
+def decode_evacuation(key: str, value: bytes) -> Result[FailureDomainId, str]:
+    """Return the failure domain that a key asks to evacuate, or what is wrong.
+
+    The value may be any JSON.
+    """
+    domain = key.removeprefix(EVACUATIONS_PREFIX)
+    if not domain:
+        return Failure("got no failure domain after the prefix, expected its name")
+    try:
+        msgspec.json.decode(value)
+    except MALFORMED_VALUE_ERRORS as error:
+        return Failure(f"{type(error).__name__}: {error}")
+    return Success(domain)
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -109,6 +109,7 @@
         self.silent = False
         self.running = True
         self.advertised = ""
+        self.zone = "x"
         self.sockets: set[Any] = set()
         self.listen(0)
         group.members[name] = self
@@ -135,7 +136,7 @@
         return {
             "service": self.group.service,
             "address": self.advertised or self.address,
-            "zone": "x",
+            "zone": self.zone,
             "capacity": 2,
             "state": state,
             "db-role": "primary" if self.leads else "replica",
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -56,6 +56,8 @@
     "hub_lag_seconds": "Longest recent stall of the hub.",
     "store_era": "How many times the users' store was restored, as it says.",
     "store_revision": "Newest revision of the users' store that is known.",
+    "evacuated_domains": "Failure domains that are evacuated, as known here.",
+    "evacuated_databases_in_use": "Evacuated databases with work, held here.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -11,7 +11,6 @@
 from ...core.pooler.failure_results import (
     error_result,
     lost_answer_result,
-    may_commit,
     NOT_RUN_CODES,
     not_run_result,
 )
@@ -25,6 +24,12 @@
 from .connection_pool import ConnectionPool, UnitFailed
 from .database_probe import DatabaseProbe, STATUS_TIMEOUT_SECONDS
 from .database_tracker import DatabaseTracker, proof_for_peer
+from .run_conditions import (
+    await_lead,
+    check_may_lead,
+    check_not_evacuated,
+    check_not_stalled,
+)
 from .statement_slots import StatementSlots
 
 if TYPE_CHECKING:
@@ -127,13 +132,17 @@
         pinned, usable, is_kept_open = connection is not None, False, False
         try:
             if needs_primary and not pinned:
-                self.await_lead(request, deadline)
-            self.check_may_lead(request, needs_primary)
+                await_lead(self.view, self.database, request, deadline)
+            check_may_lead(self.view, self.database, request, needs_primary)
+            check_not_evacuated(self.view, self.database, request)
             self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
             started_at, ran_seconds = now_seconds(), None
             try:
-                connection = connection or self.pool.acquire(request, deadline)
+                if connection is None:
+                    check_not_evacuated(self.view, self.database, request)
+                    connection = self.pool.acquire(request, deadline)
+                    check_not_evacuated(self.view, self.database, request)
                 result = self.run_on_connection(
                     connection,
                     request,
@@ -155,38 +164,6 @@
             if connection is not None and not is_kept_open:
                 self.pool.release(connection, clean=usable)
 
-    def check_not_stalled(self, request: ExecuteRequest, sent_at: Seconds) -> None:
-        """Raise UnitFailed if the sender may have run the statement elsewhere."""
-        if may_commit(request) or not self.view.may_have_stalled_since(sent_at):
-            return
-        raise UnitFailed(
-            not_run_result(
-                request, "the instance stalled and the sender may have given up"
-            ),
-            "late",
-        )
-
-    def await_lead(self, request: ExecuteRequest, deadline: Seconds) -> None:
-        """Wait while the database is about to lead; raise UnitFailed."""
-        while self.view.is_next_leader(self.database):
-            remaining = deadline - now_seconds()
-            if remaining <= 0.0:
-                detail = f"{self.database.id} does not lead yet"
-                raise UnitFailed(not_run_result(request, detail), "lead-pending")
-            self.view.changed.wait(remaining)
-
-    def check_may_lead(self, request: ExecuteRequest, needs_primary: bool) -> None:
-        """Raise UnitFailed if the statement needs a primary and this may not be one."""
-        if not needs_primary or self.view.may_use_as_primary(self.database):
-            return
-        leader = self.view.primary_of(self.database.service)
-        if leader is None or leader.id != self.database.id:
-            reason, detail = "lead-lost", f"{self.database.id} does not lead any more"
-        else:
-            reason = "lead-unconfirmed"
-            detail = f"{self.database.id} is not confirmed to lead"
-        raise UnitFailed(not_run_result(request, detail), reason)
-
     def take_pinned_connection(self, key: tuple[InstanceId, int]) -> PinnedConnection:
         """Take out the connection of an open transaction; raise UnitFailed."""
         pinned = self.pinned_connections.pop(key, None)
@@ -253,11 +230,12 @@
         try:
             connection.restore_session(request, deadline - now_seconds())
             if request.begin_mode:
-                self.check_may_lead(request, needs_primary)
+                check_may_lead(self.view, self.database, request, needs_primary)
                 self.begin_transaction(connection, request, deadline)
             try:
-                self.check_may_lead(request, needs_primary)
-                self.check_not_stalled(request, request_sent_at)
+                check_may_lead(self.view, self.database, request, needs_primary)
+                check_not_stalled(self.view, request, request_sent_at)
+                check_not_evacuated(self.view, self.database, request)
             except UnitFailed:
                 if request.transaction or request.begin_mode:
                     connection.close()
@@ -371,8 +349,9 @@
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
+        is_emptied = not self.view.evacuations.may_continue_work(self.database)
         for key, pinned in list(self.pinned_connections.items()):
-            if pinned.expires_at <= now:
+            if pinned.expires_at <= now or is_emptied:
                 del self.pinned_connections[key]
                 gevent.spawn(self.roll_back_and_return, pinned.connection)
         self.pool.close_expired(is_holder=is_holder)
@@ -384,12 +363,13 @@
                 self.probe.start()
 
     def is_leader(self) -> bool:
-        """Return whether the database leads its service as far as is known."""
+        """Return whether the database is known to lead its service and is in use."""
         leader = self.view.primary_of(self.database.service)
         return (
             leader is not None
             and leader.id == self.database.id
             and self.view.may_use_as_primary(leader)
+            and self.view.evacuations.may_start_work(leader)
         )
 
     def close(self) -> None:
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -25,6 +25,7 @@
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
+from .evacuations import Evacuations
 from .store_progress import StoreProgress
 
 if TYPE_CHECKING:
@@ -81,10 +82,14 @@
         leaving_seconds: Seconds,
         are_promotions_fenced: bool = True,
         features: Features = NO_FEATURES,
+        evacuation_seconds: Seconds = 0.0,
     ) -> None:
         """Start with nothing known."""
         super().__init__()
         self.features = features
+        self.evacuations = Evacuations(
+            evacuation_seconds, is_enabled=features.evacuates
+        )
         self.leaving_seconds = leaving_seconds
         self.are_promotions_fenced = are_promotions_fenced
         self.own_instance = own_instance
@@ -228,9 +233,17 @@
 
     def may_take_work(self, database: Database) -> bool:
         """Return whether a database still accepts new work."""
+        if not self.evacuations.may_start_work(database):
+            return False
         since = self.leaving_since.get(database.id)
         return may_take_work(database, since, self.leaving_seconds, now_seconds())
 
+    def is_stopped_by_evacuation(self, service: str) -> bool:
+        """Return whether no database may lead a service while an evacuation lasts."""
+        return self.evacuations.is_service_stopped(
+            self.databases, service, self.primary_of(service)
+        )
+
     def invalidate_assignment(self) -> None:
         """Recompute the assignment at its next use, after a change of its inputs."""
         self.is_assignment_current = False
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -26,6 +26,7 @@
 from ..metrics import Metrics
 from ..peer_links import Links
 from .callers import CallerListener
+from .evacuation_monitor import EvacuationMonitor
 from .fleet_view import FleetView
 from .held_databases import HeldDatabases
 from .peers import PeerMonitor, register_message_types
@@ -65,6 +66,7 @@
             leaving_seconds=settings.leaving_ms / 1000,
             are_promotions_fenced=settings.promotions_fenced,
             features=features_of(settings.agreed_terms),
+            evacuation_seconds=settings.evacuation_ms / 1000,
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
@@ -148,6 +150,12 @@
             metrics=self.metrics,
             log=Log("duty", settings.instance),
         )
+        self.evacuation_monitor = EvacuationMonitor(
+            view,
+            self.held_databases,
+            metrics=self.metrics,
+            log=Log("evacuation", settings.instance),
+        )
         self.router = Router(
             view,
             self.held_databases,
@@ -178,6 +186,7 @@
             self.held_databases.tend,
             self.peer_monitor.look_at_holders,
             self.promotion_task.watch,
+            self.evacuation_monitor.watch,
         )
         self.jobs = [spawn_steps(steps, STEP_INTERVAL_SECONDS, self.log)]
 
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -36,6 +36,7 @@
 from ..http_connection import ConnectionFailed
 from ..peer_links import PeerLost
 from .database_connection import ConnectRefused, DatabaseConnection
+from .evacuation_moves import EvacuationMoves
 from .leader_records import LeaderRecords
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
         self.metrics = metrics
         self.log = log
         self.services_in_progress: set[str] = set()
+        self.evacuation_moves = EvacuationMoves(view, self.services_in_progress)
         self.paused_until: dict[str, Seconds] = {}
         self.missing_since: dict[str, Seconds] = {}
         links.register_call(ReachabilityRequest, self.answer_reachability)
@@ -139,6 +141,8 @@
             self.missing_since.pop(service, None)
         if primary is not None and primary.leaving and rank > 0:
             return Verdict.KEEP
+        if primary is not None:
+            primary = self.evacuation_moves.claim(service, primary, rank, now)
         task = self.held_databases.tasks.get(primary.id) if primary else None
         own = task.tracker.health if task is not None else None
         health = self.view.database_health(primary.id if primary else "", own)
@@ -152,6 +156,8 @@
             if suspected is not None and not self.may_replace(suspected):
                 self.paused_until[service] = now_seconds() + REACHED_PAUSE_SECONDS
                 return
+            if verdict is Verdict.REPLACE:
+                primary = self.evacuation_moves.as_replaced(primary)
             self.promote_replica(service, primary)
         finally:
             self.services_in_progress.discard(service)
@@ -230,7 +236,9 @@
         started_at = now_seconds()
         candidates = [
             entry
-            for entry in databases_of(self.view.databases, service)
+            for entry in self.view.evacuations.successors_of(
+                databases_of(self.view.databases, service)
+            )
             if primary is None or entry.id != primary.id
         ]
         jobs = {
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -7,6 +7,7 @@
 
 from ...core.pooler.catalogue import Consistency, databases_of, Route
 from ...core.pooler.database_selection import read_order, ReadRequirement
+from ...core.pooler.evacuation import REFUSED_RETRY_SECONDS
 from ...core.pooler.failure_results import (
     lost_answer_result,
     may_commit,
@@ -44,6 +45,7 @@
     {
         "answer-lost",
         "connection-lost",
+        "evacuated",
         "unreachable",
         "given-up",
         "lead-lost",
@@ -136,6 +138,10 @@
     ) -> RoutedResult:
         """Run a statement, with retries, until it has a final result."""
         if binding is not None:
+            destination = binding.destination
+            if not self.view.evacuations.may_continue_work(destination.database):
+                self.abandon_transaction(binding)
+                return self.refuse_evacuated(call, 0, destination)
             message = self.execute_request(
                 call, binding.destination, binding.transaction_number
             )
@@ -157,6 +163,8 @@
         while True:
             destination = self.choose_destination(call, tried)
             if destination is None:
+                if self.view.is_stopped_by_evacuation(call.route.service):
+                    return self.refuse_evacuated(call, attempts, last_destination)
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
                     break
@@ -188,6 +196,17 @@
             last_destination = destination
         return RoutedResult(last.result, last.reason, None, attempts, last_destination)
 
+    def refuse_evacuated(
+        self, call: RoutingRequest, attempts: int, last: Destination | None
+    ) -> RoutedResult:
+        """Refuse a statement at once that only evacuated databases could run."""
+        result = not_run_result(
+            call.planned_statement,
+            f"what could run it of {call.route.service} is evacuated",
+            retry_after_seconds=REFUSED_RETRY_SECONDS,
+        )
+        return RoutedResult(result, "evacuated", None, attempts, last)
+
     def record_retry(
         self,
         call: RoutingRequest,
@@ -270,11 +289,11 @@
             route.consistency, floor, session_floor, route.max_staleness_seconds
         )
         candidates = read_order(
-            [
+            self.view.evacuations.readable_databases(
                 database
                 for database in databases_of(self.view.databases, route.service)
                 if not database.leaving
-            ],
+            ),
             self.view.observations,
             need,
             failure_domain=self.view.failure_domain,
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -17,6 +17,8 @@
     decode_announcement_order,
     decode_database,
     decode_declarations,
+    decode_evacuation,
+    EVACUATIONS_PREFIX,
     FIRST_ANNOUNCEMENT,
     MALFORMED_VALUE_ERRORS,
 )
@@ -77,6 +79,10 @@
         known = [
             *(DATABASES_PREFIX + identifier for identifier in self.view.databases),
             *(INSTANCES_PREFIX + name for name in self.view.members),
+            *(
+                EVACUATIONS_PREFIX + domain
+                for domain in self.view.evacuations.active_domains()
+            ),
         ]
         for key in known:
             if key not in present:
@@ -108,12 +114,39 @@
             return self.apply_database(
                 item, key.removeprefix(DATABASES_PREFIX), is_restored=is_restored
             )
+        elif key.startswith(EVACUATIONS_PREFIX):
+            self.apply_evacuation(item)
         elif key == SETTLED_ERA_KEY:
             self.apply_settled_era(item)
         elif key == SECRET_KEY and item.value:
             self.record_secret(item.value)
         return True
 
+    def apply_evacuation(self, item: StoredItem) -> None:
+        """Apply the order to evacuate a failure domain, or that it was taken back.
+
+        The order was given after the last moment at which the known state was current.
+        """
+        if not self.view.evacuations.is_enabled:
+            return
+        self.missing_since.pop(item.key, None)
+        if item.value is None:
+            self.take_back_evacuation(item.key)
+            return
+        result = decode_evacuation(item.key, item.value)
+        if isinstance(result, Failure):
+            self.log.info(
+                "An evacuation was not understood.",
+                key=item.key,
+                error=result.failure(),
+            )
+        else:
+            self.view.evacuations.begin(result.unwrap(), self.view.confirmed_at)
+
+    def take_back_evacuation(self, key: str) -> None:
+        """Let traffic return to a failure domain whose evacuation was taken back."""
+        self.view.evacuations.take_back(key.removeprefix(EVACUATIONS_PREFIX))
+
     def apply_settled_era(self, item: StoredItem) -> None:
         """Apply the mark that what a restore lost is written again."""
         value = item.value or b""
@@ -277,8 +310,11 @@
             self.remove_missing(key)
 
     def remove_missing(self, key: str) -> None:
-        """Remove a database or an instance whose entry is missing."""
+        """Remove what an entry that is missing described."""
         del self.missing_since[key]
+        if key.startswith(EVACUATIONS_PREFIX):
+            self.take_back_evacuation(key)
+            return
         if key.startswith(DATABASES_PREFIX):
             identifier = key.removeprefix(DATABASES_PREFIX)
             self.view.databases.pop(identifier, None)
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -82,8 +82,14 @@
 class Fleet:
     """Run the store, one database group and some instances in this process."""
 
-    def __init__(self, *, promotions_fenced: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        promotions_fenced: bool = True,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
         self.promotions_fenced = promotions_fenced
+        self.settings = settings or {}
         self.first_start = True
         self.store = MetadataStore(Address("127.0.0.1", 0))
         self.group = DatabaseGroup("s")
@@ -128,6 +134,7 @@
                 rate_excess_part=0.1,
                 rate_excess_operations=20,
                 promotions_fenced=self.promotions_fenced,
+                **self.settings,
             )
         )
         pooler.start()
@@ -173,3 +180,19 @@
     wait_until(lambda: all(len(pooler.view.members) == 3 for pooler in fleet.instances))
     yield fleet
     fleet.close()
+
+
+@pytest.fixture(params=[True, False], ids=["fenced", "unfenced"])
+def evacuating_fleet(request: pytest.FixtureRequest) -> Iterator[Fleet]:
+    """Run each database in a failure domain of its own, under a short bound."""
+    settings = {"agreed_terms": ("places",), "evacuation_ms": 3000.0}
+    fleet = Fleet(promotions_fenced=request.param, settings=settings)
+    for member, zone in zip(fleet.group.members.values(), "xyz", strict=True):
+        member.zone = zone
+    fleet.announce()
+    fleet.add_instance()
+    fleet.add_instance()
+    wait_until(lambda: all(len(pooler.view.members) == 2 for pooler in fleet.instances))
+    wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
+    yield fleet
+    fleet.close()
