Limit the requests to a cold database at its holder

Cause: a database that has just started is slow, and got as much as the others. A limit counted by each instance would add up over the fleet.

The holder counts the requests of the last second while the database announces cold-left-ms and its service declares cold-per-s. What is beyond the limit goes elsewhere, or waits in an open transaction. A database whose connections were refused counts as cold until it announces itself again.

Also adds the test that an evacuation outlasts a restored copy of the store without it.

--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -88,6 +88,10 @@
     "given-up": Cause(
         "The holder does not reach the database.", DATABASE_MESSAGE_TYPES
     ),
+    "cold": Cause(
+        "The database is slow after its start and gets few requests.",
+        ("registry: A database is cold.",),
+    ),
     "evacuated": Cause(
         "The failure domain of what could have run it is evacuated.",
         ("evacuation: An evacuation reached a stage.",),
--- a/berylhinge/core/pooler/evacuation.py
+++ b/berylhinge/core/pooler/evacuation.py
@@ -111,7 +111,11 @@
         if stage >= Stage.NO_NEW_WORK:
             continue
         possible.append(database)
-        if database.role is DatabaseRole.PRIMARY or stage is Stage.SERVING or (stage is Stage.RETURNING and draw < return_share(evacuation, now)):
+        if (
+            database.role is DatabaseRole.PRIMARY
+            or stage is Stage.SERVING
+            or (stage is Stage.RETURNING and draw < return_share(evacuation, now))
+        ):
             preferred.append(database)
     has_replica = any(entry.role is not DatabaseRole.PRIMARY for entry in preferred)
     return preferred if has_replica else possible
--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -20,6 +20,7 @@
     "registry: Declarations are in force.": lines.DeclarationsInForce,
     "registry: An entry names no database.": lines.RegistryEntryRejected,
     "registry: A database announced itself.": lines.DatabaseAnnounced,
+    "registry: A database is cold.": lines.DatabaseCold,
     "registry: A database is gone.": lines.DatabaseLogLine,
     "registry: A registration is malformed.": lines.RegistrationRejected,
     "registry: An instance registered.": lines.InstanceRegistered,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -373,3 +373,9 @@
 
     stage: str
     in_use: list[str]
+
+
+class DatabaseCold(DatabaseLogLine):
+    """Report for how long a database is still slow after its start."""
+
+    seconds: float
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -17,7 +17,7 @@
     Service,
 )
 from ..tasks.http_server import parse_address
-from ..types import DatabaseRole, FailureDomainId
+from ..types import DatabaseRole, FailureDomainId, Seconds
 
 CONFIGURATION_KEY = "op/config"
 DATABASES_PREFIX = "servers/"
@@ -46,8 +46,11 @@
     total=False,
 )
 ServiceDocument = TypedDict(
-    "ServiceDocument", {"name": str, "max-conns": int}, total=False
+    "ServiceDocument",
+    {"name": str, "max-conns": int, "cold-start-s": float, "cold-per-s": float},
+    total=False,
 )
+ColdnessDocument = TypedDict("ColdnessDocument", {"cold-left-ms": float}, total=False)
 TenantDocument = TypedDict(
     "TenantDocument",
     {"name": str, "api-keys": list[str], "rate-per-s": float, "burst": float},
@@ -112,7 +115,12 @@
                     for entry in document.get("routes", [])
                 },
                 services={
-                    entry["name"]: Service(entry["name"], entry.get("max-conns", 1))
+                    entry["name"]: Service(
+                        entry["name"],
+                        entry.get("max-conns", 1),
+                        entry.get("cold-per-s", 0.0),
+                        entry.get("cold-start-s", 0.0),
+                    )
                     for entry in document.get("services", [])
                 },
                 keys={
@@ -193,3 +201,12 @@
     except MALFORMED_VALUE_ERRORS as error:
         return Failure(f"{type(error).__name__}: {error}")
     return Success(domain)
+
+
+def decode_cold_left(value: bytes) -> Seconds:
+    """Return for how long a database is still slow after its start, 0 if it is warm."""
+    try:
+        entry = msgspec.json.decode(value, type=ColdnessDocument)
+    except MALFORMED_VALUE_ERRORS:
+        return 0.0
+    return max(0.0, entry.get("cold-left-ms", 0.0) / 1000)
--- a/berylhinge/platform/tests/test_documents.py
+++ b/berylhinge/platform/tests/test_documents.py
@@ -8,7 +8,12 @@
 
 from ...core.pooler.catalogue import Consistency, Quota, Service
 from ...types import DatabaseRole
-from ..documents import decode_database, decode_declarations
+from ..documents import (
+    decode_cold_left,
+    decode_database,
+    decode_declarations,
+    decode_evacuation,
+)
 
 CONFIGURATION = {
     "version": 7,
@@ -121,3 +126,38 @@
 def test_an_entry_without_a_usable_address_names_no_database(address: str) -> None:
     value = msgspec.json.encode({**DATABASE, "address": address})
     assert isinstance(decode_database("i", value), Failure)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b'{"cold-left-ms": 2500}', 2.5),
+        (b'{"cold-left-ms": 0}', 0.0),
+        (b'{"cold-left-ms": -5}', 0.0),
+        (b"{}", 0.0),
+        # A database with an odd field stays usable, as a warm one.
+        (b'{"cold-left-ms": "long"}', 0.0),
+        (b"\xff", 0.0),
+        (DEEP, 0.0),
+    ],
+)
+def test_how_long_a_database_is_cold(value: bytes, expected: float) -> None:
+    assert decode_cold_left(value) == expected
+
+
+@pytest.mark.parametrize("value", [b"{}", b"null", b"1", b'"until noon"'])
+def test_any_json_evacuates(value: bytes) -> None:
+    assert decode_evacuation("op/evacuate/oslo-a", value) == Success("oslo-a")
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("op/evacuate/", b"{}"),
+        ("op/evacuate/oslo-a", b""),
+        ("op/evacuate/oslo-a", b"\xff"),
+        ("op/evacuate/oslo-a", DEEP),
+    ],
+)
+def test_a_bad_order_is_a_failure(key: str, value: bytes) -> None:
+    assert isinstance(decode_evacuation(key, value), Failure)
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -110,6 +110,7 @@
         self.running = True
         self.advertised = ""
         self.zone = "x"
+        self.cold_left_ms = 0
         self.sockets: set[Any] = set()
         self.listen(0)
         group.members[name] = self
@@ -142,6 +143,7 @@
             "db-role": "primary" if self.leads else "replica",
             "sequence": self.sequence,
             "born": 1,
+            "cold-left-ms": self.cold_left_ms,
         }
 
     def receive(self, length: int) -> None:
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -21,6 +21,7 @@
 from ...wire.pooling import DatabaseState, ExecuteResponse
 from ..clock import now_seconds
 from ..http_connection import ConnectionFailed
+from .cold_limit import ColdLimit
 from .connection_pool import ConnectionPool, UnitFailed
 from .database_probe import DatabaseProbe, STATUS_TIMEOUT_SECONDS
 from .database_tracker import DatabaseTracker, proof_for_peer
@@ -73,6 +74,7 @@
         self.log = log
         self.slots = StatementSlots(database.slots)
         self.pinned_connections: dict[tuple[InstanceId, int], PinnedConnection] = {}
+        self.cold_limit = ColdLimit(view)
         self.tracker = DatabaseTracker()
         self.pool = ConnectionPool(
             database, view, self.tracker, on_failure=lambda: self.probe.start()
@@ -135,6 +137,7 @@
                 await_lead(self.view, self.database, request, deadline)
             check_may_lead(self.view, self.database, request, needs_primary)
             check_not_evacuated(self.view, self.database, request)
+            self.cold_limit.check(self.database, request)
             self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
             started_at, ran_seconds = now_seconds(), None
@@ -143,6 +146,9 @@
                     check_not_evacuated(self.view, self.database, request)
                     connection = self.pool.acquire(request, deadline)
                     check_not_evacuated(self.view, self.database, request)
+                usable = not pinned
+                self.cold_limit.admit(self.database, request, deadline)
+                usable = True
                 result = self.run_on_connection(
                     connection,
                     request,
@@ -349,6 +355,9 @@
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
+        self.cold_limit.record_holder(
+            is_holder=is_holder, is_refused=self.tracker.health.refused
+        )
         is_emptied = not self.view.evacuations.may_continue_work(self.database)
         for key, pinned in list(self.pinned_connections.items()):
             if pinned.expires_at <= now or is_emptied:
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -7,6 +7,7 @@
 
 from ...core.pooler.assignment import InstanceAssignment
 from ...core.pooler.catalogue import may_take_work
+from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
 from ...core.pooler.failover import (
     DatabaseHealth,
@@ -83,6 +84,7 @@
         are_promotions_fenced: bool = True,
         features: Features = NO_FEATURES,
         evacuation_seconds: Seconds = 0.0,
+        cold_tolerance: ColdTolerance = ColdTolerance(),
     ) -> None:
         """Start with nothing known."""
         super().__init__()
@@ -101,6 +103,9 @@
         self.floors: dict[str, FloorHistory] = {}
         self.observations: dict[UpstreamId, DatabaseObservation] = {}
         self.bounded_reads_until: dict[str, Seconds] = {}
+        self.cold_tolerance = cold_tolerance
+        self.cold_until: dict[UpstreamId, Seconds] = {}
+        self.announced_at: dict[UpstreamId, Seconds] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
         self.changed = Broadcast()
         self.stopping = False
@@ -238,6 +243,10 @@
         since = self.leaving_since.get(database.id)
         return may_take_work(database, since, self.leaving_seconds, now_seconds())
 
+    def is_cold(self, database: UpstreamId) -> bool:
+        """Return whether a database is still slow after its start, as it announced."""
+        return self.cold_until.get(database, 0.0) > now_seconds()
+
     def is_stopped_by_evacuation(self, service: str) -> bool:
         """Return whether no database may lead a service while an evacuation lasts."""
         return self.evacuations.is_service_stopped(
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from ...core.peer_envelopes import new_channel, replace_secrets
+from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
 from ...platform.metadata_store import MetadataStore
@@ -67,6 +68,9 @@
             are_promotions_fenced=settings.promotions_fenced,
             features=features_of(settings.agreed_terms),
             evacuation_seconds=settings.evacuation_ms / 1000,
+            cold_tolerance=ColdTolerance(
+                settings.cold_excess_factor, settings.cold_excess_requests
+            ),
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -44,6 +44,7 @@
 RETRY_REASONS = frozenset(
     {
         "answer-lost",
+        "cold",
         "connection-lost",
         "evacuated",
         "unreachable",
@@ -372,6 +373,9 @@
             self.view.avoid_for_reads(
                 database.id, seconds=AVOID_UNREACHED_SECONDS, lagging=False
             )
+        elif reason == "cold":
+            wait = done.result.retry_after_seconds
+            self.view.avoid_for_reads(database.id, seconds=wait, lagging=False)
         elif reason in ("answer-read-only", "begin-read-only"):
             self.view.record_lost_lead(database)
         self.view.record_observation(
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -15,6 +15,7 @@
     CONFIGURATION_KEY,
     DATABASES_PREFIX,
     decode_announcement_order,
+    decode_cold_left,
     decode_database,
     decode_declarations,
     decode_evacuation,
@@ -248,6 +249,7 @@
             self.view.leaving_since.setdefault(identifier, now_seconds())
         else:
             self.view.leaving_since.pop(identifier, None)
+        self.apply_coldness(identifier, decode_cold_left(item.value))
         if known is None or known != database:
             self.log.info(
                 "A database announced itself.",
@@ -259,6 +261,16 @@
             )
         return True
 
+    def apply_coldness(self, identifier: UpstreamId, left: Seconds) -> None:
+        """Apply for how long a database said that it is still slow."""
+        self.view.announced_at[identifier] = now_seconds()
+        if left <= 0.0:
+            self.view.cold_until.pop(identifier, None)
+            return
+        if not self.view.is_cold(identifier):
+            self.log.info("A database is cold.", database=identifier, seconds=left)
+        self.view.cold_until[identifier] = now_seconds() + left
+
     def apply_member(self, item: StoredItem, name: str) -> bool:
         """Apply an instance's registration, or record that it is missing."""
         if item.value is None:
@@ -319,6 +331,8 @@
             identifier = key.removeprefix(DATABASES_PREFIX)
             self.view.databases.pop(identifier, None)
             self.view.leaving_since.pop(identifier, None)
+            self.view.cold_until.pop(identifier, None)
+            self.view.announced_at.pop(identifier, None)
             self.view.observations.pop(identifier, None)
             self.log.info("A database is gone.", database=identifier)
         else:
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -134,6 +134,8 @@
                 rate_excess_part=0.1,
                 rate_excess_operations=20,
                 promotions_fenced=self.promotions_fenced,
+                cold_excess_factor=1.5,
+                cold_excess_requests=5.0,
                 **self.settings,
             )
         )
--- a/berylhinge/tasks/pooler/tests/test_evacuation.py
+++ b/berylhinge/tasks/pooler/tests/test_evacuation.py
@@ -120,6 +120,29 @@
     assert view.evacuations.stage_of_domain(replica.zone) is Stage.EMPTY
 
 
+def test_an_order_that_a_restored_copy_lacks_holds_until_it_is_written_again(
+    evacuating_fleet: Fleet,
+) -> None:
+    fleet = evacuating_fleet
+    replica = next(
+        member for member in fleet.group.members.values() if not member.leads
+    )
+    copy = fleet.store.make_copy()
+    fleet.store.put(f"op/evacuate/{replica.zone}", {})
+    wait_for_stage(fleet, replica.zone, Stage.EMPTY)
+    fleet.store.restore(copy)
+    restored_at, stages = time.monotonic(), set()
+    is_written = False
+    while time.monotonic() - restored_at < 4.0:
+        if not is_written and time.monotonic() - restored_at > 1.5:
+            fleet.store.put(f"op/evacuate/{replica.zone}", {})
+            is_written = True
+        for pooler in fleet.instances:
+            stages.add(pooler.view.evacuations.stage_of_domain(replica.zone))
+        gevent.sleep(0.05)
+    assert stages == {Stage.EMPTY}
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
