--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -21,6 +21,7 @@
     "registry: Declarations are in force.": lines.DeclarationsInForce,
     "registry: An entry names no database.": lines.RegistryEntryRejected,
     "registry: A database announced itself.": lines.DatabaseAnnounced,
+    "registry: A database is cold.": lines.DatabaseCold,
     "registry: A database is gone.": lines.DatabaseLogLine,
     "registry: A registration is malformed.": lines.RegistrationRejected,
     "registry: An instance registered.": lines.InstanceRegistered,
@@ -52,6 +53,11 @@
     "duty: A lost record of a leader was written again.": lines.LeaderRecordedAgain,
     "duty: The record of a leader was replaced.": lines.LeaderRecordReplaced,
     "duty: A promotion was asked for.": lines.PromotionRequested,
+    "registry: An evacuation was not understood.": lines.EvacuationRejected,
+    "evacuation: An evacuation reached a stage.": lines.EvacuationProceeding,
+    "evacuation: An evacuation names an unknown failure domain.": (
+        lines.FailureDomainLogLine
+    ),
 }
 
 
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -389,3 +389,29 @@
     points: dict[str, str]
     outcome: str
     took_seconds: float
+
+
+class EvacuationRejected(InstanceLogLine):
+    """Report why the value of a key that asks for an evacuation is not used."""
+
+    key: str
+    error: str
+
+
+class FailureDomainLogLine(InstanceLogLine):
+    """Define the fields of lines about one failure domain."""
+
+    failure_domain: str
+
+
+class EvacuationProceeding(FailureDomainLogLine):
+    """Report a stage of an evacuation, and the databases held here with work there."""
+
+    stage: str
+    in_use: list[str]
+
+
+class DatabaseCold(DatabaseLogLine):
+    """Report for how long a database is still slow after its start."""
+
+    seconds: float
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -17,10 +17,11 @@
     Service,
 )
 from ..tasks.http_server import parse_address
-from ..types import DatabaseRole
+from ..types import DatabaseRole, FailureDomainId, Seconds
 
 CONFIGURATION_KEY = "op/config"
 DATABASES_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 CONSISTENCY_BY_KIND = {
     "primary": Consistency.PRIMARY,
@@ -45,8 +46,11 @@
     total=False,
 )
 ServiceDocument = TypedDict(
-    "ServiceDocument", {"name": str, "max-conns": int}, total=False
+    "ServiceDocument",
+    {"name": str, "max-conns": int, "cold-start-s": float, "cold-per-s": float},
+    total=False,
 )
+ColdnessDocument = TypedDict("ColdnessDocument", {"cold-left-ms": float}, total=False)
 TenantDocument = TypedDict(
     "TenantDocument",
     {"name": str, "api-keys": list[str], "rate-per-s": float, "burst": float},
@@ -111,7 +115,12 @@
                     for entry in document.get("routes", [])
                 },
                 services={
-                    entry["name"]: Service(entry["name"], entry.get("max-conns", 1))
+                    entry["name"]: Service(
+                        entry["name"],
+                        entry.get("max-conns", 1),
+                        entry.get("cold-per-s", 0.0),
+                        entry.get("cold-start-s", 0.0),
+                    )
                     for entry in document.get("services", [])
                 },
                 keys={
@@ -177,3 +186,27 @@
     except MALFORMED_VALUE_ERRORS:
         return FIRST_ANNOUNCEMENT
     return AnnouncementOrder(entry.get("born", 0), entry.get("sequence", 0))
+
+
+def decode_evacuation(key: str, value: bytes) -> Result[FailureDomainId, str]:
+    """Return the failure domain that a key asks to evacuate, or what is wrong.
+
+    The value may be any JSON.
+    """
+    domain = key.removeprefix(EVACUATIONS_PREFIX)
+    if not domain:
+        return Failure("got no failure domain after the prefix, expected its name")
+    try:
+        msgspec.json.decode(value)
+    except MALFORMED_VALUE_ERRORS as error:
+        return Failure(f"{type(error).__name__}: {error}")
+    return Success(domain)
+
+
+def decode_cold_left(value: bytes) -> Seconds:
+    """Return for how long a database is still slow after its start, 0 if it is warm."""
+    try:
+        entry = msgspec.json.decode(value, type=ColdnessDocument)
+    except MALFORMED_VALUE_ERRORS:
+        return 0.0
+    return max(0.0, entry.get("cold-left-ms", 0.0) / 1000)
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -109,6 +109,8 @@
         self.silent = False
         self.running = True
         self.advertised = ""
+        self.zone = "x"
+        self.cold_left_ms = 0
         self.sockets: set[Any] = set()
         self.listen(0)
         group.members[name] = self
@@ -135,12 +137,13 @@
         return {
             "service": self.group.service,
             "address": self.advertised or self.address,
-            "zone": "x",
+            "zone": self.zone,
             "capacity": 2,
             "state": state,
             "db-role": "primary" if self.leads else "replica",
             "sequence": self.sequence,
             "born": 1,
+            "cold-left-ms": self.cold_left_ms,
         }
 
     def receive(self, length: int) -> None:
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -69,6 +69,8 @@
     "database_load_age_seconds": "Age of the last report of load, by database.",
     "database_set_aside": "1 if set aside for reads, by database and reason.",
     "service_load_spread": "Busiest database's share of slots over the mean, by service.",
+    "evacuated_domains": "Failure domains that are evacuated, as known here.",
+    "evacuated_databases_in_use": "Evacuated databases with work, held here.",
     "queue_length": "Requests that wait for a connection, by group.",
 }
 
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -7,6 +7,7 @@
 
 from ...core.pooler.assignment import InstanceAssignment
 from ...core.pooler.catalogue import may_take_work
+from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.database_load import BelievedLoad
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
 from ...core.pooler.failover import (
@@ -27,6 +28,7 @@
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
+from .evacuations import Evacuations
 from .store_progress import StoreProgress
 
 if TYPE_CHECKING:
@@ -86,11 +88,16 @@
         are_promotions_fenced: bool = True,
         features: Features = NO_FEATURES,
         weight: float = 1.0,
+        evacuation_seconds: Seconds = 0.0,
+        cold_tolerance: ColdTolerance = ColdTolerance(),
     ) -> None:
         """Start with nothing known; ``weight`` is this instance's capacity."""
         super().__init__()
         self.features = features
         self.weight = weight
+        self.evacuations = Evacuations(
+            evacuation_seconds, is_enabled=features.evacuates
+        )
         self.leaving_seconds = leaving_seconds
         self.are_promotions_fenced = are_promotions_fenced
         self.own_instance = own_instance
@@ -103,6 +110,9 @@
         self.observations: dict[UpstreamId, DatabaseObservation] = {}
         self.loads: dict[UpstreamId, BelievedLoad] = {}
         self.bounded_reads_until: dict[str, Seconds] = {}
+        self.cold_tolerance = cold_tolerance
+        self.cold_until: dict[UpstreamId, Seconds] = {}
+        self.announced_at: dict[UpstreamId, Seconds] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
         self.changed = Broadcast()
         self.stopping = False
@@ -245,9 +255,21 @@
 
     def may_take_work(self, database: Database) -> bool:
         """Return whether a database still accepts new work."""
+        if not self.evacuations.may_start_work(database):
+            return False
         since = self.leaving_since.get(database.id)
         return may_take_work(database, since, self.leaving_seconds, now_seconds())
 
+    def is_cold(self, database: UpstreamId) -> bool:
+        """Return whether a database is still slow after its start, as it announced."""
+        return self.cold_until.get(database, 0.0) > now_seconds()
+
+    def is_stopped_by_evacuation(self, service: str) -> bool:
+        """Return whether no database may lead a service while an evacuation lasts."""
+        return self.evacuations.is_service_stopped(
+            self.databases, service, self.primary_of(service)
+        )
+
     def invalidate_assignment(self) -> None:
         """Recompute the assignment at its next use, after a change of its inputs."""
         self.is_assignment_current = False
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from ...core.peer_envelopes import new_channel, replace_secrets
+from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.placement import instance_weight
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
@@ -27,6 +28,7 @@
 from ..metrics import Metrics
 from ..peer_links import Links
 from .callers import CallerListener
+from .evacuation_monitor import EvacuationMonitor
 from .fleet_view import FleetView
 from .held_databases import HeldDatabases
 from .peers import PeerMonitor, register_message_types
@@ -67,6 +69,10 @@
             are_promotions_fenced=settings.promotions_fenced,
             features=features_of(settings.agreed_terms),
             weight=instance_weight(settings.processor_cores, settings.bandwidth_mbps),
+            evacuation_seconds=settings.evacuation_ms / 1000,
+            cold_tolerance=ColdTolerance(
+                settings.cold_excess_factor, settings.cold_excess_requests
+            ),
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
@@ -153,6 +159,12 @@
             metrics=self.metrics,
             log=Log("duty", settings.instance),
         )
+        self.evacuation_monitor = EvacuationMonitor(
+            view,
+            self.held_databases,
+            metrics=self.metrics,
+            log=Log("evacuation", settings.instance),
+        )
         self.router = Router(
             view,
             self.held_databases,
@@ -184,6 +196,7 @@
             self.held_databases.tend,
             self.peer_monitor.look_at_holders,
             self.promotion_task.watch,
+            self.evacuation_monitor.watch,
         )
         self.jobs = [spawn_steps(steps, STEP_INTERVAL_SECONDS, self.log)]
 
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -11,6 +11,7 @@
     ReadRequirement,
     usable_databases,
 )
+from ...core.pooler.evacuation import REFUSED_RETRY_SECONDS
 from ...core.pooler.failure_results import (
     lost_answer_result,
     may_commit,
@@ -52,7 +53,9 @@
 RETRY_REASONS = frozenset(
     {
         "answer-lost",
+        "cold",
         "connection-lost",
+        "evacuated",
         "unreachable",
         "given-up",
         "lead-lost",
@@ -168,6 +171,10 @@
     ) -> RoutedResult:
         """Run a statement, with retries, until it has a final result."""
         if binding is not None:
+            destination = binding.destination
+            if not self.view.evacuations.may_continue_work(destination.database):
+                self.abandon_transaction(binding)
+                return self.refuse_evacuated(call, 0, destination)
             message = self.execute_request(
                 call, binding.destination, binding.transaction_number
             )
@@ -189,6 +196,8 @@
         while True:
             destination = self.choose_destination(call, tried)
             if destination is None:
+                if self.view.is_stopped_by_evacuation(call.route.service):
+                    return self.refuse_evacuated(call, attempts, last_destination)
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
                     break
@@ -226,6 +235,17 @@
             self.record_retry(call, destination, last, tried)
         return RoutedResult(last.result, last.reason, None, attempts, last_destination)
 
+    def refuse_evacuated(
+        self, call: RoutingRequest, attempts: int, last: Destination | None
+    ) -> RoutedResult:
+        """Refuse a statement at once that only evacuated databases could run."""
+        result = not_run_result(
+            call.planned_statement,
+            f"what could run it of {call.route.service} is evacuated",
+            retry_after_seconds=REFUSED_RETRY_SECONDS,
+        )
+        return RoutedResult(result, "evacuated", None, attempts, last)
+
     def record_retry(
         self,
         call: RoutingRequest,
@@ -321,11 +341,11 @@
     ) -> list[Database]:
         """Return the databases that can serve a read in the order to try them."""
         floors = self.view.floors_of(service)
-        databases = [
+        databases = self.view.evacuations.readable_databases(
             database
             for database in databases_of(self.view.databases, service)
             if not database.leaving
-        ]
+        )
         lag = partial(lag_of, floors, now=now)
         known = self.view.observations
         if self.view.features.balances_reads:
@@ -415,6 +435,9 @@
             self.view.avoid_for_reads(
                 database.id, seconds=AVOID_UNREACHED_SECONDS, lagging=False
             )
+        elif reason == "cold":
+            wait = done.result.retry_after_seconds
+            self.view.avoid_for_reads(database.id, seconds=wait, lagging=False)
         elif reason in ("answer-read-only", "begin-read-only"):
             self.view.record_lost_lead(database)
         self.view.record_observation(
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -15,8 +15,11 @@
     CONFIGURATION_KEY,
     DATABASES_PREFIX,
     decode_announcement_order,
+    decode_cold_left,
     decode_database,
     decode_declarations,
+    decode_evacuation,
+    EVACUATIONS_PREFIX,
     FIRST_ANNOUNCEMENT,
     MALFORMED_VALUE_ERRORS,
 )
@@ -78,6 +81,10 @@
         known = [
             *(DATABASES_PREFIX + identifier for identifier in self.view.databases),
             *(INSTANCES_PREFIX + name for name in self.view.members),
+            *(
+                EVACUATIONS_PREFIX + domain
+                for domain in self.view.evacuations.active_domains()
+            ),
         ]
         for key in known:
             if key not in present:
@@ -109,12 +116,39 @@
             return self.apply_database(
                 item, key.removeprefix(DATABASES_PREFIX), is_restored=is_restored
             )
+        elif key.startswith(EVACUATIONS_PREFIX):
+            self.apply_evacuation(item)
         elif key == SETTLED_ERA_KEY:
             self.apply_settled_era(item)
         elif key == SECRET_KEY and item.value:
             self.record_secret(item.value)
         return True
 
+    def apply_evacuation(self, item: StoredItem) -> None:
+        """Apply the order to evacuate a failure domain, or that it was taken back.
+
+        The order was given after the last moment at which the known state was current.
+        """
+        if not self.view.evacuations.is_enabled:
+            return
+        self.missing_since.pop(item.key, None)
+        if item.value is None:
+            self.take_back_evacuation(item.key)
+            return
+        result = decode_evacuation(item.key, item.value)
+        if isinstance(result, Failure):
+            self.log.info(
+                "An evacuation was not understood.",
+                key=item.key,
+                error=result.failure(),
+            )
+        else:
+            self.view.evacuations.begin(result.unwrap(), self.view.confirmed_at)
+
+    def take_back_evacuation(self, key: str) -> None:
+        """Let traffic return to a failure domain whose evacuation was taken back."""
+        self.view.evacuations.take_back(key.removeprefix(EVACUATIONS_PREFIX))
+
     def apply_settled_era(self, item: StoredItem) -> None:
         """Apply the mark that what a restore lost is written again."""
         value = item.value or b""
@@ -216,6 +250,7 @@
             self.view.leaving_since.setdefault(identifier, now_seconds())
         else:
             self.view.leaving_since.pop(identifier, None)
+        self.apply_coldness(identifier, decode_cold_left(item.value))
         if known is None or known != database:
             self.log.info(
                 "A database announced itself.",
@@ -227,6 +262,16 @@
             )
         return True
 
+    def apply_coldness(self, identifier: UpstreamId, left: Seconds) -> None:
+        """Apply for how long a database said that it is still slow."""
+        self.view.announced_at[identifier] = now_seconds()
+        if left <= 0.0:
+            self.view.cold_until.pop(identifier, None)
+            return
+        if not self.view.is_cold(identifier):
+            self.log.info("A database is cold.", database=identifier, seconds=left)
+        self.view.cold_until[identifier] = now_seconds() + left
+
     def apply_member(self, item: StoredItem, name: str) -> bool:
         """Apply an instance's registration, or record that it is missing."""
         if item.value is None:
@@ -279,12 +324,17 @@
             self.remove_missing(key)
 
     def remove_missing(self, key: str) -> None:
-        """Remove a database or an instance whose entry is missing."""
+        """Remove what an entry that is missing described."""
         del self.missing_since[key]
+        if key.startswith(EVACUATIONS_PREFIX):
+            self.take_back_evacuation(key)
+            return
         if key.startswith(DATABASES_PREFIX):
             identifier = key.removeprefix(DATABASES_PREFIX)
             self.view.databases.pop(identifier, None)
             self.view.leaving_since.pop(identifier, None)
+            self.view.cold_until.pop(identifier, None)
+            self.view.announced_at.pop(identifier, None)
             self.view.observations.pop(identifier, None)
             self.log.info("A database is gone.", database=identifier)
         else:
