Do not suspect a peer that told of its restart, and describe restarts

A write to a process that had restarted ended in doubt, and its holder was skipped although its notice showed that it runs.

--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -46,13 +46,16 @@
 
 
 class PeerLost(Exception):
-    """Report that a peer did not answer in time or is not known."""
+    """Report that a peer did not answer in time, restarted or is not known."""
 
-    def __init__(self, instance: InstanceId, *, sent: bool) -> None:
+    def __init__(
+        self, instance: InstanceId, *, sent: bool, restarted: bool = False
+    ) -> None:
         """Store the peer and whether the message may have been sent."""
         super().__init__(f"no answer from {instance}")
         self.instance = instance
         self.sent = sent
+        self.restarted = restarted
 
 
 def ignore_fault(kind: str, error: Exception) -> None:
@@ -176,10 +179,6 @@
         self.on_count("sent", len(data))
         return True
 
-    def is_connected(self, instance: InstanceId) -> bool:
-        """Return whether a connection to the peer's inbox is open."""
-        return self.outboxes.is_connected(instance)
-
     def connect(self, instance: InstanceId) -> bool:
         """Dial a peer and wait briefly until connected."""
         peer = self.contacts.find(instance)
@@ -188,7 +187,7 @@
             return False
         self.outboxes.ensure(instance, peer)
         deadline = time.monotonic() + CONNECT_TIMEOUT_SECONDS
-        while not self.is_connected(instance):
+        while not self.outboxes.is_connected(instance):
             if time.monotonic() >= deadline:
                 return False
             gevent.sleep(CONNECT_POLL_SECONDS)
@@ -234,15 +233,14 @@
     ) -> Any:
         """Send and return the answer; raise PeerLost on timeout or ``is_lost``.
 
-        A peer that restarted since it was last heard drops the message. It is sent once
-        more if it ``may_repeat``, that is if it does no harm should it run twice.
+        A restarted peer drops it; it is sent once more if it ``may_repeat`` safely.
         """
         deadline = time.monotonic() + timeout_seconds
         answer = self.call_once(instance, message, deadline, is_lost)
-        if isinstance(answer, RestartNotice) and may_repeat:
+        if may_repeat and isinstance(answer, RestartNotice):
             answer = self.call_once(instance, message, deadline, is_lost)
         if isinstance(answer, RestartNotice):
-            raise PeerLost(instance, sent=True)
+            raise PeerLost(instance, sent=True, restarted=True)
         return answer
 
     def call_once(
@@ -275,7 +273,7 @@
         while (remaining := deadline - time.monotonic()) > 0:
             if answer.wait(min(remaining, LOSS_CHECK_SECONDS)) or answer.ready():
                 return answer.get()
-            if not self.is_connected(instance) or (is_lost and is_lost()):
+            if not self.outboxes.is_connected(instance) or (is_lost and is_lost()):
                 break
         raise PeerLost(instance, sent=True)
 
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -353,8 +353,9 @@
                     holder, message, timeout, is_lost, may_repeat=not can_commit
                 )
         except PeerLost as error:
-            self.view.mark_suspect(holder)
-            self.links.close_outbox(holder)
+            if not error.restarted:
+                self.view.mark_suspect(holder)
+                self.links.close_outbox(holder)
             result = lost_answer_result(message, str(error), sent=error.sent)
             return ExecuteResponse(result, "peer-lost")
         return done
--- a/berylhinge/tasks/tests/test_peer_links.py
+++ b/berylhinge/tasks/tests/test_peer_links.py
@@ -184,6 +184,8 @@
     with pytest.raises(PeerLost) as lost:
         first.call("second", Question("hello"), 5.0)
     assert lost.value.sent
+    # It runs, so it must not be taken for dead.
+    assert lost.value.restarted
     assert time.monotonic() - started_at < 2.0
     assert second_counts["received"] == 0
 
