--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -106,6 +106,7 @@
 
         After a change of rate owner it waits for longer, within its latency goal.
         """
+        self.record_demand(organisation)
         wait_until = now_seconds() + latency_goal_seconds * MAX_WAIT_GOAL_FRACTION
         while True:
             admission = self.admit_once(organisation)
@@ -136,8 +137,8 @@
         admission: Admission = decision.get()
         return admission
 
-    def use_prefetched_token(self, organisation: OrganisationId) -> bool:
-        """Record the demand, and use a token granted ahead if one is left."""
+    def record_demand(self, organisation: OrganisationId) -> None:
+        """Count an operation, by which tokens are asked for ahead."""
         now = now_seconds()
         demand = self.demands.get(organisation, Demand(now, 0, 0.0))
         demand = demand._replace(operations=demand.operations + 1)
@@ -145,8 +146,11 @@
         if passed_seconds >= SPARE_LIFETIME_SECONDS:
             demand = Demand(now, 0, demand.operations / passed_seconds)
         self.demands[organisation] = demand
+
+    def use_prefetched_token(self, organisation: OrganisationId) -> bool:
+        """Use a token granted ahead if one is left."""
         prefetched = self.prefetched.get(organisation, NO_PREFETCHED_TOKENS)
-        if prefetched.tokens < 1 or prefetched.expires_at <= now:
+        if prefetched.tokens < 1 or prefetched.expires_at <= now_seconds():
             return False
         self.prefetched[organisation] = prefetched._replace(
             tokens=prefetched.tokens - 1
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -67,6 +67,8 @@
     gevent.joinall(asked, raise_error=True)
     refused = [job.value for job in asked if not job.value.admitted]
     assert (not refused) == all_admitted
+    # An operation that asks again is not more demand, for which spare tokens are asked.
+    assert limiter.demands["o"].operations == OPERATIONS
     hints = [admission.retry_after_seconds for admission in refused]
     assert len(set(hints)) == len(hints)
 
