--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from . import log_lines as lines
+from . import load_log_lines as load_lines, log_lines as lines
 
 LINE_TYPES: dict[str, type] = {
     "log: Lines were dropped.": lines.LogLinesDropped,
@@ -16,12 +16,12 @@
     "callers: A request was served.": lines.RequestEnded,
     "callers: A caller left inside a transaction.": lines.CallerDisconnected,
     "router: A statement did not run and is tried elsewhere.": lines.StatementRetried,
-    "router: A database was set aside for reads, or returned.": lines.DatabaseSetAside,
+    "router: A database was set aside for reads, or returned.": load_lines.DatabaseSetAside,
     "registry: Declarations were not understood.": lines.DeclarationsRejected,
     "registry: Declarations are in force.": lines.DeclarationsInForce,
     "registry: An entry names no database.": lines.RegistryEntryRejected,
     "registry: A database announced itself.": lines.DatabaseAnnounced,
-    "registry: A database is cold.": lines.DatabaseCold,
+    "registry: A database is cold.": load_lines.DatabaseCold,
     "registry: A database is gone.": lines.DatabaseLogLine,
     "registry: A registration is malformed.": lines.RegistrationRejected,
     "registry: An instance registered.": lines.InstanceRegistered,
@@ -37,7 +37,7 @@
     "holder: A database does not answer.": lines.DatabaseUnresponsive,
     "holder: A database answers again.": lines.DatabaseLogLine,
     "holder: A database leads.": lines.DatabaseLeads,
-    "holder: A statement got no slot.": lines.SlotRefused,
+    "holder: A statement got no slot.": load_lines.SlotRefused,
     "holder: A rollback had no answer; closed.": lines.RollbackUnanswered,
     "peers: A peer is silent.": lines.PeerUnresponsive,
     "peers: A peer answers again.": lines.PeerLogLine,
@@ -53,10 +53,10 @@
     "duty: A lost record of a leader was written again.": lines.LeaderRecordedAgain,
     "duty: The record of a leader was replaced.": lines.LeaderRecordReplaced,
     "duty: A promotion was asked for.": lines.PromotionRequested,
-    "registry: An evacuation was not understood.": lines.EvacuationRejected,
-    "evacuation: An evacuation reached a stage.": lines.EvacuationProceeding,
+    "registry: An evacuation was not understood.": load_lines.EvacuationRejected,
+    "evacuation: An evacuation reached a stage.": load_lines.EvacuationProceeding,
     "evacuation: An evacuation names an unknown failure domain.": (
-        lines.FailureDomainLogLine
+        load_lines.FailureDomainLogLine
     ),
 }
 
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -163,21 +163,6 @@
     database: str
 
 
-class DatabaseSetAside(DatabaseLogLine):
-    """Report why a database gets few reads, or with an empty reason that it returned.
-
-    The shares are those of the last report, each organisation counted alike.
-    """
-
-    service: str
-    reason: str
-    times: int
-    failed_percent: int | None
-    slow_percent: int | None
-    organisations: int | None
-    report_age: float | None
-
-
 class DatabaseUnresponsive(DatabaseLogLine):
     """Report for how long a database has not answered its holder."""
 
@@ -267,18 +252,6 @@
     incarnation: int
 
 
-class SlotRefused(DatabaseLogLine):
-    """Report why a statement got no slot, and when room is expected for its caller."""
-
-    request_id: str
-    reason: str
-    organisation: str
-    priority: int
-    waited_seconds: float
-    retry_after_seconds: float
-    detail: str
-
-
 class DatabaseLeads(DatabaseLogLine):
     """Report that a database leads its service, before it announces so."""
 
@@ -389,29 +362,3 @@
     points: dict[str, str]
     outcome: str
     took_seconds: float
-
-
-class EvacuationRejected(InstanceLogLine):
-    """Report why the value of a key that asks for an evacuation is not used."""
-
-    key: str
-    error: str
-
-
-class FailureDomainLogLine(InstanceLogLine):
-    """Define the fields of lines about one failure domain."""
-
-    failure_domain: str
-
-
-class EvacuationProceeding(FailureDomainLogLine):
-    """Report a stage of an evacuation, and the databases held here with work there."""
-
-    stage: str
-    in_use: list[str]
-
-
-class DatabaseCold(DatabaseLogLine):
-    """Report for how long a database is still slow after its start."""
-
-    seconds: float
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -28,8 +28,9 @@
 )
 from ...platform import line_protocol
 from ..clock import now_seconds
+from .destinations import RoutingRequest
 from .fleet_view import rounded_age
-from .router import RoutedResult, RoutingRequest
+from .router import RoutedResult
 
 if TYPE_CHECKING:
     from ...core.pooler.sessions import PlannedStatement
--- /dev/null
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -0,0 +1,164 @@
+"""Choose the database and the holder that run a statement."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import NamedTuple, TYPE_CHECKING
+
+from ...core.pooler.catalogue import Consistency, databases_of, Route
+from ...core.pooler.database_selection import (
+    read_order,
+    ReadRequirement,
+    usable_databases,
+)
+from ...core.pooler.floors import lag_of, read_floor
+from ...types import AccessMode, DatabaseRole
+from ..clock import now_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...core.pooler.catalogue import Database
+    from ...core.pooler.sessions import PlannedStatement, Session
+    from ...types import InstanceId, LogPoint, OrganisationId, Seconds
+    from .fleet_view import FleetView
+    from .read_balancer import ReadBalancer
+    from .tried_destinations import TriedDestinations
+
+
+class Destination(NamedTuple):
+    """Describe where a statement runs, from which log position and how it begins."""
+
+    holder: InstanceId
+    database: Database
+    after: LogPoint | None
+    begin: str
+
+
+class RoutingRequest(NamedTuple):
+    """Carry a statement with its route, organisation and session."""
+
+    route: Route
+    organisation: OrganisationId
+    session: Session
+    planned_statement: PlannedStatement
+    transaction_number: int
+    arrived_at: Seconds
+
+    @property
+    def deadline(self) -> Seconds:
+        """Return when the route's timeout ends the statement."""
+        return self.arrived_at + self.route.timeout_seconds
+
+
+def may_run_at_replica(call: RoutingRequest) -> bool:
+    """Tell whether a statement reads only, on a route that does not need the primary."""
+    is_read = call.planned_statement.access is AccessMode.READ
+    transaction = call.planned_statement.transaction
+    if transaction is not None:
+        is_read = transaction.read_only
+    return is_read and call.route.consistency is not Consistency.PRIMARY
+
+
+class DestinationChooser:
+    """Choose where statements run by what this instance knows of the fleet."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        read_balancer: ReadBalancer,
+        *,
+        await_proof: Callable[[str], None],
+    ) -> None:
+        """Keep what the choice rests on."""
+        self.view = view
+        self.read_balancer = read_balancer
+        self.await_proof = await_proof
+
+    def choose(
+        self, call: RoutingRequest, tried: TriedDestinations
+    ) -> Destination | None:
+        """Return the next destination for a statement, or None if there is none now."""
+        if not may_run_at_replica(call):
+            return self.choose_primary(call, tried)
+        return self.choose_for_read(call, tried)
+
+    def choose_primary(
+        self, call: RoutingRequest, tried: TriedDestinations
+    ) -> Destination | None:
+        """Return the primary; a read begins a transaction to prove that it leads.
+
+        While another database takes over, its holder keeps the statement until then.
+        """
+        service = call.route.service
+        database = self.view.primary_of(service) or self.view.next_leader_of(service)
+        if database is None or not self.view.may_take_work(database):
+            return None
+        is_single_write = (
+            call.planned_statement.transaction is None
+            and call.planned_statement.access is AccessMode.WRITE
+        )
+        begin = "" if is_single_write else "plain"
+        for holder in self.view.holders(database):
+            if (holder, database.id) not in tried.destinations:
+                return Destination(holder, database, None, begin)
+            if holder not in tried.skipped_holders:
+                return None
+        return None
+
+    def choose_for_read(
+        self, call: RoutingRequest, tried: TriedDestinations
+    ) -> Destination | None:
+        """Return the best database whose log is surely long enough, or the primary."""
+        now = now_seconds()
+        route = call.route
+        self.view.expect_bounded_reads(route.service)
+        floors = self.view.floors_of(route.service)
+        floor = read_floor(floors, call.arrived_at, route.max_staleness_seconds)
+        if floor is None and not tried.has_asked_for_proof:
+            # A round trip to a peer is cheaper than a read at the primary.
+            tried.has_asked_for_proof = True
+            self.await_proof(route.service)
+            floor = read_floor(floors, call.arrived_at, route.max_staleness_seconds)
+        session_floor = None
+        if route.consistency is Consistency.SESSION:
+            session_floor = call.session.commit_point
+        need = ReadRequirement(
+            route.consistency, floor, session_floor, route.max_staleness_seconds
+        )
+        candidates = self.order_reads(route.service, need, now)
+        points = [point for point in (floor, session_floor) if point is not None]
+        after = max(points) if floor is not None else None
+        for database in candidates:
+            holder = self.view.holders(database)[0]
+            if (holder, database.id) in tried.destinations:
+                continue
+            if after is None or database.role is DatabaseRole.PRIMARY:
+                break
+            begin = "read" if call.planned_statement.transaction else ""
+            return Destination(holder, database, after, begin)
+        return self.choose_primary(call, tried)
+
+    def order_reads(
+        self, service: str, need: ReadRequirement, now: Seconds
+    ) -> list[Database]:
+        """Return the databases that can serve a read in the order to try them."""
+        floors = self.view.floors_of(service)
+        databases = self.view.evacuations.readable_databases(
+            database
+            for database in databases_of(self.view.databases, service)
+            if not database.leaving
+        )
+        lag = partial(lag_of, floors, now=now)
+        known = self.view.observations
+        if self.view.features.balances_reads:
+            usable = usable_databases(databases, known, need, lag=lag, now=now)
+            return self.read_balancer.order_reads(service, usable, now)
+        return read_order(
+            databases,
+            known,
+            need,
+            failure_domain=self.view.failure_domain,
+            lag=lag,
+            now=now,
+        )
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -5,25 +5,23 @@
 from functools import partial
 from typing import NamedTuple, TYPE_CHECKING
 
-from ...core.pooler.catalogue import Consistency, databases_of, Route
-from ...core.pooler.database_selection import (
-    read_order,
-    ReadRequirement,
-    usable_databases,
-)
 from ...core.pooler.evacuation import REFUSED_RETRY_SECONDS
 from ...core.pooler.failure_results import (
     lost_answer_result,
     may_commit,
     not_run_result,
 )
-from ...core.pooler.floors import lag_of, read_floor
 from ...core.pooler.slot_claims import FAIR_REFUSAL_REASONS
 from ...core.pooler.statements import Effect, StatementResult
-from ...types import AccessMode, DatabaseRole
 from ...wire.pooling import ExecuteRequest, ExecuteResponse, RollbackRequest
 from ..clock import now_seconds
 from ..peer_links import PeerLost
+from .destinations import (
+    Destination,
+    DestinationChooser,
+    may_run_at_replica,
+    RoutingRequest,
+)
 from .fleet_view import rounded_age
 from .read_balancer import ReadBalancer
 from .tried_destinations import RETRY_MIN_PAUSE_SECONDS, TriedDestinations
@@ -32,8 +30,7 @@
     from collections.abc import Callable
 
     from ...core.pooler.catalogue import Database
-    from ...core.pooler.sessions import PlannedStatement, Session
-    from ...types import InstanceId, LogPoint, OrganisationId, Seconds
+    from ...types import InstanceId, Seconds
     from ..logs import Log
     from ..metrics import Metrics
     from ..peer_links import Links
@@ -81,15 +78,6 @@
 )
 
 
-class Destination(NamedTuple):
-    """Describe where a statement runs, from which log position and how it begins."""
-
-    holder: InstanceId
-    database: Database
-    after: LogPoint | None
-    begin: str
-
-
 class TransactionBinding(NamedTuple):
     """Describe where an open transaction runs; later statements begin nothing."""
 
@@ -97,22 +85,6 @@
     transaction_number: int
 
 
-class RoutingRequest(NamedTuple):
-    """Carry a statement with its route, organisation and session."""
-
-    route: Route
-    organisation: OrganisationId
-    session: Session
-    planned_statement: PlannedStatement
-    transaction_number: int
-    arrived_at: Seconds
-
-    @property
-    def deadline(self) -> Seconds:
-        """Return when the route's timeout ends the statement."""
-        return self.arrived_at + self.route.timeout_seconds
-
-
 class RoutedResult(NamedTuple):
     """Carry a result, the binding of a transaction still open, and the last attempt."""
 
@@ -123,15 +95,6 @@
     destination: Destination | None
 
 
-def may_run_at_replica(call: RoutingRequest) -> bool:
-    """Tell whether a statement reads only, on a route that does not need the primary."""
-    is_read = call.planned_statement.access is AccessMode.READ
-    transaction = call.planned_statement.transaction
-    if transaction is not None:
-        is_read = transaction.read_only
-    return is_read and call.route.consistency is not Consistency.PRIMARY
-
-
 def is_retried(call: RoutingRequest, reason: str) -> bool:
     """Tell whether a statement that did not run is tried again.
 
@@ -160,11 +123,13 @@
         self.view = view
         self.held_databases = held_databases
         self.links = links
-        self.await_proof = await_proof
         self.await_peer = await_peer
         self.metrics = metrics
         self.log = log
         self.read_balancer = ReadBalancer(view, metrics=metrics, log=log)
+        self.chooser = DestinationChooser(
+            view, self.read_balancer, await_proof=await_proof
+        )
 
     def run_statement(
         self, call: RoutingRequest, binding: TransactionBinding | None
@@ -194,7 +159,7 @@
             "no-database",
         )
         while True:
-            destination = self.choose_destination(call, tried)
+            destination = self.chooser.choose(call, tried)
             if destination is None:
                 if self.view.is_stopped_by_evacuation(call.route.service):
                     return self.refuse_evacuated(call, attempts, last_destination)
@@ -228,7 +193,7 @@
             tried.add(destination.holder, destination.database.id, last.reason)
             last_destination = destination
             if last.reason in FAIR_REFUSAL_REASONS and (
-                self.choose_destination(call, tried) is None
+                self.chooser.choose(call, tried) is None
             ):
                 # No other database is left, and a refusal is never held back.
                 break
@@ -272,94 +237,6 @@
             detail=last.result.detail,
         )
 
-    def choose_destination(
-        self, call: RoutingRequest, tried: TriedDestinations
-    ) -> Destination | None:
-        """Return the next destination for a statement, or None if there is none now."""
-        if not may_run_at_replica(call):
-            return self.choose_primary_destination(call, tried)
-        return self.choose_read_destination(call, tried)
-
-    def choose_primary_destination(
-        self, call: RoutingRequest, tried: TriedDestinations
-    ) -> Destination | None:
-        """Return the primary; a read begins a transaction to prove that it leads.
-
-        While another database takes over, its holder keeps the statement until then.
-        """
-        service = call.route.service
-        database = self.view.primary_of(service) or self.view.next_leader_of(service)
-        if database is None or not self.view.may_take_work(database):
-            return None
-        is_single_write = (
-            call.planned_statement.transaction is None
-            and call.planned_statement.access is AccessMode.WRITE
-        )
-        begin = "" if is_single_write else "plain"
-        for holder in self.view.holders(database):
-            if (holder, database.id) not in tried.destinations:
-                return Destination(holder, database, None, begin)
-            if holder not in tried.skipped_holders:
-                return None
-        return None
-
-    def choose_read_destination(
-        self, call: RoutingRequest, tried: TriedDestinations
-    ) -> Destination | None:
-        """Return the best database whose log is surely long enough, or the primary."""
-        now = now_seconds()
-        route = call.route
-        self.view.expect_bounded_reads(route.service)
-        floors = self.view.floors_of(route.service)
-        floor = read_floor(floors, call.arrived_at, route.max_staleness_seconds)
-        if floor is None and not tried.has_asked_for_proof:
-            # A round trip to a peer is cheaper than a read at the primary.
-            tried.has_asked_for_proof = True
-            self.await_proof(route.service)
-            floor = read_floor(floors, call.arrived_at, route.max_staleness_seconds)
-        session_floor = None
-        if route.consistency is Consistency.SESSION:
-            session_floor = call.session.commit_point
-        need = ReadRequirement(
-            route.consistency, floor, session_floor, route.max_staleness_seconds
-        )
-        candidates = self.order_reads(route.service, need, now)
-        points = [point for point in (floor, session_floor) if point is not None]
-        after = max(points) if floor is not None else None
-        for database in candidates:
-            holder = self.view.holders(database)[0]
-            if (holder, database.id) in tried.destinations:
-                continue
-            if after is None or database.role is DatabaseRole.PRIMARY:
-                break
-            begin = "read" if call.planned_statement.transaction else ""
-            return Destination(holder, database, after, begin)
-        return self.choose_primary_destination(call, tried)
-
-    def order_reads(
-        self, service: str, need: ReadRequirement, now: Seconds
-    ) -> list[Database]:
-        """Return the databases that can serve a read in the order to try them."""
-        floors = self.view.floors_of(service)
-        databases = self.view.evacuations.readable_databases(
-            database
-            for database in databases_of(self.view.databases, service)
-            if not database.leaving
-        )
-        lag = partial(lag_of, floors, now=now)
-        known = self.view.observations
-        if self.view.features.balances_reads:
-            usable = usable_databases(databases, known, need, lag=lag, now=now)
-            return self.read_balancer.order_reads(service, usable, now)
-        return read_order(
-            databases,
-            known,
-            need,
-            failure_domain=self.view.failure_domain,
-            lag=lag,
-            now=now,
-        )
-
     def execute_request(
         self, call: RoutingRequest, destination: Destination, number: int
     ) -> ExecuteRequest:
