--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -41,6 +41,7 @@
     "holder: A rollback had no answer; closed.": lines.RollbackUnanswered,
     "peers: A peer is silent.": lines.PeerUnresponsive,
     "peers: A peer answers again.": lines.PeerLogLine,
+    "peers: The holders are reached.": lines.HoldersReached,
     "registry: A recorded leader was not understood.": lines.RecordedLeaderMalformed,
     "registry: Calls to the platform so far.": lines.PlatformCallCounts,
     "relay: The store is followed.": lines.StoreFollowed,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -195,6 +195,12 @@
     revision: int
 
 
+class HoldersReached(InstanceLogLine):
+    """Report when the holders of all primaries were heard, from the start on."""
+
+    seconds: float
+
+
 class PeerUnresponsive(PeerLogLine):
     """Report an unanswered request; ``sent`` if it may have left this instance."""
 
