--- a/berylhinge/core/pooler/catalogue.py
+++ b/berylhinge/core/pooler/catalogue.py
@@ -87,6 +87,16 @@
 NO_DECLARATIONS = Declarations(0, {}, {}, {}, {}, 3.0)
 
 
+def scarce_services(declarations: Declarations) -> frozenset[str]:
+    """Return the services with fewer connections a database than organisations."""
+    organisations = len(set(declarations.keys.values()))
+    return frozenset(
+        service.name
+        for service in declarations.services.values()
+        if organisations > service.max_connections
+    )
+
+
 def may_take_work(
     database: Database, leaving_since: Seconds | None, limit: Seconds, now: Seconds
 ) -> bool:
--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -85,7 +85,7 @@
 
     def acquire(self, request: ExecuteRequest, deadline: Seconds) -> DatabaseConnection:
         """Return a connection of the organisation; raise UnitFailed."""
-        if self.view.features.shares_slots_fairly:
+        if self.view.shares_slots_fairly(self.database.service):
             record_use(self.uses, request.organisation, now_seconds())
         while (left := deadline - now_seconds()) > 0.0:
             if self.tracker.is_unresponsive:
@@ -131,7 +131,7 @@
             if is_limited
             else self.connection_limit,
             find_victim=partial(choose_victim, self.uses, now=now)
-            if self.view.features.shares_slots_fairly
+            if self.view.shares_slots_fairly(self.database.service)
             else None,
         )
 
@@ -139,7 +139,7 @@
         self, request: ExecuteRequest, holders: Sequence[OrganisationId]
     ) -> None:
         """Raise UnitFailed if idle transactions hold too many connections."""
-        if not self.view.features.shares_slots_fairly:
+        if not self.view.shares_slots_fairly(self.database.service):
             return
         if not connection_pool.may_open_transaction(
             holders, request.organisation, self.connection_limit
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -72,7 +72,7 @@
         self.log = log
         self.reports = reports
         self.slots = StatementSlots(
-            database.slots, shares_fairly=view.features.shares_slots_fairly
+            database.slots, shares_fairly=view.shares_slots_fairly(database.service)
         )
         self.meter = DatabaseMeter(self.slots, enabled=view.features.balances_reads)
         self.pinned_connections: dict[tuple[InstanceId, int], PinnedConnection] = {}
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -6,7 +6,11 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 from ...core.pooler.assignment import InstanceAssignment
-from ...core.pooler.catalogue import may_take_work
+from ...core.pooler.catalogue import (
+    may_take_work,
+    NO_DECLARATIONS,
+    scarce_services,
+)
 from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.database_load import BelievedLoad
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
@@ -114,6 +118,8 @@
         self.cold_until: dict[UpstreamId, Seconds] = {}
         self.announced_at: dict[UpstreamId, Seconds] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
+        self.scarce_services: frozenset[str] = frozenset()
+        self.scarce_as_of = NO_DECLARATIONS.version
         self.changed = Broadcast()
         self.stopping = False
         self.last_tick_at = now_seconds()
@@ -253,6 +259,18 @@
             ]
         return found
 
+    def shares_slots_fairly(self, service: str) -> bool:
+        """Return whether organisations compete for a service's slots by shares.
+
+        The deployment asks for it, or its declarations show that they must.
+        """
+        if self.features.shares_slots_fairly:
+            return True
+        if self.scarce_as_of != self.declarations.version:
+            self.scarce_as_of = self.declarations.version
+            self.scarce_services = scarce_services(self.declarations)
+        return service in self.scarce_services
+
     def may_take_work(self, database: Database) -> bool:
         """Return whether a database still accepts new work."""
         if not self.evacuations.may_start_work(database):
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -259,7 +259,7 @@
             latency_goal_seconds=goal_at - now,
             give_up_seconds=call.deadline - now,
             idle_seconds=self.view.declarations.idle_transaction_seconds,
-            may_run_at_replica=self.view.features.shares_slots_fairly
+            may_run_at_replica=self.view.shares_slots_fairly(call.route.service)
             and may_run_at_replica(call),
         )
 
