--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 from math import isfinite
-from typing import NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 from ...core.pooler.assignment import InstanceAssignment
-from ...core.pooler.catalogue import (
-    may_take_work,
-    NO_DECLARATIONS,
-    scarce_services,
-)
+from ...core.pooler.catalogue import may_take_work
 from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.database_load import BelievedLoad
 from ...core.pooler.database_selection import DatabaseObservation, UNOBSERVED
@@ -33,6 +29,7 @@
 from ..broadcast import Broadcast
 from ..clock import now_seconds
 from .evacuations import Evacuations
+from .slot_sharing import SlotSharing
 from .store_progress import StoreProgress
 
 if TYPE_CHECKING:
@@ -50,6 +47,7 @@
         UpstreamId,
     )
     from ...wire.pooling import DatabaseState, LeadershipProof
+    from .members import Member
 
 # How long an instance that cannot reach a database leaves it to those that can.
 RELINQUISH_SECONDS = 3.0
@@ -68,17 +66,6 @@
     return round(age, 3) if isfinite(age) else None
 
 
-class Member(NamedTuple):
-    """Describe a registered instance."""
-
-    instance: InstanceId
-    failure_domain: FailureDomainId
-    address: str
-    incarnation: int
-    leaving: bool
-    weight: float = 1.0
-
-
 class FleetView(StoreProgress):
     """Hold the known state of the fleet: tasks that observe it write, others read."""
 
@@ -118,8 +105,7 @@
         self.cold_until: dict[UpstreamId, Seconds] = {}
         self.announced_at: dict[UpstreamId, Seconds] = {}
         self.leaving_since: dict[UpstreamId, Seconds] = {}
-        self.scarce_services: frozenset[str] = frozenset()
-        self.scarce_as_of = NO_DECLARATIONS.version
+        self.slot_sharing = SlotSharing(is_agreed=features.shares_slots_fairly)
         self.changed = Broadcast()
         self.stopping = False
         self.last_tick_at = now_seconds()
@@ -260,16 +246,8 @@
         return found
 
     def shares_slots_fairly(self, service: str) -> bool:
-        """Return whether organisations compete for a service's slots by shares.
-
-        The deployment asks for it, or its declarations show that they must.
-        """
-        if self.features.shares_slots_fairly:
-            return True
-        if self.scarce_as_of != self.declarations.version:
-            self.scarce_as_of = self.declarations.version
-            self.scarce_services = scarce_services(self.declarations)
-        return service in self.scarce_services
+        """Return whether organisations compete for a service's slots by shares."""
+        return self.slot_sharing.applies_to(service, self.declarations)
 
     def may_take_work(self, database: Database) -> bool:
         """Return whether a database still accepts new work."""
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -25,7 +25,7 @@
 )
 from ...types import DatabaseRole
 from ..clock import now_seconds
-from .fleet_view import Member
+from .members import Member
 
 if TYPE_CHECKING:
     from ...platform.documents import AnnouncementOrder
