--- a/berylhinge/tasks/pooler/tests/test_slot_sharing.py
+++ b/berylhinge/tasks/pooler/tests/test_slot_sharing.py
@@ -18,9 +18,7 @@
 @pytest.fixture
 def fair_fleet(fleet: Fleet) -> Fleet:
     for instance in fleet.instances:
-        instance.view.features = instance.view.features._replace(
-            shares_slots_fairly=True
-        )
+        instance.view.slot_sharing.is_agreed = True
         instance.held_databases.tasks.clear()
     return fleet
 
