Let a kind of statements that was slow run again while the slots are full

One statement of a kind of which none runs is tried. The longest Retry-After is kept before its spread is added.

--- a/berylhinge/core/pooler/fair_slots.py
+++ b/berylhinge/core/pooler/fair_slots.py
@@ -113,6 +113,18 @@
     return claim.give_up_at - now >= MIN_TRIAL_SECONDS
 
 
+def is_trial(queue: FairSlots, claim: SlotClaim, now: Seconds) -> bool:
+    """Tell whether a statement may run against the estimate, as none of its kind runs.
+
+    Under lasting load no slot is free, so a kind that was slow for a while would else be
+    refused for as long as the load lasts.
+    """
+    return may_try(claim, now) and all(
+        (found.claim.priority, found.claim.access) != (claim.priority, claim.access)
+        for found in queue.running_statements.values()
+    )
+
+
 def class_key(claim: SlotClaim) -> ClassKey:
     """Return the class of a statement; lower keys go first."""
     return claim.yields, claim.priority
@@ -237,8 +249,10 @@
         return None
     waiter, band = found
     cost = mean_seconds(waiter.claim, queue.times)
-    is_trial = len(queue.waiting) == 1 and may_try(waiter.claim, now)
-    if now + cost > waiter.claim.give_up_at and not is_trial:
+    is_alone = len(queue.waiting) == 1 and may_try(waiter.claim, now)
+    if now + cost > waiter.claim.give_up_at and not (
+        is_alone or is_trial(queue, waiter.claim, now)
+    ):
         remove_statement(queue, waiter)
         queue.hopeless.append(waiter)
         return waiter
--- a/berylhinge/core/pooler/slot_admission.py
+++ b/berylhinge/core/pooler/slot_admission.py
@@ -17,6 +17,7 @@
     class_of,
     FairSlots,
     has_free_slot,
+    is_trial,
     LOWER_CLASSES_SHARE,
     may_try,
     remove_statement,
@@ -31,6 +32,7 @@
     mean_seconds,
     position_of,
     TIMELY,
+    waiting_count,
     waiting_seconds,
     WaitingStatement,
 )
@@ -76,7 +78,11 @@
     One of an open transaction waits as long as it can, since it holds a connection.
     """
     judged = judge(queue, claim, None, now)
-    is_exempt = claim.pinned or (has_free_slot(queue) and may_try(claim, now))
+    is_exempt = (
+        claim.pinned
+        or (has_free_slot(queue) and may_try(claim, now))
+        or (not waiting_count(class_of(queue, claim)) and is_trial(queue, claim, now))
+    )
     if judged.margin_seconds < 0.0 and not is_exempt:
         return make_refusal(queue, claim, judged, now)
     # One that would miss its goal must not make those behind it miss theirs.
@@ -100,10 +106,13 @@
             continue
         judged_count += 1
         judged = judge(queue, waiter.claim, waiter, now)
-        if judged.margin_seconds >= 0.0 or (
-            waiter.claim.pinned and now < latest_start_at(queue, waiter.claim)
+        if (
+            judged.margin_seconds >= 0.0
+            or (waiter.claim.pinned and now < latest_start_at(queue, waiter.claim))
+            or is_next_trial(queue, waiter, now)
         ):
             at = next_check_at(queue, waiter.claim, judged, now)
+            at = max(at, now + MIN_CHECK_SECONDS)
             schedule_check(queue, waiter, at)
             continue
         remove_statement(queue, waiter)
@@ -111,6 +120,12 @@
     return refused
 
 
+def is_next_trial(queue: FairSlots, waiter: WaitingStatement, now: Seconds) -> bool:
+    """Tell whether a waiting statement is to run against the estimate of its kind."""
+    is_only = waiting_count(class_of(queue, waiter.claim)) == 1
+    return is_only and not waiter.claim.pinned and is_trial(queue, waiter.claim, now)
+
+
 def refuse_expired(queue: FairSlots, claim: SlotClaim, now: Seconds) -> SlotRefusal:
     """Return the refusal of a statement that did not start in time."""
     return make_refusal(queue, claim, judge(queue, claim, None, now), now)
@@ -263,9 +278,10 @@
     # The queue shortens by a second in each second, so the excess of the wait over what
     # the goal allows is when a statement that arrives would be timely.
     base = max(MIN_RETRY_AFTER_SECONDS, judged.wait_seconds - goal)
+    base = min(base, MAX_RETRY_AFTER_SECONDS)
     spread = max(MIN_RETRY_SPREAD_SECONDS, base * RETRY_SPREAD)
     fraction = queue.refused_count * GOLDEN_RATIO % 1.0
-    retry_after = min(MAX_RETRY_AFTER_SECONDS, base) + fraction * spread
+    retry_after = base + fraction * spread
     detail = f"{judged.wait_seconds:.3f} s of expected wait is past the deadline"
     return SlotRefusal(refusal_reason(queue, claim, now), detail, retry_after)
 
--- a/berylhinge/core/pooler/tests/test_fair_slots.py
+++ b/berylhinge/core/pooler/tests/test_fair_slots.py
@@ -10,7 +10,7 @@
 from ....types import AccessMode
 from .. import fair_slots, slot_admission
 from ..fair_slots import FairSlots
-from ..running_times import running_time
+from ..running_times import record_running_time, running_time
 from ..slot_claims import SlotClaim, SlotRefusal
 from ..slot_classes import WaitingStatement
 
@@ -291,3 +291,40 @@
     for ended in running:
         fair_slots.finish_running(queue, ended.number, 0.01)
     assert not any(entry.organisations for entry in queue.classes.values())
+
+
+def test_a_kind_that_was_slow_recovers_while_others_keep_the_slots_full() -> None:
+    """Guards the highest class against being refused for as long as a load lasts."""
+    queue, rng = FairSlots(SLOTS), Random("recovery")
+    for _number in range(50):
+        record_running_time(queue.times, 0, WRITE, 2.2)
+    urgent = Load(SMALL, 8.0, priority=0, seconds=0.004, timeout=1.1)
+    reads = Load(SMALL, 1.6 * SLOTS / 0.055, priority=2, seconds=0.055, timeout=8.0)
+    moments = [
+        (number / load.rate, load, access)
+        for load, access in ((urgent, WRITE), (reads, READ))
+        for number in range(int(20.0 * load.rate))
+    ]
+    ends: list[tuple[float, int, float]] = []
+    served = refused = 0
+
+    def start_waiting(now: float) -> None:
+        nonlocal served
+        while (found := fair_slots.start_next(queue, now)) is not None:
+            is_urgent = found.claim.priority == 0
+            seconds = urgent.seconds if is_urgent else reads.seconds
+            served += is_urgent
+            heappush(ends, (now + seconds, found.number, seconds))
+
+    for now, load, access in sorted(moments, key=lambda moment: moment[0]):
+        while ends and ends[0][0] <= now:
+            at, number, seconds = heappop(ends)
+            fair_slots.finish_running(queue, number, seconds)
+            start_waiting(at)
+        slot_admission.take_refused(queue, now)
+        claim = claim_of(load, rng.choice(SMALL), now)._replace(access=access)
+        found = slot_admission.enqueue(queue, claim, now)
+        refused += isinstance(found, SlotRefusal) and load is urgent
+        start_waiting(now)
+    assert served > 100
+    assert refused < 20
