Do not let refused repeats prolong an order that may still take effect

Each repeat of an order wrote a new record, whose time started anew even if all of its calls were refused, so that a service could wait for ever for a database that the platform refuses. A refused repeat leaves the time of the order that it repeated.

--- a/berylhinge/core/pooler/promotion_orders.py
+++ b/berylhinge/core/pooler/promotion_orders.py
@@ -38,23 +38,38 @@
     until: Seconds
 
 
+class RefusedOrder(NamedTuple):
+    """Describe an order whose calls were all refused, by the origin of its record.
+
+    An order that it repeated may still take effect until ``earlier_until``.
+    """
+
+    origin: int
+    earlier_until: Seconds
+
+
+NO_REFUSED_ORDER = RefusedOrder(0, 0.0)
+
+
 def pending_order(
     record: LeadershipRecord | None,
     primary: Database | None,
     *,
-    refused_origin: int,
+    refused: RefusedOrder,
     now: Seconds,
 ) -> PendingOrder | None:
     """Return the recorded order that may still take effect.
 
-    It is over once its database leads, once all of its calls were refused
-    (``refused_origin`` names its record), or when its time has passed.
+    It is over once its database leads or when its time has passed. Of an order that was
+    ``refused``, only what it repeated counts.
     """
-    if record is None or record.origin == refused_origin:
+    if record is None:
         return None
     if primary is not None and primary.id == record.recorded.leader:
         return None
     until = record.learned_at + LAST_ORDER_SECONDS + ORDER_EFFECT_SECONDS
+    if record.origin == refused.origin:
+        until = min(until, refused.earlier_until)
     return PendingOrder(record.recorded.leader, until) if now < until else None
 
 
--- a/berylhinge/core/pooler/tests/test_promotion_orders.py
+++ b/berylhinge/core/pooler/tests/test_promotion_orders.py
@@ -5,6 +5,8 @@
 from itertools import product
 from typing import NamedTuple
 
+import pytest
+
 from ....types import DatabaseRole, LogPoint
 from ..catalogue import Database
 from ..leadership import (
@@ -12,6 +14,7 @@
     next_leader_of,
     next_recorded_leader,
     primary_of,
+    RecordedLeader,
 )
 from ..promotion_orders import (
     ACCEPTED_EFFECT_SECONDS,
@@ -19,7 +22,9 @@
     is_lead_proven,
     is_surely_refused,
     may_order,
+    NO_REFUSED_ORDER,
     pending_order,
+    RefusedOrder,
     term_to_exceed,
 )
 
@@ -79,14 +84,12 @@
         )
         self.record = LeadershipRecord(recorded, self.revision, self.now, self.revision)
 
-    def promote_again(self, unreached: str, refused_origin: int) -> bool:
+    def promote_again(self, unreached: str, refused: RefusedOrder) -> bool:
         """Act as an instance that finds no primary in use; return whether it orders."""
         if primary_of(self.databases, "s", self.record) is not None:
             return False
         assert self.record is not None
-        pending = pending_order(
-            self.record, None, refused_origin=refused_origin, now=self.now
-        )
+        pending = pending_order(self.record, None, refused=refused, now=self.now)
         points = {name: at for name, at in self.points.items() if name != unreached}
         candidates = list(self.databases.values())
         chosen = choose_leader(candidates, points, self.record, pending)
@@ -152,7 +155,9 @@
     world = Platform()
     world.write_record("x", "p")
     first, is_refused = world.record, is_surely_refused(course.answers)
-    refused_origin = first.origin if first is not None and is_refused else 0
+    refused = NO_REFUSED_ORDER
+    if first is not None and is_refused:
+        refused = RefusedOrder(first.origin, 0.0)
     confirm_at = None
     for tenth in range(300):
         world.now = tenth / 10
@@ -172,7 +177,7 @@
         if (
             is_due
             and confirm_at is None
-            and world.promote_again(course.unreached, refused_origin)
+            and world.promote_again(course.unreached, refused)
         ):
             world.order(world.record, course.second_effect_after)
             if world.needs_confirmation():
@@ -216,3 +221,24 @@
 def test_every_course_ends_with_commits() -> None:
     idle = [course for course in POSSIBLE if play(course).last_commit_at < 29.0]
     assert not idle
+
+
+@pytest.mark.parametrize(
+    ("refused", "now", "is_pending"),
+    [
+        (NO_REFUSED_ORDER, 108.0, True),
+        (NO_REFUSED_ORDER, 109.0, False),
+        (RefusedOrder(9, 0.0), 101.0, False),
+        (RefusedOrder(9, 103.0), 102.0, True),
+        (RefusedOrder(9, 103.0), 104.0, False),
+        (RefusedOrder(8, 103.0), 104.0, True),
+    ],
+)
+def test_a_refused_repeat_does_not_prolong_an_order(
+    refused: RefusedOrder, now: float, is_pending: bool
+) -> None:
+    """Guards a service against waiting for ever for a database that is refused."""
+    recorded = RecordedLeader("n1", "x", (), True)
+    record = LeadershipRecord(recorded, 9, 100.0, 9)
+    found = pending_order(record, None, refused=refused, now=now)
+    assert (found is not None) is is_pending
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -25,7 +25,9 @@
     choose_leader,
     is_surely_refused,
     may_order,
+    NO_REFUSED_ORDER,
     pending_order,
+    RefusedOrder,
     term_to_exceed,
 )
 from ...core.pooler.store_eras import era_of
@@ -94,8 +96,7 @@
         self.evacuation_moves = EvacuationMoves(view, self.services_in_progress)
         self.paused_until: dict[str, Seconds] = {}
         self.missing_since: dict[str, Seconds] = {}
-        # Origin of the record whose order was surely refused, for each service.
-        self.refused_origins: dict[str, int] = {}
+        self.refused_orders: dict[str, RefusedOrder] = {}
         links.register_call(ReachabilityRequest, self.answer_reachability)
 
     def watch(self) -> None:
@@ -263,7 +264,7 @@
             pending = pending_order(
                 known,
                 primary,
-                refused_origin=self.refused_origins.get(service, 0),
+                refused=self.refused_orders.get(service, NO_REFUSED_ORDER),
                 now=now_seconds(),
             )
         chosen = choose_leader(
@@ -304,9 +305,10 @@
                 self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
                 return
         outcome = self.request_promotion(service, chosen, fence, recorded_at)
-        if outcome == "refused" and pending is None:
-            self.refused_origins[service] = fence
-            if primary is not None and recorded.replaces_at_once:
+        if outcome == "refused":
+            earlier_until = pending.until if pending is not None else 0.0
+            self.refused_orders[service] = RefusedOrder(fence, earlier_until)
+            if pending is None and primary is not None and recorded.replaces_at_once:
                 self.record_again(service, primary.id)
         if outcome == "accepted" and recorded.after_term:
             self.confirm_leader(service, recorded, fence)
