Learn running times without the wait for a connection

Where slots are shared fairly, and for outliers, a wait for a connection counted as running time, so that a lack of connections made a database seem slow. A read that could run at a replica does not count as a primary's own work, and a transaction that finds too many idle ones is tried at another database if it only reads.

--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -148,7 +148,7 @@
             self.cold_limit.check(self.database, request)
             slot = self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
-            started_at, ran_seconds = now_seconds(), None
+            started_at, held_seconds, ran_seconds = now_seconds(), None, None
             try:
                 if connection is None:
                     check_not_evacuated(self.view, self.database, request)
@@ -156,7 +156,7 @@
                     check_not_evacuated(self.view, self.database, request)
                 usable = not pinned
                 self.cold_limit.admit(self.database, request, deadline)
-                usable = True
+                usable, run_at = True, now_seconds()
                 result = self.run_on_connection(
                     connection,
                     request,
@@ -164,10 +164,14 @@
                     deadline,
                     needs_primary=needs_primary,
                 )
-                ran_seconds = now_seconds() - started_at
+                ended_at = now_seconds()
+                held_seconds, ran_seconds = ended_at - started_at, ended_at - run_at
             finally:
-                self.slots.release_slot(slot, ran_seconds)
-                self.meter.record_run(request, ran_seconds, needs_primary)
+                # Waits for a connection say nothing of the database's speed.
+                learned = ran_seconds if self.slots.shares_fairly else held_seconds
+                self.slots.release_slot(slot, learned)
+                is_own_work = needs_primary and not request.may_run_at_replica
+                self.meter.record_run(request, ran_seconds, is_own_work)
             if request.transaction and not result.transaction_ended:
                 until = now_seconds() + request.idle_seconds
                 self.pinned_connections[key] = PinnedConnection(
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -46,6 +46,8 @@
 # How long one attempt waits for news of a holder that has not been heard yet. A read
 # then tries another database, and what needs the primary waits again.
 PEER_NEWS_WAIT_SECONDS = 0.1
+# Reasons that tell of a lack of room at one database.
+ROOM_REASONS = FAIR_REFUSAL_REASONS | {"transactions-full"}
 # Reasons after which a statement that did not run may be tried elsewhere.
 RETRY_REASONS = frozenset(
     {
@@ -100,7 +102,7 @@
 
     Without room at one database, a read may find some at another one.
     """
-    if reason in FAIR_REFUSAL_REASONS:
+    if reason in ROOM_REASONS:
         return may_run_at_replica(call)
     return reason in RETRY_REASONS
 
@@ -192,7 +194,7 @@
                 return RoutedResult(result, last.reason, binding, attempts, destination)
             tried.add(destination.holder, destination.database.id, last.reason)
             last_destination = destination
-            if last.reason in FAIR_REFUSAL_REASONS and (
+            if last.reason in ROOM_REASONS and (
                 self.chooser.choose(call, tried) is None
             ):
                 # No other database is left, and a refusal is never held back.
@@ -259,7 +261,10 @@
             latency_goal_seconds=goal_at - now,
             give_up_seconds=call.deadline - now,
             idle_seconds=self.view.declarations.idle_transaction_seconds,
-            may_run_at_replica=self.view.shares_slots_fairly(call.route.service)
+            may_run_at_replica=(
+                self.view.features.balances_reads
+                or self.view.shares_slots_fairly(call.route.service)
+            )
             and may_run_at_replica(call),
         )
 
--- a/berylhinge/tasks/pooler/statement_slots.py
+++ b/berylhinge/tasks/pooler/statement_slots.py
@@ -23,6 +23,7 @@
 
     def __init__(self, slots: int, *, shares_fairly: bool = False) -> None:
         """Start with all slots free."""
+        self.shares_fairly = shares_fairly
         self.queue: SlotScheduler = (
             FairSlots(slots) if shares_fairly else SlotQueue(slots)
         )
