--- a/berylhinge/tasks/pooler/tests/test_evacuation.py
+++ b/berylhinge/tasks/pooler/tests/test_evacuation.py
@@ -149,11 +149,12 @@
 ) -> None:
     """Guards against an order that is ignored since its value cannot be decoded."""
     evacuating_fleet.store.put("op/evacuate/y", value)
-    for pooler in evacuating_fleet.instances:
-        evacuations = pooler.view.evacuations
-        wait_until(
-            lambda known=evacuations: known.stage_of_domain("y") is not Stage.SERVING
+    wait_until(
+        lambda: all(
+            pooler.view.evacuations.stage_of_domain("y") is not Stage.SERVING
+            for pooler in evacuating_fleet.instances
         )
+    )
 
 
 @pytest.mark.parametrize("key", ["op/evacuate/nowhere", "op/evacuate/"])
