Compute decaying weights in one place

Four modules wrote the same exponential decay, with the guard against a clock that goes back. No value changes; a docstring line is wrapped.

--- a/berylhinge/core/pooler/connection_uses.py
+++ b/berylhinge/core/pooler/connection_uses.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from math import exp
 from typing import NamedTuple, TYPE_CHECKING
 
+from .decay import decay_factor
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -56,8 +57,8 @@
     known = uses.rates.get(organisation)
     if known is None:
         return 0.0
-    passed = max(0.0, now - known.updated_at) / USE_RATE_SECONDS
-    return known.uses * exp(-passed) / USE_RATE_SECONDS
+    kept = decay_factor(known.updated_at, now, USE_RATE_SECONDS)
+    return known.uses * kept / USE_RATE_SECONDS
 
 
 def forget_unused(uses: ConnectionUses, now: Seconds) -> None:
--- a/berylhinge/core/pooler/database_load.py
+++ b/berylhinge/core/pooler/database_load.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from math import exp
 from typing import NamedTuple, TYPE_CHECKING
 
+from .decay import decay_factor
+
 if TYPE_CHECKING:
     from ...types import Seconds
 
@@ -23,9 +24,10 @@
     """Report the load of a database; whole numbers take few bytes.
 
     ``busy_percent`` is the share of its slots that was in use over about a second,
-    ``own_percent`` the share taken by what only a primary can run, ``failed_percent`` and ``slow_percent`` the shares of its statements that failed or
-    were delayed, each organisation counted alike, and ``affected_organisations`` how
-    many had such statements.
+    ``own_percent`` the share taken by what only a primary can run, ``failed_percent``
+    and ``slow_percent`` the shares of its statements that failed or were delayed, each
+    organisation counted alike, and ``affected_organisations`` how many had such
+    statements.
     """
 
     waiting: int
@@ -102,7 +104,7 @@
         It is called as statements end and for reports. The state that an ending
         statement leaves behind is distributed like the state at a random moment.
         """
-        kept = exp(-max(0.0, now - self.measured_at) / MEASURE_SECONDS)
+        kept = decay_factor(self.measured_at, now, MEASURE_SECONDS)
         self.measured_at = max(now, self.measured_at)
         in_use = 1.0 if waiting else min(1.0, running / slots)
         self.busy_share = in_use + (self.busy_share - in_use) * kept
--- a/berylhinge/core/pooler/outliers.py
+++ b/berylhinge/core/pooler/outliers.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from math import exp
 from typing import NamedTuple, TYPE_CHECKING
 
+from .decay import decay_factor
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -198,7 +199,7 @@
 
 def _aged(entry: OrganisationOutcomes, now: Seconds) -> OrganisationOutcomes:
     """Return the weights of outcomes as of now."""
-    kept = exp(-max(0.0, now - entry.at) / OUTCOME_MEMORY_SECONDS)
+    kept = decay_factor(entry.at, now, OUTCOME_MEMORY_SECONDS)
     return OrganisationOutcomes(
         entry.total * kept, entry.failed * kept, entry.slow * kept, now
     )
--- a/berylhinge/core/pooler/slot_classes.py
+++ b/berylhinge/core/pooler/slot_classes.py
@@ -11,10 +11,10 @@
 
 from bisect import bisect_left, insort
 from heapq import heapify, heappop, heappush
-from math import exp
 from typing import NamedTuple, TYPE_CHECKING, TypeAlias
 
 from ...types import AccessMode
+from .decay import decay_factor
 from .running_times import running_time
 
 if TYPE_CHECKING:
@@ -136,8 +136,8 @@
 
 def arrival_rate(rate: ArrivalRate, now: Seconds) -> float:
     """Return the slot time that recently arrived for each second."""
-    passed = max(0.0, now - rate.updated_at) / ARRIVAL_RATE_SECONDS
-    return rate.seconds * exp(-passed) / ARRIVAL_RATE_SECONDS
+    kept = decay_factor(rate.updated_at, now, ARRIVAL_RATE_SECONDS)
+    return rate.seconds * kept / ARRIVAL_RATE_SECONDS
 
 
 def record_arrival(
