Collect idle transactions only where their number is bounded

Every statement that begins a transaction listed the connections of the idle ones, also where the check that needs the list is switched off.

--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable
 
     from ...core.pooler.catalogue import Database
     from ...types import OrganisationId, Seconds
@@ -136,11 +136,12 @@
         )
 
     def check_may_open_transaction(
-        self, request: ExecuteRequest, holders: Sequence[OrganisationId]
+        self, request: ExecuteRequest, idle: Iterable[DatabaseConnection]
     ) -> None:
         """Raise UnitFailed if idle transactions hold too many connections."""
         if not self.view.shares_slots_fairly(self.database.service):
             return
+        holders = [connection.organisation for connection in idle]
         if not connection_pool.may_open_transaction(
             holders, request.organisation, self.connection_limit
         ):
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -142,9 +142,8 @@
             check_may_lead(self.view, self.database, request, needs_primary)
             check_not_evacuated(self.view, self.database, request)
             if request.transaction and not pinned:
-                idle = [kept.connection for kept in self.pinned_connections.values()]
-                holders = [entry.organisation for entry in idle]
-                self.pool.check_may_open_transaction(request, holders)
+                idle = (kept.connection for kept in self.pinned_connections.values())
+                self.pool.check_may_open_transaction(request, idle)
             self.cold_limit.check(self.database, request)
             slot = self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
