Dial a peer that was heard without a pause

An instance that dialled a peer before it listened waited for the growing pause between two dials, also when the peer had sent a message meanwhile. A peer that has been heard does not count as starting, so the next probe, which gives up after 0.25 s without a connection, made it a suspect, and its databases and rates moved. A message of a peer whose dial has failed now closes the socket, so that the next call dials anew.

The new test of the links fails without it.

--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -185,11 +185,11 @@
         if peer is None:
             self.on_count("unknown-peer", 0)
             return False
-        self.outboxes.ensure(instance, peer)
         deadline = time.monotonic() + CONNECT_TIMEOUT_SECONDS
         while not self.outboxes.is_connected(instance):
             if time.monotonic() >= deadline:
                 return False
+            self.outboxes.ensure(instance, self.contacts.find(instance) or peer)
             gevent.sleep(CONNECT_POLL_SECONDS)
         return True
 
@@ -212,6 +212,15 @@
             if start_times
         ]
 
+    def heard_peers(self, seconds: float) -> set[InstanceId]:
+        """Return the peers that sent a message within the last seconds."""
+        since = time.monotonic() - seconds
+        return {
+            instance
+            for instance, received_at in self.last_received_at.items()
+            if received_at >= since
+        }
+
     def silent_seconds(self, instance: InstanceId) -> float:
         """Return for how long a peer has sent nothing while answers are awaited."""
         start_times = self.awaited_since.get(instance)
@@ -328,12 +337,13 @@
         self.dispatch_message(sender, frame, message, delay)
 
     def learn_address(self, envelope: Envelope, frame: Frame) -> None:
-        """Learn where the sender of a message receives answers."""
+        """Learn where the sender of a message receives answers, and that it runs."""
         self.contacts.learn(
             envelope.sender, frame.sender_address, envelope.sender_incarnation
         )
         peer = self.contacts.find(envelope.sender)
         self.outboxes.close_outdated(envelope.sender, peer)
+        self.outboxes.close_unreached(envelope.sender)
 
     def send_restart_notice(self, data: bytes) -> None:
         """Tell the sender of a message to a former incarnation that this is another."""
--- a/berylhinge/tasks/peer_outboxes.py
+++ b/berylhinge/tasks/peer_outboxes.py
@@ -6,13 +6,17 @@
 
 import pynng
 
+from .clock import now_seconds
+
 if TYPE_CHECKING:
     from ..core.peer_contacts import PeerAddress
-    from ..types import InstanceId
+    from ..types import InstanceId, Seconds
 
 SEND_BUFFER_MESSAGES = 4_096
 RECONNECT_MIN_MS = 20
 RECONNECT_MAX_MS = 1_000
+# A dial that takes longer has failed: several round trips between failure domains.
+DIAL_SECONDS = 0.05
 
 
 class Outbox(NamedTuple):
@@ -20,6 +24,7 @@
 
     address: str
     socket: pynng.Push0
+    dialled_at: Seconds
 
 
 class Outboxes:
@@ -40,7 +45,7 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         outbox.dial(f"tcp://{peer.address}", block=False)
-        self.open[instance] = Outbox(peer.address, outbox)
+        self.open[instance] = Outbox(peer.address, outbox, now_seconds())
         return outbox
 
     def is_connected(self, instance: InstanceId) -> bool:
@@ -54,6 +59,16 @@
         if outbox is not None:
             outbox.socket.close()
 
+    def close_unreached(self, instance: InstanceId) -> None:
+        """Close the socket to a peer that dials in vain, to dial anew without a pause."""
+        outbox = self.open.get(instance)
+        if (
+            outbox is not None
+            and not outbox.socket.pipes
+            and now_seconds() - outbox.dialled_at >= DIAL_SECONDS
+        ):
+            self.close(instance)
+
     def close_outdated(self, instance: InstanceId, peer: PeerAddress | None) -> None:
         """Close the socket to a peer that is gone or has another address now."""
         outbox = self.open.get(instance)
--- a/berylhinge/tasks/tests/test_peer_links.py
+++ b/berylhinge/tasks/tests/test_peer_links.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import time
 from collections import Counter
 from typing import NamedTuple
@@ -10,6 +11,7 @@
 
 from ...core.peer_contacts import PeerAddress
 from ...core.peer_envelopes import new_channel, seal_message
+from .. import peer_outboxes
 from ..http_server import Address
 from ..peer_frames import Frame
 from ..peer_links import Links, PeerLost
@@ -190,6 +192,29 @@
     assert second_counts["received"] == 0
 
 
+def test_a_peer_that_was_heard_is_dialled_at_once(monkeypatch, restarted_pair):
+    # A dial that failed before the peer listened paused until the peer, which ran and
+    # had been heard, counted as silent.
+    pause_ms = 60_000
+    monkeypatch.setattr(peer_outboxes, "RECONNECT_MIN_MS", pause_ms)
+    monkeypatch.setattr(peer_outboxes, "RECONNECT_MAX_MS", pause_ms)
+    first, second, _ = restarted_pair
+    address = PeerAddress(str(second.address), 8)
+    refusing = socket.create_server(("127.0.0.1", 0))
+    unused = str(Address(*refusing.getsockname()))
+    refusing.close()
+    first.outboxes.ensure("second", address._replace(address=unused))
+    first.outboxes.open["second"] = first.outboxes.open["second"]._replace(
+        address=address.address
+    )
+    gevent.sleep(0.1)
+    assert not first.connect("second")
+    second.call("first", Question("hello"), 5.0, may_repeat=True)
+    assert first.call("second", Question("back"), 0.5, may_repeat=True) == Answer(
+        "back!"
+    )
+
+
 def test_an_outdated_registration_does_not_replace_what_a_peer_said(restarted_pair):
     first, second, _ = restarted_pair
     first.call("second", Question("hello"), 5.0, may_repeat=True)
