Grant only the fraction of a rate that the owner reaches of the fleet

An owner now grants the fraction of the rate that it reaches, and a new bucket starts with the cube of that fraction.

Gauge berylhinge_fleet_reached_fraction.

--- a/berylhinge/core/pooler/tests/test_token_buckets.py
+++ b/berylhinge/core/pooler/tests/test_token_buckets.py
@@ -12,6 +12,8 @@
     isolated_quota,
     new_bucket,
     RateTolerance,
+    reached_fraction,
+    reached_quota,
     spare_tokens,
     TokenBucket,
     tolerated_excess,
@@ -21,6 +23,17 @@
 TOLERANCE = RateTolerance(5.0, 0.1, 20.0)
 
 
+def most_in_a_window(used_at: list[float], seconds: float = 5.0) -> int:
+    """Return how many operations the fullest window of that length holds."""
+    used_at = sorted(used_at)
+    first, most = 0, 0
+    for last, moment in enumerate(used_at):
+        while used_at[first] < moment - seconds - 1e-6:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 @pytest.mark.parametrize(
     ("tokens", "requested", "granted"),
     [(10.0, 1, 1), (10.0, 12, 10), (0.0, 1, 0), (-5.0, 1, 0)],
@@ -134,11 +147,47 @@
             found = grant_tokens(known, share, 1, now)
             isolated[name] = found.bucket
             used_at += [now] * found.granted
-    used_at.sort()
-    allowed = (rate * 5.0 + quota.burst) * 1.1 + 20.0
-    first, most = 0, 0
-    for last, moment in enumerate(used_at):
-        while used_at[first] < moment - 5.0 - 1e-6:
-            first += 1
-        most = max(most, last - first + 1)
-    assert most <= allowed
+    assert most_in_a_window(used_at) <= (rate * 5.0 + quota.burst) * 1.1 + 20.0
+
+
+@pytest.mark.parametrize("rate", [10.0, 50.0, 400.0])
+@pytest.mark.parametrize(
+    "parts",
+    [[57, 1], [46] + [1] * 12, [29, 29], [43, 15], [1] * 58],
+    ids=["one-cut-off", "many-cut-off", "halves", "a-domain", "all-cut-off"],
+)
+@pytest.mark.parametrize("seed", range(5))
+def test_parts_of_a_partitioned_fleet_keep_the_bound_in_every_window(
+    parts: list[int], rate: float, seed: int
+) -> None:
+    # Each instance passed over the owners that it did not reach until it was the owner
+    # itself, and granted the whole rate. Each part takes what it can get.
+    rng, quota, instances = Random(seed), Quota(rate, rate), sum(parts)
+    part_of = [part for part, size in enumerate(parts) for _ in range(size)]
+    rng.shuffle(part_of)
+    cut_at = rng.uniform(0.0, 4.0)
+    # Calls to peers out of reach time out within the first second.
+    suspected_at = {
+        part: [cut_at + rng.uniform(0.3, 0.9) for _ in range(instances - size)]
+        for part, size in enumerate(parts)
+    }
+    begins_at = {
+        part: max(suspected_at[part][: part_of.index(part)], default=0.0)
+        for part in range(len(parts))
+    }
+    buckets = {part_of[0]: new_bucket(quota, 0.0, None)}
+    used_at: list[float] = []
+    for step in range(1_000):
+        now = step / 100
+        for part in range(len(parts)):
+            if now < begins_at[part]:
+                continue
+            suspected = sum(moment <= now for moment in suspected_at[part])
+            fraction = reached_fraction(instances - 1 - suspected, suspected)
+            bucket = buckets.get(part) or new_bucket(
+                quota, now, TOLERANCE, reached_fraction=fraction
+            )
+            found = grant_tokens(bucket, reached_quota(quota, fraction), 50, now)
+            buckets[part] = found.bucket
+            used_at += [now + found.wait_seconds] * found.granted
+    assert most_in_a_window(used_at) <= (rate * 5.0 + quota.burst) * 1.1 + 20.0
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -74,19 +74,41 @@
 
 
 def new_bucket(
-    quota: Quota, now: Seconds, tolerance: RateTolerance | None
+    quota: Quota,
+    now: Seconds,
+    tolerance: RateTolerance | None,
+    *,
+    reached_fraction: float = 1.0,
 ) -> TokenBucket:
     """Return a full bucket, or with a tolerance the first bucket of a new rate owner.
 
     The previous rate owner may have granted every token, so the new bucket starts with
     a part of the tolerated excess. The rest is kept for a second change of rate owner.
+    Where only a fraction of the fleet is reached, the rest may have owners of its own.
+    While an instance finds out whom it reaches, it takes the fraction for larger than it
+    is, so a bucket starts with its cube: all parts together stay within the tolerance.
     """
+    unshared = reached_fraction**3
     if tolerance is None:
-        return TokenBucket(quota.burst, now)
+        return TokenBucket(quota.burst * unshared, now)
     excess = tolerated_excess(quota, tolerance) * NEW_BUCKET_EXCESS_FRACTION
     # Operations may still wait for tokens that the previous rate owner reserved.
     start = max(0.0, excess - quota.rate * MAX_WAIT_SECONDS)
-    return TokenBucket(min(quota.burst, start), now, now)
+    return TokenBucket(min(quota.burst, start) * unshared, now, now)
+
+
+def reached_fraction(heard: int, suspected: int) -> float:
+    """Return which fraction of the instances that were asked this one reaches.
+
+    It counts itself. Parts of a partitioned fleet that each grant their fraction of a
+    rate grant no more than the rate together.
+    """
+    return (1 + heard) / (1 + heard + suspected)
+
+
+def reached_quota(quota: Quota, fraction: float) -> Quota:
+    """Return what a rate owner may grant that reaches a fraction of the fleet."""
+    return quota._replace(rate=quota.rate * fraction)
 
 
 def tolerated_excess(quota: Quota, tolerance: RateTolerance) -> float:
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -148,6 +148,7 @@
                 settings.rate_excess_operations,
             ),
             is_starting=self.peer_monitor.starting.is_starting,
+            reached_fraction=lambda: self.peer_monitor.reached_fraction,
         )
         links.register_call(TokenRequest, self.rate_limiter.answer_token_request)
         self.promotion_task = PromotionTask(
@@ -228,6 +229,9 @@
         if self.links is not None:
             self.held_databases.update_gauges()
             self.router.read_balancer.set_gauges()
+            self.metrics.gauge(
+                "fleet_reached_fraction", self.peer_monitor.reached_fraction
+            )
         body, content_type = self.metrics.render()
         return respond(start_response, 200, body, content_type=content_type)
 
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -10,6 +10,7 @@
 from ...core.pooler.catalogue import databases_of
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.floors import newest_proof
+from ...core.pooler.token_buckets import reached_fraction
 from ...wire.pooling import (
     DatabaseStatesRequest,
     DatabaseStatesResponse,
@@ -55,8 +56,12 @@
 # How long a read waits for a leadership proof before it goes to the primary.
 PROOF_WAIT_SECONDS = 0.05
 # A peer that does not answer a probe within this time is skipped.
-PROBE_TIMEOUT_SECONDS = 0.3  # Pause between two probes of a peer that has not been heard and was not reached.
+PROBE_TIMEOUT_SECONDS = 0.3
+# Pause between two probes of a peer that has not been heard and was not reached.
 UNHEARD_PAUSE_SECONDS = 0.02
+# Peers heard within this time count as reached: observations of the databases that they
+# hold are renewed as often.
+REACHED_SECONDS = MAX_OBSERVATION_AGE_SECONDS
 
 RESPONSE_TYPES = (
     DatabaseStatesResponse,
@@ -87,6 +92,7 @@
         self.suspect_pauses: dict[InstanceId, Seconds] = {}
         self.starting = StartingPeers(view, links)
         self.is_fleet_reached = False
+        self.reached_fraction = 1.0
         self.service_states = ServiceStates(view, links, renew_proof=self.renew_proof)
 
     def update_link_peers(self) -> None:
@@ -102,6 +108,7 @@
     def look_at_holders(self) -> None:
         """Probe every instance that is due, each in a task of its own."""
         now = now_seconds()
+        self.update_reached_fraction()
         due = self.due_holders(now)
         relay = self.service_states.relay()
         if relay is not None:
@@ -120,6 +127,14 @@
             if peer != self.view.own_instance:
                 self.spawn_probe(peer)
 
+    def update_reached_fraction(self) -> None:
+        """Compare the peers that answer with those that do not."""
+        suspects = self.view.suspects & self.view.members.keys()
+        heard = self.links.heard_peers(REACHED_SECONDS) if suspects else set()
+        self.reached_fraction = reached_fraction(
+            len((heard & self.view.members.keys()) - suspects), len(suspects)
+        )
+
     def has_reached_fleet(self) -> bool:
         """Return whether statements can be served: no holder of a primary is awaited.
 
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -12,6 +12,7 @@
     isolated_quota,
     new_bucket,
     RateTolerance,
+    reached_quota,
     SPARE_LIFETIME_SECONDS,
     spare_tokens,
     TokenBucket,
@@ -84,12 +85,14 @@
         first_start: bool,
         tolerance: RateTolerance,
         is_starting: Callable[[InstanceId], bool],
+        reached_fraction: Callable[[], float],
     ) -> None:
         """Start without buckets; on a first start new ones are full for a while."""
         self.view = view
         self.links = links
         self.tolerance = tolerance
         self.is_starting = is_starting
+        self.reached_fraction = reached_fraction
         self.full_buckets_until = now_seconds() + (
             FULL_BUCKETS_SECONDS if first_start else 0.0
         )
@@ -256,11 +259,12 @@
     ) -> TokenGrant:
         """Take tokens from a bucket that this instance owns."""
         now = now_seconds()
+        reached = self.reached_fraction()
         bucket = self.owned_buckets.get(organisation)
         if bucket is None:
             tolerance = None if now < self.full_buckets_until else self.tolerance
-            bucket = new_bucket(quota, now, tolerance)
-        outcome = grant_tokens(bucket, quota, count, now)
+            bucket = new_bucket(quota, now, tolerance, reached_fraction=reached)
+        outcome = grant_tokens(bucket, reached_quota(quota, reached), count, now)
         self.owned_buckets[organisation] = outcome.bucket
         return TokenGrant(
             outcome.granted,
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -29,6 +29,9 @@
         self.members = dict.fromkeys(["own", *owners])
         self.declarations = SimpleNamespace(quotas={"o": QUOTA})
 
+    def reached_fraction(self) -> float:
+        return 1.0
+
     def rate_owner(self, organisation: str) -> str:
         alive = [name for name in self.owners if name not in self.suspects]
         return alive[0] if alive else self.own_instance
@@ -53,7 +56,12 @@
 def make_limiter(owners: Owners) -> RateLimiter:
     view: Any = owners
     return RateLimiter(
-        view, view, first_start=False, tolerance=TOLERANCE, is_starting=view.is_starting
+        view,
+        view,
+        first_start=False,
+        tolerance=TOLERANCE,
+        is_starting=view.is_starting,
+        reached_fraction=view.reached_fraction,
     )
 
 
