Keep successors of a silent holder within the tolerance of a cold database

A successor whose silent predecessors are still registered now admits only from the tolerance. The first holder, and a successor once the registrations have lapsed, admit the declared number as before. A test of 2, 3 and 7 holders.

Status requests after a failure went on to reach a database of an evacuated failure domain (found by review); they pause now until the evacuation is taken back. The new test counts connections and fails without the change.

What only a cold database can run is refused at once if the hint lies after its deadline.

--- a/berylhinge/core/pooler/cold_start.py
+++ b/berylhinge/core/pooler/cold_start.py
@@ -42,13 +42,21 @@
         self.admitted: deque[Seconds] = deque()
 
 
-def requests_allowed(per_second: float, tolerance: ColdTolerance) -> int:
+def requests_allowed(
+    per_second: float, tolerance: ColdTolerance, *, predecessors: int = 0
+) -> int:
     """Return how many requests a cold database may get in one second.
 
     The tolerance is left for requests that arrive closer together than they were sent;
     only a rate below one request per second uses it, to be served at all.
+
+    A holder whose silent ``predecessors`` are still registered may hold the database
+    together with them. Each successor gets half of what the one before it gets, and all
+    of them half of the tolerance.
     """
     limit = per_second * tolerance.factor + tolerance.requests
+    if predecessors:
+        return floor(max(0.0, limit - per_second) / 2.0 ** (predecessors + 1))
     return min(max(1, floor(per_second)), floor(limit))
 
 
--- a/berylhinge/core/pooler/tests/test_cold_start.py
+++ b/berylhinge/core/pooler/tests/test_cold_start.py
@@ -59,6 +59,23 @@
     assert any(moment > change_at + NEW_HOLDER_SECONDS for moment in admitted)
 
 
+@pytest.mark.parametrize("per_second", [1.0, 10.0, 40.0, 200.0])
+@pytest.mark.parametrize("holders", [2, 3, 7])
+def test_holders_that_suspect_each_other_keep_the_limit_together(
+    per_second: float, holders: int
+) -> None:
+    # Each took the others for dead, and admitted the declared number by itself.
+    limit = per_second * TOLERANCE.factor + TOLERANCE.requests
+    allowed = [
+        requests_allowed(per_second, TOLERANCE, predecessors=place)
+        for place in range(holders)
+    ]
+    assert allowed[0] == per_second
+    assert allowed[1] > 0
+    # Half of the tolerance is left for requests that arrive close together.
+    assert sum(allowed) <= (per_second + limit) / 2
+
+
 def test_an_instance_that_is_not_the_holder_admits_none() -> None:
     window = ColdStartWindow()
     assert wait_for_admission(window, 20, 100.0) == WINDOW_SECONDS
--- a/berylhinge/tasks/pooler/cold_limit.py
+++ b/berylhinge/tasks/pooler/cold_limit.py
@@ -7,6 +7,7 @@
 import gevent
 
 from ...core.pooler import cold_start
+from ...core.pooler.assignment import InstanceAssignment
 from ...core.pooler.failure_results import not_run_result
 from ..clock import now_seconds
 from .connection_pool import UnitFailed
@@ -18,6 +19,28 @@
     from .fleet_view import FleetView
 
 
+def count_silent_predecessors(view: FleetView, database: Database) -> int:
+    """Return how many suspects would hold a database rather than this instance."""
+    if not view.suspects:
+        return 0
+    everyone = {
+        member.instance: member.failure_domain
+        for member in view.members.values()
+        if not member.leaving
+    }
+    everyone[view.own_instance] = view.failure_domain
+    undisputed = InstanceAssignment()
+    undisputed.set_instances(
+        view.members,
+        everyone,
+        weights=view.instance_weights(),
+        databases=view.databases.values(),
+    )
+    holders = undisputed.holders(database)
+    preceding = holders[: holders.index(view.own_instance)]
+    return sum(view.is_suspect(name) for name in preceding)
+
+
 class ColdLimit:
     """Own the count of one database's requests in the last second."""
 
@@ -26,26 +49,34 @@
         self.view = view
         self.window = cold_start.ColdStartWindow()
         self.refused_at: Seconds = float("-inf")
+        self.predecessors = 0
 
-    def record_holder(self, *, is_holder: bool, is_refused: bool) -> None:
+    def record_holder(
+        self, database: Database, *, is_holder: bool, is_refused: bool
+    ) -> None:
         """Record whether this instance is the rightful holder, and can connect."""
         now = now_seconds()
+        if is_holder and self.is_limited(database):
+            self.predecessors = count_silent_predecessors(self.view, database)
         cold_start.record_holder(self.window, is_holder=is_holder, now=now)
         if is_refused:
             self.refused_at = now
 
-    def requests_allowed(self, database: Database) -> int | None:
-        """Return how many requests a second the database may get, None for any."""
+    def is_limited(self, database: Database) -> bool:
+        """Return whether the database is or may be cold, and its service limits that."""
         service = self.view.declarations.services.get(database.service)
         if service is None or service.cold_per_second <= 0.0:
-            return None
-        may_have_restarted = cold_start.may_have_restarted(
+            return False
+        return self.view.is_cold(database.id) or cold_start.may_have_restarted(
             refused_at=self.refused_at,
             announced_at=self.view.announced_at.get(database.id, float("-inf")),
             cold_start_seconds=service.cold_start_seconds,
             now=now_seconds(),
         )
-        if not may_have_restarted and not self.view.is_cold(database.id):
+
+    def requests_allowed(self, database: Database) -> int | None:
+        """Return how many requests a second the database may get, None for any."""
+        if not self.is_limited(database):
             return None
         is_holder = (
             self.view.is_confirmed()
@@ -53,8 +84,11 @@
         )
         if not is_holder:
             return 0
+        service = self.view.declarations.services[database.service]
         return cold_start.requests_allowed(
-            service.cold_per_second, self.view.cold_tolerance
+            service.cold_per_second,
+            self.view.cold_tolerance,
+            predecessors=self.predecessors,
         )
 
     def wait_seconds(self, database: Database) -> Seconds | None:
--- a/berylhinge/tasks/pooler/database_probe.py
+++ b/berylhinge/tasks/pooler/database_probe.py
@@ -43,22 +43,30 @@
         return self.pool.database
 
     def start(self) -> None:
-        """Start requesting the status until the database answers or is removed."""
-        if not self.is_running:
+        """Start requesting the status until the database answers or is given up."""
+        if not self.is_running and self.may_use_database():
             self.is_running = True
             gevent.spawn(self.request_until_answered)
 
+    def may_use_database(self) -> bool:
+        """Return whether the database is announced and no evacuation forbids its use."""
+        return (
+            self.database.id in self.view.databases
+            and self.view.evacuations.may_start_work(self.database)
+        )
+
     def request_until_answered(self) -> None:
         """Request the status, and again while the database has failed."""
         is_silent = False
         try:
             self.request_status()
-            while self.tracker.has_failed and self.database.id in self.view.databases:
+            while self.tracker.has_failed and self.may_use_database():
                 if not is_silent and self.tracker.is_unresponsive:
                     is_silent = True
                     self.log_unresponsive()
                 gevent.sleep(PROBE_PAUSE_SECONDS)
-                self.request_status()
+                if self.may_use_database():
+                    self.request_status()
             if is_silent and not self.tracker.has_failed:
                 self.log.info("A database answers again.", database=self.database.id)
         finally:
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -169,6 +169,8 @@
                 # Waits for a connection say nothing of the database's speed.
                 learned = ran_seconds if self.slots.shares_fairly else held_seconds
                 self.slots.release_slot(slot, learned)
+                if is_opening:
+                    self.opening.remove(request.organisation)
                 is_own_work = needs_primary and not request.may_run_at_replica
                 self.meter.record_run(request, ran_seconds, is_own_work)
             if request.transaction and not result.transaction_ended:
@@ -182,6 +184,13 @@
             if connection is not None and not is_kept_open:
                 self.pool.release(connection, clean=usable)
 
+    def check_may_open_transaction(self, request: ExecuteRequest, pinned: bool) -> None:
+        """Raise UnitFailed if open transactions hold too many connections."""
+        if request.transaction and not pinned and self.slots.shares_fairly:
+            kept = self.pinned_connections.values()
+            holders = [entry.connection.organisation for entry in kept]
+            self.pool.check_may_open_transaction(request, holders + self.opening)
+
     def take_pinned_connection(self, key: tuple[InstanceId, int]) -> PinnedConnection:
         """Take out the connection of an open transaction; raise UnitFailed."""
         pinned = self.pinned_connections.pop(key, None)
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -213,15 +213,19 @@
         """Return which instance holds each database, owns each rate and confirms."""
         if not self.is_assignment_current:
             self.is_assignment_current = True
-            weights = {name: member.weight for name, member in self.members.items()}
             self.cached_assignment.set_instances(
                 self.members,
                 self.usable_instances(),
-                weights={**weights, self.own_instance: self.weight},
+                weights=self.instance_weights(),
                 databases=self.databases.values(),
             )
         return self.cached_assignment
 
+    def instance_weights(self) -> dict[InstanceId, float]:
+        """Return the capacity of each instance."""
+        weights = {name: member.weight for name, member in self.members.items()}
+        return {**weights, self.own_instance: self.weight}
+
     def confirming_instance(self) -> InstanceId:
         """Return the instance that confirms the declarations for the others."""
         return self.assignment.confirmer()
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -97,14 +97,17 @@
     destination: Destination | None
 
 
-def is_retried(call: RoutingRequest, reason: str) -> bool:
+def is_retried(call: RoutingRequest, last: ExecuteResponse, now: Seconds) -> bool:
     """Tell whether a statement that did not run is tried again.
 
-    Without room at one database, a read may find some at another one.
+    Without room at one database, a read may find some at another one. What only a cold
+    database can run waits for its turn there, unless that comes too late.
     """
-    if reason in ROOM_REASONS:
+    if last.reason in ROOM_REASONS:
         return may_run_at_replica(call)
-    return reason in RETRY_REASONS
+    if last.reason == "cold" and not may_run_at_replica(call):
+        return now + last.result.retry_after_seconds < call.deadline
+    return last.reason in RETRY_REASONS
 
 
 class Router:
--- a/berylhinge/tasks/pooler/tests/test_evacuation.py
+++ b/berylhinge/tasks/pooler/tests/test_evacuation.py
@@ -180,3 +180,36 @@
     assert code(fleet.caller("strict").ask("WRITE item x")) == ""
     assert fleet.group.primary == primary
     assert not fleet.instances[0].view.evacuations.orders
+
+
+def test_a_failed_database_of_an_evacuated_domain_is_not_probed(
+    evacuating_fleet: Fleet,
+) -> None:
+    # Status requests after a failure went on until the database answered.
+    fleet = evacuating_fleet
+    replica = next(
+        member for member in fleet.group.members.values() if not member.leads
+    )
+    reader = fleet.caller("aged")
+    for _ in range(4):
+        assert code(reader.ask("READ item")) == ""
+    fleet.store.put(f"op/evacuate/{replica.zone}", {})
+    wait_for_stage(fleet, replica.zone, Stage.MOVING)
+    tasks = [
+        task
+        for pooler in fleet.instances
+        if (task := pooler.held_databases.ensure_task(replica.id)) is not None
+    ]
+    replica.crash()
+    for task in tasks:
+        task.pool.close_idle()
+        task.probe.start()
+    wait_until(lambda: any(task.tracker.has_failed for task in tasks))
+    wait_for_stage(fleet, replica.zone, Stage.EMPTY)
+    gevent.sleep(0.5)
+    before = next(fleet.group.connections)
+    replica.restart()
+    gevent.sleep(0.5)
+    assert next(fleet.group.connections) == before + 1
+    fleet.store.delete(f"op/evacuate/{replica.zone}")
+    wait_until(lambda: not any(task.tracker.has_failed for task in tasks), 6.0)
