Refuse for room at once, and bound transactions that begin together

After a refusal for lack of room at one database, a read that then failed elsewhere for another reason waited until its deadline. The refusal for room is now returned as soon as no other database is left to try. Transactions that waited for slots together all passed the bound on idle transactions, since each was checked on arrival; they are checked again in their slot, and those that are just beginning count.

Both were found by review; the new tests fail without the change of the router and the task.

--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from ...core.pooler.catalogue import Database
     from ...types import OrganisationId, Seconds
@@ -136,17 +136,14 @@
         )
 
     def check_may_open_transaction(
-        self, request: ExecuteRequest, idle: Iterable[DatabaseConnection]
+        self, request: ExecuteRequest, holders: list[OrganisationId]
     ) -> None:
-        """Raise UnitFailed if idle transactions hold too many connections."""
-        if not self.view.shares_slots_fairly(self.database.service):
-            return
-        holders = [connection.organisation for connection in idle]
+        """Raise UnitFailed if transactions of the holders take too many connections."""
         if not connection_pool.may_open_transaction(
             holders, request.organisation, self.connection_limit
         ):
             own = holders.count(request.organisation)
-            detail = f"{len(holders)} transactions are idle, {own} of the organisation"
+            detail = f"{len(holders)} transactions are open, {own} of the organisation"
             # One of them ends by then, by itself or by the declared limit.
             result = not_run_result(
                 request, detail, retry_after_seconds=request.idle_seconds
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 import gevent
 
@@ -26,6 +26,7 @@
 from .database_meter import DatabaseMeter
 from .database_probe import DatabaseProbe, STATUS_TIMEOUT_SECONDS
 from .database_tracker import DatabaseTracker, proof_for_peer
+from .pinned_connection import PinnedConnection
 from .run_conditions import (
     await_lead,
     check_may_lead,
@@ -38,7 +39,7 @@
     from ...core.pooler.catalogue import Database
     from ...core.pooler.slot_scheduling import SlotWaiter
     from ...platform.line_protocol import DatabaseAnswer
-    from ...types import InstanceId, LogPoint, Seconds
+    from ...types import InstanceId, LogPoint, OrganisationId, Seconds
     from ...wire.pooling import ExecuteRequest, LeadershipProof, RollbackRequest
     from ..logs import Log
     from .database_connection import DatabaseConnection
@@ -49,17 +50,6 @@
 PROOF_RENEWAL_SECONDS = 0.6
 
 
-class PinnedConnection(NamedTuple):
-    """Describe the connection of an open transaction, and when its idle limit ends.
-
-    A transaction that is not read-only ``needs_primary``.
-    """
-
-    connection: DatabaseConnection
-    expires_at: Seconds
-    needs_primary: bool
-
-
 class DatabaseTask:
     """Own the queue, the connections and the observed state of one database."""
 
@@ -76,6 +66,7 @@
         )
         self.meter = DatabaseMeter(self.slots, enabled=view.features.balances_reads)
         self.pinned_connections: dict[tuple[InstanceId, int], PinnedConnection] = {}
+        self.opening: list[OrganisationId] = []
         self.cold_limit = ColdLimit(view)
         self.tracker = DatabaseTracker()
         self.pool = ConnectionPool(
@@ -136,14 +127,13 @@
             found = self.take_pinned_connection(key)
             connection, needs_primary = found.connection, found.needs_primary
         pinned, usable, is_kept_open = connection is not None, False, False
+        is_opening = False
         try:
             if needs_primary and not pinned:
                 await_lead(self.view, self.database, request, deadline)
             check_may_lead(self.view, self.database, request, needs_primary)
             check_not_evacuated(self.view, self.database, request)
-            if request.transaction and not pinned:
-                idle = (kept.connection for kept in self.pinned_connections.values())
-                self.pool.check_may_open_transaction(request, idle)
+            self.check_may_open_transaction(request, pinned)
             self.cold_limit.check(self.database, request)
             slot = self.wait_for_slot(request, pinned, arrived_at, deadline)
             usable = True
@@ -151,6 +141,11 @@
             try:
                 if connection is None:
                     check_not_evacuated(self.view, self.database, request)
+                    # Those that waited with it may have begun theirs meanwhile.
+                    self.check_may_open_transaction(request, pinned)
+                    if request.transaction:
+                        is_opening = True
+                        self.opening.append(request.organisation)
                     connection = self.pool.acquire(request, deadline)
                     check_not_evacuated(self.view, self.database, request)
                 usable = not pinned
@@ -361,12 +356,15 @@
         silent_since = self.tracker.unanswered_since()
         if silent_since is not None:
             self.tracker.record_failure(silent_since, refused=False)
+        if self.tracker.has_failed:
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
         self.slots.refuse_hopeless()
         self.cold_limit.record_holder(
-            is_holder=is_holder, is_refused=self.tracker.health.refused
+            self.database,
+            is_holder=is_holder,
+            is_refused=self.tracker.health.refused,
         )
         is_emptied = not self.view.evacuations.may_continue_work(self.database)
         for key, pinned in list(self.pinned_connections.items()):
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -159,6 +159,7 @@
         """Run a single statement, or the first of a transaction."""
         attempts, last_destination = 0, None
         tried = TriedDestinations()
+        room_refusal: ExecuteResponse | None = None
         last = ExecuteResponse(
             not_run_result(call.planned_statement, "no database is known"),
             "no-database",
@@ -185,7 +186,9 @@
             )
             self.record_response(destination.database, last, sent_at)
             result = last.result
-            if result.effect is not Effect.NONE or not is_retried(call, last.reason):
+            if result.effect is not Effect.NONE or not is_retried(
+                call, last, now_seconds()
+            ):
                 binding = None
                 if (
                     call.planned_statement.transaction is not None
@@ -197,10 +200,11 @@
                 return RoutedResult(result, last.reason, binding, attempts, destination)
             tried.add(destination.holder, destination.database.id, last.reason)
             last_destination = destination
-            if last.reason in ROOM_REASONS and (
-                self.chooser.choose(call, tried) is None
-            ):
+            if last.reason in ROOM_REASONS:
+                room_refusal = last
+            if room_refusal is not None and self.chooser.choose(call, tried) is None:
                 # No other database is left, and a refusal is never held back.
+                last = room_refusal
                 break
             self.record_retry(call, destination, last, tried)
         return RoutedResult(last.result, last.reason, None, attempts, last_destination)
--- a/berylhinge/tasks/pooler/tests/test_slot_sharing.py
+++ b/berylhinge/tasks/pooler/tests/test_slot_sharing.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
@@ -74,6 +76,50 @@
     assert not task.slots.queue.running
 
 
+def test_transactions_that_begin_together_are_bounded(fair_fleet: Fleet) -> None:
+    # Each was checked on arrival, when none of the others had begun its transaction.
+    instance = fair_fleet.instances[0]
+    begin = execute_request("READ a", READ, begin="plain")
+    jobs = [
+        gevent.spawn(
+            instance.held_databases.run_statement,
+            "n1",
+            begin._replace(transaction=number),
+        )
+        for number in range(1, 60)
+    ]
+    gevent.joinall(jobs, timeout=5.0)
+    task = instance.held_databases.tasks["i-a"]
+    most = max(1, task.pool.connection_limit // 4)
+    assert len(task.pinned_connections) == most
+    assert sum(job.value.reason == "transactions-full" for job in jobs) == 59 - most
+    assert not task.opening
+
+
+def test_a_refusal_for_room_is_not_held_back_by_a_database_out_of_reach(
+    fair_fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The last attempt's reason made the statement wait for its deadline.
+    caller = fair_fleet.caller("aged")
+    caller.ask("READ a")
+    refusal = SlotRefusal(OVER_SHARE, "no room", 0.2)
+    answers: list[SlotRefusal | None] = [refusal]
+    for instance in fair_fleet.instances:
+        for database in ("i-a", "i-b", "i-c"):
+            task = instance.held_databases.ensure_task(database)
+            assert task is not None
+            monkeypatch.setattr(
+                task.slots,
+                "wait_for_slot",
+                lambda *_: answers.pop() if answers else None,
+            )
+    asked_at = time.monotonic()
+    answer = caller.ask("READ a")
+    assert answer[0].startswith("ERROR BUSY"), answer
+    assert "retry after 200 ms" in answer[0]
+    assert time.monotonic() - asked_at < 0.5
+
+
 @pytest.mark.parametrize(
     ("route", "text", "most_attempts"),
     [("strict", "WRITE a 1", 1), ("strict", "READ a", 1), ("aged", "READ a", 3)],
