Balance reads without reports that are too old to go by

One very old report, as of a database whose holder was silent, made the queues of all candidates count for next to nothing, since the oldest report decides how much they count (found by review). The test of three ages fails without the change.

--- a/berylhinge/core/pooler/load_balancing.py
+++ b/berylhinge/core/pooler/load_balancing.py
@@ -24,6 +24,9 @@
 
 # A report is in use for its age and this much longer.
 REPORT_USE_SECONDS = 0.1
+# An older report says nothing of a queue any more: holders are asked twice as often, and
+# the oldest report decides how much all queues count.
+MAX_REPORT_AGE_SECONDS = 2.0
 # Weight of the age of a report that only this instance has. Others act on reports of
 # other moments, so that they do not all move at once (benchmarks/bench_read_balancing).
 UNSHARED_AGE_WEIGHT = 0.3
@@ -66,7 +69,9 @@
     candidates: Sequence[Candidate], now: Seconds, rng: Random
 ) -> list[Database]:
     """Return the databases in the order in which a read tries them."""
-    usable = [entry for entry in candidates if not entry.is_avoided]
+    usable = [
+        _without_old_report(entry, now) for entry in candidates if not entry.is_avoided
+    ]
     aside = [entry for entry in usable if entry.is_set_aside]
     regular = [entry for entry in usable if not entry.is_set_aside]
     shares = shares_of(regular, now)
@@ -150,6 +155,14 @@
     ]
 
 
+def _without_old_report(entry: Candidate, now: Seconds) -> Candidate:
+    """Return a candidate without its report if that is too old to go by."""
+    if entry.believed is None:
+        return entry
+    age = now - entry.believed.observed_at
+    return entry if age <= MAX_REPORT_AGE_SECONDS else entry._replace(believed=None)
+
+
 def _fill_level(
     widths: Sequence[float], backlogs: Sequence[Seconds], arrivals: float
 ) -> Seconds:
--- a/berylhinge/core/pooler/tests/test_load_balancing.py
+++ b/berylhinge/core/pooler/tests/test_load_balancing.py
@@ -120,6 +120,17 @@
     assert shares["a"] < 0.1
 
 
+@pytest.mark.parametrize("age", [3.0, 30.0, 3_000.0])
+def test_a_very_old_report_does_not_hide_the_queues_of_the_others(age: float) -> None:
+    # The oldest report decided how much all queues counted: for next to nothing.
+    shares = first_shares(
+        candidate("a", IDLE, age=0.0),
+        candidate("b", QUEUED, age=0.0),
+        candidate("c", BUSY, age=age),
+    )
+    assert shares["a"] > 4 * shares["b"]
+
+
 def test_a_database_set_aside_is_tried_again_by_a_few_and_stays_a_last_resort() -> None:
     """Guards against a database that never returns, and against reads without any."""
     aside = candidate("a", IDLE, is_set_aside=True)
