Ask a replica for its position when nothing else tells that it has caught up

A replica whose known log position is too old gets no reads, and its position was only learned from answers to reads. So a replica that had fallen behind for a moment stayed out of use until its holder changed, and all reads of its service went to the primary.

--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -34,6 +34,7 @@
     check_not_stalled,
 )
 from .statement_slots import StatementSlots
+from .status_renewal import is_status_due
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
@@ -46,9 +47,6 @@
     from .fleet_view import FleetView
     from .slot_reports import SlotReports
 
-# The status is requested when nothing has proved for this long that the primary leads.
-PROOF_RENEWAL_SECONDS = 0.6
-
 
 class DatabaseTask:
     """Own the queue, the connections and the observed state of one database."""
@@ -372,22 +370,8 @@
                 del self.pinned_connections[key]
                 gevent.spawn(self.roll_back_and_return, pinned.connection)
         self.pool.close_expired(is_holder=is_holder)
-        if is_holder and self.view.is_next_leader(self.database):
+        if is_holder and is_status_due(self.view, self.database, self.tracker, now):
             self.probe.start()
-        elif is_holder and self.is_leader():
-            proven = self.tracker.leadership_proof
-            if proven is None or now - proven.asked_at >= PROOF_RENEWAL_SECONDS:
-                self.probe.start()
-
-    def is_leader(self) -> bool:
-        """Return whether the database is known to lead its service and is in use."""
-        leader = self.view.primary_of(self.database.service)
-        return (
-            leader is not None
-            and leader.id == self.database.id
-            and self.view.may_use_as_primary(leader)
-            and self.view.evacuations.may_start_work(leader)
-        )
 
     def close(self) -> None:
         """Close every connection."""
--- a/berylhinge/tasks/pooler/tests/test_fleet.py
+++ b/berylhinge/tasks/pooler/tests/test_fleet.py
@@ -42,6 +42,35 @@
     assert reader.ask("READ item")[0] == "ROW new"
 
 
+def test_replicas_that_lagged_get_reads_again(fleet: Fleet) -> None:
+    # No read goes to a replica whose known position is too old, and nothing else told
+    # that it had caught up: the primary alone served all reads until a holder changed.
+    writer = fleet.caller("strict")
+    readers = [fleet.caller("aged", instance=number % 2) for number in range(4)]
+    replicas = {
+        member.id for member in fleet.group.members.values() if not member.leads
+    }
+
+    def read_and_write(seconds: float) -> set[str]:
+        before, until = len(fleet.group.runs), time.monotonic() + seconds
+        while time.monotonic() < until:
+            assert code(writer.ask("WRITE item x")) == ""
+            for reader in readers:
+                assert code(reader.ask("READ item")) == ""
+            gevent.sleep(0.05)
+        return {run.database for run in fleet.group.runs[before:]}
+
+    assert read_and_write(1.0) & replicas
+    for name in replicas:
+        fleet.group.members[name].deaf = True
+    read_and_write(2.5)
+    assert not read_and_write(0.5) & replicas
+    for name in replicas:
+        fleet.group.members[name].deaf = False
+    read_and_write(2.5)
+    assert read_and_write(0.5) & replicas
+
+
 def test_transactions_are_isolated_and_see_their_own_writes(fleet: Fleet) -> None:
     first, second = fleet.caller("strict"), fleet.caller("strict", instance=1)
     assert first.ask("BEGIN") == ["COMPLETE -", "READY T -"]
