Keep the reads of an organisation at few databases where connections are scarce

A connection serves one organisation. With 71 to 85 organisations and 25 to 52 connections that an instance may hold to a database, a fifth to a third of the reads that are spread at random find no connection of their organisation and open one, which takes a slot for 12 ms, as long as a statement or longer. The organisations now lie on a circle, on arcs as wide as their declared rates, which the databases of a service divide by their shares of the reads. It applies where reads are balanced and a service declares fewer connections than there are organisations.

No run of a fleet yet.

The gauge of the reached fraction, added in, was not declared, so that a scrape would have failed; it is now, with a counter and a gauge of connections.

--- a/berylhinge/core/pooler/load_balancing.py
+++ b/berylhinge/core/pooler/load_balancing.py
@@ -13,6 +13,7 @@
 
 from .database_load import INITIAL_RUN_SECONDS
 from .outliers import bad_percent
+from .read_affinity import choose_by_arc
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,6 +22,7 @@
     from ...types import Seconds
     from .catalogue import Database
     from .database_load import BelievedLoad
+    from .read_affinity import Arc
 
 # A report is in use for its age and this much longer.
 REPORT_USE_SECONDS = 0.1
@@ -66,19 +68,28 @@
 
 
 def order_databases(
-    candidates: Sequence[Candidate], now: Seconds, rng: Random
+    candidates: Sequence[Candidate], now: Seconds, rng: Random, arc: Arc | None = None
 ) -> list[Database]:
-    """Return the databases in the order in which a read tries them."""
+    """Return the databases in the order in which a read tries them.
+
+    Where connections are scarce, the ``arc`` of the read's organisation decides which
+    one is the first.
+    """
     usable = [
         _without_old_report(entry, now) for entry in candidates if not entry.is_avoided
     ]
     aside = [entry for entry in usable if entry.is_set_aside]
     regular = [entry for entry in usable if not entry.is_set_aside]
+    regular.sort(key=lambda entry: entry.database.id)
     shares = shares_of(regular, now)
     ranked = sorted(zip(shares, regular, strict=True), key=lambda pair: -pair[0])
     order = [entry for _, entry in ranked]
     if order:
-        first = rng.choices(regular, near_shares(regular, shares))[0]
+        parts = near_shares(regular, shares)
+        if arc is None:
+            first = rng.choices(regular, parts)[0]
+        else:
+            first = regular[choose_by_arc(parts, arc, rng)]
         order.remove(first)
         order.insert(0, first)
     if aside and order and rng.random() < RETRIAL_SHARE * len(aside):
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -45,6 +45,10 @@
     "slot_refusals_total": CounterSpec(
         "Statements refused for lack of room at a database.", ("reason", "priority")
     ),
+    "connections_total": CounterSpec(
+        "Connections to databases, by whether they were opened, reused or evicted.",
+        ("event",),
+    ),
     "promotions_total": CounterSpec("Promotions.", ("result",)),
     "databases_set_aside_total": CounterSpec(
         "Databases that were set aside for reads, or returned.", ("reason",)
@@ -69,6 +73,8 @@
     "database_load_age_seconds": "Age of the last report of load, by database.",
     "database_set_aside": "1 if set aside for reads, by database and reason.",
     "service_load_spread": "Busiest database's share of slots over the mean, by service.",
+    "database_connections": "Connections that this instance holds, by database.",
+    "fleet_reached_fraction": "Part of the asked instances that answer.",
     "evacuated_domains": "Failure domains that are evacuated, as known here.",
     "evacuated_databases_in_use": "Evacuated databases with work, held here.",
     "queue_length": "Requests that wait for a connection, by group.",
--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -60,12 +60,14 @@
         evidence: DatabaseTracker,
         *,
         on_failure: Callable[[], None],
+        on_count: Callable[[str], None],
     ) -> None:
         """Start without connections."""
         self.database = database
         self.view = view
         self.tracker = evidence
         self.on_failure = on_failure
+        self.on_count = on_count
         self.idle: dict[int, DatabaseConnection] = {}
         self.open_count = 0
         self.last_number = 0
@@ -94,11 +96,13 @@
             if isinstance(choice, connection_pool.UseIdle):
                 connection = self.idle.pop(choice.number)
                 if connection.is_reusable():
+                    self.on_count("reused")
                     return connection
                 self.discard(connection)
                 continue
             if isinstance(choice, connection_pool.OpenNew):
                 if choice.evicted is not None:
+                    self.on_count("evicted")
                     self.discard(self.idle.pop(choice.evicted))
                 opened = self.open_connection(
                     request.organisation, min(left, CONNECT_TIMEOUT_SECONDS)
@@ -181,6 +185,7 @@
             raise
         self.tracker.point = point or self.tracker.point
         self.tracker.record_answer()
+        self.on_count("opened")
         return connection
 
     def acquire_any(self, timeout_seconds: Seconds) -> DatabaseConnection | None:
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -68,7 +68,11 @@
         self.cold_limit = ColdLimit(view)
         self.tracker = DatabaseTracker()
         self.pool = ConnectionPool(
-            database, view, self.tracker, on_failure=lambda: self.probe.start()
+            database,
+            view,
+            self.tracker,
+            on_failure=lambda: self.probe.start(),
+            on_count=reports.count_connection,
         )
         self.probe = DatabaseProbe(self.pool, self.tracker, view, log)
 
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -126,7 +126,7 @@
         need = ReadRequirement(
             route.consistency, floor, session_floor, route.max_staleness_seconds
         )
-        candidates = self.order_reads(route.service, need, now)
+        candidates = self.order_reads(route.service, call.organisation, need, now)
         points = [point for point in (floor, session_floor) if point is not None]
         after = max(points) if floor is not None else None
         for database in candidates:
@@ -140,7 +140,11 @@
         return self.choose_primary(call, tried)
 
     def order_reads(
-        self, service: str, need: ReadRequirement, now: Seconds
+        self,
+        service: str,
+        organisation: OrganisationId,
+        need: ReadRequirement,
+        now: Seconds,
     ) -> list[Database]:
         """Return the databases that can serve a read in the order to try them."""
         floors = self.view.floors_of(service)
@@ -153,7 +157,7 @@
         known = self.view.observations
         if self.view.features.balances_reads:
             usable = usable_databases(databases, known, need, lag=lag, now=now)
-            return self.read_balancer.order_reads(service, usable, now)
+            return self.read_balancer.order_reads(service, organisation, usable, now)
         return read_order(
             databases,
             known,
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -123,7 +123,10 @@
         return DatabaseStatesResponse((*held, *others), self.view.revision, age)
 
     def update_gauges(self) -> None:
-        """Set the gauges of the slots of all held databases."""
+        """Set the gauges of the slots and connections of all held databases."""
+        self.reports.update_connections(
+            (name, task.pool.open_count) for name, task in self.tasks.items()
+        )
         self.reports.update_gauges(
             (name, task.slots) for name, task in self.tasks.items()
         )
@@ -161,3 +164,4 @@
             elif not task.pinned_connections and not task.slots.queue.running:
                 task.close()
                 del self.tasks[identifier]
+                self.reports.update_connections([(identifier, 0)])
--- a/berylhinge/tasks/pooler/read_balancer.py
+++ b/berylhinge/tasks/pooler/read_balancer.py
@@ -6,11 +6,12 @@
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING
 
-from ...core.pooler.catalogue import databases_of
+from ...core.pooler.catalogue import databases_of, NO_DECLARATIONS
 from ...core.pooler.database_load import BelievedLoad
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.load_balancing import Candidate, order_databases
 from ...core.pooler.outliers import review_databases
+from ...core.pooler.read_affinity import arrange_organisations
 from ...types import DatabaseRole
 from ..clock import now_seconds
 from .fleet_view import rounded_age
@@ -21,7 +22,8 @@
     from ...core.pooler.catalogue import Database
     from ...core.pooler.database_load import DatabaseLoad
     from ...core.pooler.outliers import SetAside
-    from ...types import Seconds, UpstreamId
+    from ...core.pooler.read_affinity import Arc
+    from ...types import OrganisationId, Seconds, UpstreamId
     from ..logs import Log
     from ..metrics import Metrics
     from .fleet_view import FleetView
@@ -47,9 +49,15 @@
         self.sent_at: dict[UpstreamId, deque[Seconds]] = {}
         self.set_aside: dict[str, dict[UpstreamId, SetAside]] = {}
         self.reviewed_at: dict[str, Seconds] = {}
+        self.arranged_version = NO_DECLARATIONS.version
+        self.arcs: dict[OrganisationId, Arc] = {}
 
     def order_reads(
-        self, service: str, usable: Sequence[Database], now: Seconds
+        self,
+        service: str,
+        organisation: OrganisationId,
+        usable: Sequence[Database],
+        now: Seconds,
     ) -> list[Database]:
         """Return the databases that can serve a read in the order to try them."""
         self.review(service, now)
@@ -68,7 +76,19 @@
                     is_set_aside=entry is not None and bool(entry.reason),
                 )
             )
-        return order_databases(candidates, now, self.rng)
+        return order_databases(
+            candidates, now, self.rng, self.find_arc(service, organisation)
+        )
+
+    def find_arc(self, service: str, organisation: OrganisationId) -> Arc | None:
+        """Return the arc of an organisation; None where connections are not scarce."""
+        declarations = self.view.declarations
+        if not self.view.slot_sharing.has_scarce_connections(service, declarations):
+            return None
+        if declarations.version != self.arranged_version:
+            self.arranged_version = declarations.version
+            self.arcs = arrange_organisations(declarations.quotas)
+        return self.arcs.get(organisation)
 
     def record_sent(self, database: Database) -> None:
         """Record that this instance sends a statement to a database."""
--- a/berylhinge/tasks/pooler/slot_reports.py
+++ b/berylhinge/tasks/pooler/slot_reports.py
@@ -1,4 +1,4 @@
-"""Report to operators who waits for slots, who uses them, and what was refused."""
+"""Report to operators who waits for slots, what was refused, and the connections."""
 
 from __future__ import annotations
 
@@ -50,6 +50,15 @@
             detail=refusal.detail,
         )
 
+    def count_connection(self, event: str) -> None:
+        """Count that a connection was opened, reused or evicted."""
+        self.metrics.count("connections_total", event)
+
+    def update_connections(self, held: Iterable[tuple[UpstreamId, int]]) -> None:
+        """Set the gauges of the connections that this instance holds."""
+        for database, count in held:
+            self.metrics.gauge("database_connections", count, database=database)
+
     def update_gauges(
         self, all_slots: Iterable[tuple[UpstreamId, StatementSlots]]
     ) -> None:
--- a/berylhinge/tasks/pooler/slot_sharing.py
+++ b/berylhinge/tasks/pooler/slot_sharing.py
@@ -1,4 +1,4 @@
-"""Tell for which services organisations compete for slots by shares."""
+"""Tell for which services organisations compete for slots and connections."""
 
 from __future__ import annotations
 
@@ -21,7 +21,11 @@
 
     def applies_to(self, service: str, declarations: Declarations) -> bool:
         """Return whether the slots of a service are shared by organisation."""
+        return self.is_agreed or self.has_scarce_connections(service, declarations)
+
+    def has_scarce_connections(self, service: str, declarations: Declarations) -> bool:
+        """Return whether a service has fewer connections than there are organisations."""
         if declarations.version != self.version:
             self.version = declarations.version
             self.services = scarce_services(declarations)
-        return self.is_agreed or service in self.services
+        return service in self.services
--- a/berylhinge/tasks/pooler/tests/test_read_balancer.py
+++ b/berylhinge/tasks/pooler/tests/test_read_balancer.py
@@ -83,7 +83,7 @@
                 entry, router.view.observations[entry.id], now
             ),
         )
-        assert router.chooser.order_reads("s", NEED, now) == expected
+        assert router.chooser.order_reads("s", "o", NEED, now) == expected
 
 
 def test_a_grey_database_is_set_aside_once_and_returns() -> None:
@@ -99,13 +99,15 @@
     report(40)
     first = []
     for step in range(100):
-        order = router.chooser.order_reads("s", NEED, now + step * 0.01)
+        order = router.chooser.order_reads("s", "o", NEED, now + step * 0.01)
         assert len(order) == 3
         first.append(order[0].id)
     # The near database would get nearly all reads.
     assert first.count("a") <= 8
     report(0)
-    back = [router.chooser.order_reads("s", NEED, now + 3.0)[0].id for _ in range(100)]
+    back = [
+        router.chooser.order_reads("s", "o", NEED, now + 3.0)[0].id for _ in range(100)
+    ]
     assert back.count("a") >= 80
     lines = router.log.lines  # type: ignore[attr-defined]
     assert [(line["database"], line["reason"]) for line in lines] == [
