Free the slots of statements whose answers are probably lost

A database that loses an answer has its slot free again, but the statement counted as running until its deadline at the holder, since a write may have run. A statement now frees its slot when it is six mean running times old and one sent after it has been answered. Its caller goes on waiting, a late answer is delivered, and a planned stop waits for it as before.

--- a/berylhinge/core/pooler/slot_queue.py
+++ b/berylhinge/core/pooler/slot_queue.py
@@ -142,4 +142,9 @@
     """End a running statement, and update the mean if its running time is known."""
     queue.running -= 1
     if seconds is not None:
-        queue.mean_seconds += RUNNING_TIME_WEIGHT * (seconds - queue.mean_seconds)
+        learn_running_time(queue, seconds)
+
+
+def learn_running_time(queue: SlotQueue, seconds: Seconds) -> None:
+    """Update the mean running time."""
+    queue.mean_seconds += RUNNING_TIME_WEIGHT * (seconds - queue.mean_seconds)
--- a/berylhinge/core/pooler/slot_scheduling.py
+++ b/berylhinge/core/pooler/slot_scheduling.py
@@ -168,3 +168,40 @@
 @answer_timeout.register(FairSlots)
 def _(queue: FairSlots, priority: int, access: AccessMode) -> Seconds:
     return running_times.answer_timeout(queue.times, priority, access)
+
+
+@singledispatch
+def mean_seconds(queue: SlotScheduler, claim: SlotClaim) -> Seconds:
+    """Return the mean running time of statements like this one."""
+    raise TypeError(f"got {type(queue)}, expected a queue for slots")
+
+
+@mean_seconds.register(SlotQueue)
+def _(queue: SlotQueue, claim: SlotClaim) -> Seconds:
+    return queue.mean_seconds
+
+
+@mean_seconds.register(FairSlots)
+def _(queue: FairSlots, claim: SlotClaim) -> Seconds:
+    found = running_times.running_time(queue.times, claim.priority, claim.access)
+    return found.mean_seconds
+
+
+@singledispatch
+def learn_running_time(
+    queue: SlotScheduler, claim: SlotClaim, seconds: Seconds
+) -> None:
+    """Learn the running time of a statement that does not count as running."""
+    raise TypeError(f"got {type(queue)}, expected a queue for slots")
+
+
+@learn_running_time.register(SlotQueue)
+def _(queue: SlotQueue, claim: SlotClaim, seconds: Seconds) -> None:
+    slot_queue.learn_running_time(queue, seconds)
+
+
+@learn_running_time.register(FairSlots)
+def _(queue: FairSlots, claim: SlotClaim, seconds: Seconds) -> None:
+    running_times.record_running_time(
+        queue.times, claim.priority, claim.access, seconds
+    )
--- a/berylhinge/tasks/metrics.py
+++ b/berylhinge/tasks/metrics.py
@@ -49,6 +49,9 @@
         "Connections to databases, by whether they were opened, reused or evicted.",
         ("event",),
     ),
+    "overdue_statements_total": CounterSpec(
+        "Statements whose slots were freed before an answer came.", ()
+    ),
     "promotions_total": CounterSpec("Promotions.", ("result",)),
     "databases_set_aside_total": CounterSpec(
         "Databases that were set aside for reads, or returned.", ("reason",)
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -362,6 +362,9 @@
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
+        self.reports.count_overdue(
+            self.slots.free_overdue(self.pool.connection_limit // 2)
+        )
         self.slots.refuse_hopeless()
         self.cold_limit.record_holder(
             self.database,
--- a/berylhinge/tasks/pooler/evacuation_monitor.py
+++ b/berylhinge/tasks/pooler/evacuation_monitor.py
@@ -76,5 +76,5 @@
             name
             for name, task in self.held_databases.tasks.items()
             if task.database.failure_domain == domain
-            and (task.pinned_connections or task.slots.queue.running)
+            and (task.pinned_connections or task.slots.unanswered)
         )
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -161,7 +161,7 @@
             task.maintain(is_holder=identifier in held)
             if identifier in self.view.databases:
                 self.view.record_observations((task.database_state(),), now_seconds())
-            elif not task.pinned_connections and not task.slots.queue.running:
+            elif not task.pinned_connections and not task.slots.unanswered:
                 task.close()
                 del self.tasks[identifier]
                 self.reports.update_connections([(identifier, 0)])
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -281,6 +281,6 @@
     def has_running_statements(self) -> bool:
         """Return whether statements or transactions still run at held databases."""
         return any(
-            task.pinned_connections or task.slots.queue.running
+            task.pinned_connections or task.slots.unanswered
             for task in self.held_databases.tasks.values()
         )
--- a/berylhinge/tasks/pooler/slot_reports.py
+++ b/berylhinge/tasks/pooler/slot_reports.py
@@ -50,6 +50,10 @@
             detail=refusal.detail,
         )
 
+    def count_overdue(self, statements: int) -> None:
+        """Count statements whose slots were freed before their answers came."""
+        self.metrics.count("overdue_statements_total", by=statements)
+
     def count_connection(self, event: str) -> None:
         """Count that a connection was opened, reused or evicted."""
         self.metrics.count("connections_total", event)
--- a/berylhinge/tasks/pooler/statement_slots.py
+++ b/berylhinge/tasks/pooler/statement_slots.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from gevent.event import AsyncResult
 
 from ...core.pooler import slot_scheduling
 from ...core.pooler.fair_slots import FairSlots
+from ...core.pooler.overdue_statements import (
+    OverdueStatements,
+    record_end,
+    record_start,
+    take_overdue,
+)
 from ...core.pooler.slot_claims import SlotRefusal
 from ...core.pooler.slot_queue import SlotQueue
 from ..clock import now_seconds
@@ -28,6 +35,12 @@
             FairSlots(slots) if shares_fairly else SlotQueue(slots)
         )
         self.slot_waiters: dict[int, AsyncResult] = {}
+        self.statements = OverdueStatements()
+
+    @property
+    def unanswered(self) -> int:
+        """Return how many statements run or wait for an answer that may be lost."""
+        return self.queue.running + len(self.statements.freed)
 
     def wait_for_slot(
         self, claim: SlotClaim, arrived_at: Seconds
@@ -49,7 +62,10 @@
             return found
         if found is None:
             return slot_scheduling.refuse_expired(self.queue, claim, now_seconds())
-        return waiter if found else None
+        if not found:
+            return None
+        record_start(self.statements, waiter.number, claim, now_seconds())
+        return waiter
 
     def remove_waiter(self, waiter: SlotWaiter, slot_given: AsyncResult) -> None:
         """Remove a waiter from the queue, or free the slot that it was just given."""
@@ -79,8 +95,28 @@
 
     def release_slot(self, waiter: SlotWaiter, seconds: Seconds | None) -> None:
         """Free a slot and give it to the next waiting statement."""
-        slot_scheduling.finish_running(self.queue, waiter.number, seconds)
-        self.assign_free_slots()
+        freed = record_end(
+            self.statements, waiter.number, is_answered=seconds is not None
+        )
+        if freed is None:
+            slot_scheduling.finish_running(self.queue, waiter.number, seconds)
+            self.assign_free_slots()
+        elif seconds is not None:
+            slot_scheduling.learn_running_time(self.queue, freed, seconds)
+
+    def free_overdue(self, most: int) -> int:
+        """Free the slots of statements whose answers are probably lost; count them."""
+        overdue = take_overdue(
+            self.statements,
+            mean_seconds=partial(slot_scheduling.mean_seconds, self.queue),
+            most=most,
+            now=now_seconds(),
+        )
+        for number in overdue:
+            slot_scheduling.finish_running(self.queue, number, None)
+        if overdue:
+            self.assign_free_slots()
+        return len(overdue)
 
     def reject_waiters(self) -> None:
         """Fail the statements that wait for a slot; they may be tried elsewhere."""
