Do not count a lost answer as a silence of a database that answered since

A statement whose answer was lost made its database count as silent from the moment at which it had been sent, also when the database had answered others meanwhile. The silence now begins with the last answer. The new test fails without the change.

--- a/berylhinge/core/pooler/failover.py
+++ b/berylhinge/core/pooler/failover.py
@@ -53,8 +53,11 @@
 def record_failure(
     health: DatabaseHealth, now: Seconds, *, refused: bool
 ) -> DatabaseHealth:
-    """Record a failed connection attempt, or a silence since ``now``."""
-    since = min(health.failed_since, now)
+    """Record a failed connection attempt, or a silence since ``now``.
+
+    A database that answered another request since then has been silent only after that.
+    """
+    since = min(health.failed_since, max(now, health.answered_at))
     return DatabaseHealth(health.answered_at, since, refused or health.refused)
 
 
--- a/berylhinge/core/pooler/tests/test_failover.py
+++ b/berylhinge/core/pooler/tests/test_failover.py
@@ -73,3 +73,12 @@
     newer = PRIMARY._replace(id="n", led_since=9)
     found = primary_of({"p": PRIMARY, "n": newer}, "s", None)
     assert found is newer
+
+
+def test_a_lost_answer_is_no_silence_of_a_database_that_answered_since() -> None:
+    # One lost answer made a primary that answered others count as silent for as long as
+    # the answer had been awaited, so that waiting statements were sent elsewhere.
+    answered = record_answer(UNKNOWN_HEALTH, 10.4)
+    failed = record_failure(answered, 10.0, refused=False)
+    assert failed.failed_since == 10.4
+    assert record_failure(answered, 10.5, refused=False).failed_since == 10.5
