End statements that commit nothing when their answers are probably lost

A statement of a transaction waited for a lost answer until its deadline, 1 s to 3 s, and the caller had no time left to repeat the transaction; a read waited 0.25 s or 12 mean running times. Where a statement sent later has been answered, they now end after six mean running times (0.1 s at least): a read is tried again, a transaction is rolled back by closing its connection and refused as ABORTED. What may commit waits as before.

--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -95,7 +95,8 @@
 class SessionDatabase:
     """Serve one member of a group.
 
-    ``deaf`` lets it receive nothing, ``silent`` lets it answer nothing.
+    ``deaf`` lets it receive nothing, ``silent`` lets it answer nothing, and
+    ``lost_answers`` has the statements whose next answer is lost.
     """
 
     def __init__(self, group: DatabaseGroup, name: str, *, max_connections: int = 16):
@@ -107,6 +108,7 @@
         self.deaf = False
         self.sequence = 0
         self.silent = False
+        self.lost_answers: set[str] = set()
         self.running = True
         self.advertised = ""
         self.zone = "x"
@@ -217,7 +219,11 @@
             _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
             while database.silent:
                 gevent.sleep(0.05)
-            self.sock.sendall(self.run(request, text) + self.ready())
+            answer = self.run(request, text) + self.ready()
+            if text in database.lost_answers:
+                database.lost_answers.discard(text)
+                continue
+            self.sock.sendall(answer)
         return None
 
     def ready(self) -> bytes:
--- a/berylhinge/tasks/pooler/database_connection.py
+++ b/berylhinge/tasks/pooler/database_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Any, TYPE_CHECKING
 
 import gevent
@@ -167,6 +168,12 @@
         self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         return True
 
+    def abandon(self) -> None:
+        """End the exchange under way as if the database had closed the connection."""
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection; further calls do nothing."""
         sock, self.sock = self.sock, None
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -10,6 +10,7 @@
     begins_on_primary,
     error_result,
     lost_answer_result,
+    may_commit,
     NOT_RUN_CODES,
     not_run_result,
 )
@@ -153,6 +154,8 @@
                 usable = not pinned
                 self.cold_limit.admit(self.database, request, deadline)
                 usable, run_at = True, now_seconds()
+                if not may_commit(request):
+                    self.slots.abandon[slot.number] = connection.abandon
                 result = self.run_on_connection(
                     connection,
                     request,
@@ -362,9 +365,8 @@
             self.probe.start()
         if self.tracker.is_unresponsive and self.slots.slot_waiters:
             self.slots.reject_waiters()
-        self.reports.count_overdue(
-            self.slots.free_overdue(self.pool.connection_limit // 2)
-        )
+        overdue = self.slots.free_overdue(self.pool.connection_limit // 2)
+        self.reports.count_overdue(overdue)
         self.slots.refuse_hopeless()
         self.cold_limit.record_holder(
             self.database,
--- a/berylhinge/tasks/pooler/statement_slots.py
+++ b/berylhinge/tasks/pooler/statement_slots.py
@@ -20,6 +20,8 @@
 from ..clock import now_seconds
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ...core.pooler.slot_claims import SlotClaim
     from ...core.pooler.slot_scheduling import SlotScheduler, SlotWaiter
     from ...types import AccessMode, Seconds
@@ -36,6 +38,8 @@
         )
         self.slot_waiters: dict[int, AsyncResult] = {}
         self.statements = OverdueStatements()
+        # How to end running statements that commit nothing, so that they are repeated.
+        self.abandon: dict[int, Callable[[], None]] = {}
 
     @property
     def unanswered(self) -> int:
@@ -95,6 +99,7 @@
 
     def release_slot(self, waiter: SlotWaiter, seconds: Seconds | None) -> None:
         """Free a slot and give it to the next waiting statement."""
+        self.abandon.pop(waiter.number, None)
         freed = record_end(
             self.statements, waiter.number, is_answered=seconds is not None
         )
@@ -105,7 +110,10 @@
             slot_scheduling.learn_running_time(self.queue, freed, seconds)
 
     def free_overdue(self, most: int) -> int:
-        """Free the slots of statements whose answers are probably lost; count them."""
+        """Free the slots of statements whose answers are probably lost; count them.
+
+        Those that commit nothing fail at once.
+        """
         overdue = take_overdue(
             self.statements,
             mean_seconds=partial(slot_scheduling.mean_seconds, self.queue),
@@ -114,6 +122,8 @@
         )
         for number in overdue:
             slot_scheduling.finish_running(self.queue, number, None)
+            if number in self.abandon:
+                self.abandon[number]()
         if overdue:
             self.assign_free_slots()
         return len(overdue)
