--- a/berylhinge/tasks/capacity_task.py
+++ b/berylhinge/tasks/capacity_task.py
@@ -45,7 +45,7 @@
     VersionedAttestation,
 )
 from .loops import spawn_loop
-from .peer_links import PeerLost
+from .peer_frames import PeerLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/berylhinge/tasks/configuration_task.py
+++ b/berylhinge/tasks/configuration_task.py
@@ -43,7 +43,7 @@
 )
 from .broadcast import Broadcast
 from .loops import spawn_loop
-from .peer_links import PeerLost
+from .peer_frames import PeerLost
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
--- a/berylhinge/tasks/dispatcher.py
+++ b/berylhinge/tasks/dispatcher.py
@@ -14,7 +14,8 @@
 from ..reasons import RefusalReason, RetryReason
 from ..types import StatementOutcome
 from ..wire.peers import ForwardAnswer, ForwardStatement, ForwardTransaction
-from .peer_links import Links, PeerLost
+from .peer_frames import PeerLost
+from .peer_links import Links
 from .transactions import find_transaction_owner, TransactionTable
 
 if TYPE_CHECKING:
--- a/berylhinge/tasks/peer_frames.py
+++ b/berylhinge/tasks/peer_frames.py
@@ -1,12 +1,15 @@
-"""Define the frame around each peer message, and how a kind of message is handled."""
+"""Define the frame around each peer message, its handling, and a call's failure."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import msgspec
 
+if TYPE_CHECKING:
+    from ..types import InstanceId
+
 
 class Frame(NamedTuple):
     """Wrap one message with its kind and what is needed to answer it.
@@ -46,3 +49,16 @@
     function: Callable[..., Any]
     runs_in_greenlet: bool
     takes_delay: bool
+
+
+class PeerLost(Exception):
+    """Report that a peer did not answer in time, restarted or is not known."""
+
+    def __init__(
+        self, instance: InstanceId, *, sent: bool, restarted: bool = False
+    ) -> None:
+        """Store the peer and whether the message may have been sent."""
+        super().__init__(f"no answer from {instance}")
+        self.instance = instance
+        self.sent = sent
+        self.restarted = restarted
--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -29,7 +29,7 @@
 from ..wire.kinds import kind_of, omit_defaults
 from .clock import now_seconds
 from .http_server import Address
-from .peer_frames import Frame, Handler, RestartNotice
+from .peer_frames import Frame, Handler, PeerLost, RestartNotice
 from .peer_outboxes import Outboxes
 
 if TYPE_CHECKING:
@@ -45,19 +45,6 @@
 LOSS_CHECK_SECONDS = 0.1
 
 
-class PeerLost(Exception):
-    """Report that a peer did not answer in time, restarted or is not known."""
-
-    def __init__(
-        self, instance: InstanceId, *, sent: bool, restarted: bool = False
-    ) -> None:
-        """Store the peer and whether the message may have been sent."""
-        super().__init__(f"no answer from {instance}")
-        self.instance = instance
-        self.sent = sent
-        self.restarted = restarted
-
-
 def ignore_fault(kind: str, error: Exception) -> None:
     """Discard an error."""
 
--- a/berylhinge/tasks/pooler/leader_notices.py
+++ b/berylhinge/tasks/pooler/leader_notices.py
@@ -9,7 +9,7 @@
 from ...core.pooler.leadership import LeadershipRecord, lease_wait
 from ...wire.pooling import LeadershipNotice, LeadershipNoticeTaken
 from ..clock import now_seconds
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 
 if TYPE_CHECKING:
     from ...core.pooler.leadership import RecordedLeader
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -21,7 +21,8 @@
     TokenGrant,
 )
 from ..clock import now_seconds
-from ..peer_links import Links, PeerLost
+from ..peer_frames import PeerLost
+from ..peer_links import Links
 from .promotion_duty import STANDBY_COUNT
 from .service_states import MAX_RELAYED_PROOF_AGE_SECONDS, ServiceStates
 from .starting_peers import StartingPeers
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -39,7 +39,7 @@
 )
 from ..clock import now_seconds
 from ..http_connection import ConnectionFailed
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 from .database_connection import ConnectRefused, DatabaseConnection
 from .evacuation_moves import EvacuationMoves
 from .leader_notices import LeaderNotices
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -19,7 +19,7 @@
 )
 from ...wire.pooling import TokenGrant, TokenRequest
 from ..clock import now_seconds
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 from .fleet_view import PEER_FAILOVER_SECONDS
 
 if TYPE_CHECKING:
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -15,7 +15,7 @@
 from ...core.pooler.statements import Effect, StatementResult
 from ...wire.pooling import ExecuteRequest, ExecuteResponse, RollbackRequest
 from ..clock import now_seconds
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 from .destinations import (
     Destination,
     DestinationChooser,
--- a/berylhinge/tasks/pooler/service_states.py
+++ b/berylhinge/tasks/pooler/service_states.py
@@ -20,7 +20,7 @@
     ServiceStatesRequest,
 )
 from ..clock import now_seconds
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 from .database_tracker import proof_for_peer
 
 if TYPE_CHECKING:
--- a/berylhinge/tasks/pooler/store_relay.py
+++ b/berylhinge/tasks/pooler/store_relay.py
@@ -21,7 +21,7 @@
 from ...platform.store_replies import StoredItem
 from ...wire.pooling import RelayedChange, StoreChangesRequest, StoreChangesResponse
 from ..clock import now_seconds
-from ..peer_links import PeerLost
+from ..peer_frames import PeerLost
 
 if TYPE_CHECKING:
     from random import Random
--- a/berylhinge/tasks/pooler/tests/test_leadership.py
+++ b/berylhinge/tasks/pooler/tests/test_leadership.py
@@ -11,7 +11,8 @@
 from ....core.pooler.store_eras import revision_in_era
 from ....standins.metadata_store import wait_until
 from ....wire.pooling import ReachabilityResponse
-from ...peer_links import Links, PeerLost
+from ...peer_frames import PeerLost
+from ...peer_links import Links
 from ..instance import Pooler
 from ..promotion_duty import PromotionTask
 from ..store_state import PROMOTIONS_PREFIX
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -9,7 +9,7 @@
 from ....core.pooler.catalogue import Quota
 from ....core.pooler.token_buckets import RateTolerance
 from ....wire.pooling import TokenGrant
-from ...peer_links import PeerLost
+from ...peer_frames import PeerLost
 from ..rates import RateLimiter
 
 QUOTA = Quota(200.0, 200.0)
