Return the tokens of operations that did not run

An operation that was admitted for its rate and then refused for lack of room, and that came back as it was told, took a token each time. The token is returned now, to another rate owner with the next request.

--- a/berylhinge/core/pooler/tests/test_token_buckets.py
+++ b/berylhinge/core/pooler/tests/test_token_buckets.py
@@ -7,13 +7,16 @@
 
 from ..catalogue import Quota
 from ..token_buckets import (
+    FillPeak,
     grant_tokens,
     ISOLATED_EXCESS_FRACTION,
     isolated_quota,
+    MAX_WAIT_SECONDS,
     new_bucket,
     RateTolerance,
     reached_fraction,
     reached_quota,
+    return_tokens,
     spare_tokens,
     TokenBucket,
     tolerated_excess,
@@ -191,3 +194,54 @@
             buckets[part] = found.bucket
             used_at += [now + found.wait_seconds] * found.granted
     assert most_in_a_window(used_at) <= (rate * 5.0 + quota.burst) * 1.1 + 20.0
+
+
+@pytest.mark.parametrize(
+    ("peaks", "taken_at", "created_at", "tokens"),
+    [
+        pytest.param([], 9.5, 0.0, 8.0, id="scarce"),
+        pytest.param([(9.6, 9.0)], 9.5, 0.0, 6.0, id="nearly-full-since"),
+        pytest.param([(9.6, 10.0)], 9.5, 0.0, 5.0, id="full-since"),
+        pytest.param([(9.4, 10.0)], 9.5, 0.0, 8.0, id="full-before"),
+        pytest.param([], 9.5, 9.7, 5.0, id="other-owner"),
+        pytest.param([], 7.5, 0.0, 5.0, id="too-old"),
+    ],
+)
+def test_returned_tokens_are_put_back(
+    peaks: list[tuple[float, float]], taken_at: float, created_at: float, tokens: float
+) -> None:
+    fills = tuple(FillPeak(*peak) for peak in peaks)
+    bucket = TokenBucket(5.0, 10.0, created_at, peaks=fills)
+    assert return_tokens(bucket, QUOTA, 3, taken_at, 10.0).tokens == tokens
+
+
+@pytest.mark.parametrize("rate", [5.0, 50.0, 400.0])
+@pytest.mark.parametrize("burst_factor", [0.2, 1.0, 4.0])
+@pytest.mark.parametrize("seed", range(8))
+def test_returned_tokens_let_no_window_exceed_rate_and_burst(
+    rate: float, burst_factor: float, seed: int
+) -> None:
+    # Half of the operations find no room; their tokens come back up to 2 s later.
+    rng, quota = Random(seed), Quota(rate, rate * burst_factor)
+    bucket = new_bucket(quota, 0.0, None)
+    returns: list[tuple[float, float]] = []
+    used_at: list[float] = []
+    for step in range(1_500):
+        now = step / 100
+        for taken_at, _ in [item for item in returns if item[1] <= now]:
+            bucket = return_tokens(bucket, quota, 1, taken_at, now)
+        returns = [item for item in returns if item[1] > now]
+        if rng.random() < 0.3:
+            continue
+        found = grant_tokens(bucket, quota, rng.randrange(1, 2 + int(rate / 10)), now)
+        bucket = found.bucket
+        for _ in range(found.granted):
+            if rng.random() < 0.5:
+                returns.append((now, now + rng.uniform(0.0, 2.0)))
+            else:
+                used_at.append(now + found.wait_seconds)
+    # An operation that reserved a token uses it up to the maximum wait later.
+    reserved = rate * MAX_WAIT_SECONDS
+    assert (
+        most_in_a_window(used_at) <= rate * 5.0 + max(quota.burst, 1.0) + reserved + 1
+    )
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -34,17 +34,30 @@
 # organisation far over its rate would otherwise be told ever longer times.
 MAX_QUEUED_RETRY_SECONDS = 2.0
 
+# An operation that finds no room is refused within its latency goal; its token comes
+# back with the next request to the rate owner.
+PEAK_LIFETIME_SECONDS = 2.0
+
+
+class FillPeak(NamedTuple):
+    """State that a bucket held that many tokens before some were taken at a moment."""
+
+    at: Seconds
+    tokens: float
+
 
 class TokenBucket(NamedTuple):
     """Hold the tokens as of ``updated_at``; fewer than 0 when some are reserved.
 
     ``awaited`` tokens were announced to refused operations that may be asked again.
+    ``peaks`` are its highest fills of the last seconds, each higher than all later ones.
     """
 
     tokens: float
     updated_at: Seconds
     created_at: Seconds = float("-inf")
     awaited: float = 0.0
+    peaks: tuple[FillPeak, ...] = ()
 
 
 class BucketGrant(NamedTuple):
@@ -122,13 +135,15 @@
 ) -> BucketGrant:
     """Take whole tokens, reserving those that arrive within the maximum wait."""
     passed = max(0.0, now - bucket.updated_at)
-    tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
+    size = max(quota.burst, 1.0)
+    tokens = min(size, bucket.tokens + passed * quota.rate)
+    peaks = updated_peaks(bucket, tokens, now)
     is_new = now - bucket.created_at < NEW_BUCKET_SECONDS
     reserved = quota.rate * MAX_WAIT_SECONDS
     given = max(0, min(requested, int(tokens + reserved)))
     refused, left = requested - given, tokens - given
     if quota.rate <= 0.0:
-        kept = bucket._replace(tokens=left, updated_at=now)
+        kept = bucket._replace(tokens=left, updated_at=now, peaks=peaks)
         return BucketGrant(kept, given, 0.0, 1.0)
     wait = max(0.0, -left) / quota.rate if given else 0.0
     awaited = max(0.0, bucket.awaited - passed * quota.rate)
@@ -136,10 +151,50 @@
     if refused:
         retry = (max(0.0, 1.0 - reserved - left) + awaited) / quota.rate
     awaited = min(awaited + refused, quota.rate * MAX_QUEUED_RETRY_SECONDS)
-    kept = bucket._replace(tokens=left, updated_at=now, awaited=awaited)
+    kept = bucket._replace(tokens=left, updated_at=now, awaited=awaited, peaks=peaks)
     return BucketGrant(kept, given, wait, retry, is_new)
 
 
+def return_tokens(
+    bucket: TokenBucket, quota: Quota, count: int, taken_at: Seconds, now: Seconds
+) -> TokenBucket:
+    """Put back tokens of operations that certainly did not run.
+
+    As many come back as would be there if they had not been taken: without them the
+    bucket would have been fuller since, and at its highest fill it would have overflowed.
+    Tokens taken before the bucket was created are another owner's and are dropped.
+    """
+    if taken_at <= max(bucket.created_at, now - PEAK_LIFETIME_SECONDS):
+        return bucket
+    passed = max(0.0, now - bucket.updated_at)
+    tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
+    peaks = updated_peaks(bucket, tokens, now)
+    since = [peak for peak in peaks if peak.at > taken_at]
+    highest = max([tokens, *(peak.tokens for peak in since)])
+    returned = max(0.0, min(count, quota.burst - highest))
+    before = [
+        peak
+        for peak in peaks
+        if peak.at <= taken_at and peak.tokens > highest + returned
+    ]
+    raised = [FillPeak(peak.at, peak.tokens + returned) for peak in since]
+    return bucket._replace(
+        tokens=tokens + returned, updated_at=now, peaks=(*before, *raised)
+    )
+
+
+def updated_peaks(
+    bucket: TokenBucket, tokens: float, now: Seconds
+) -> tuple[FillPeak, ...]:
+    """Return the highest fills of a bucket that holds that many tokens now."""
+    kept = [
+        peak
+        for peak in bucket.peaks
+        if peak.tokens > tokens and peak.at > now - PEAK_LIFETIME_SECONDS
+    ]
+    return (*kept, FillPeak(now, tokens))
+
+
 def spare_tokens(
     bucket: TokenBucket, quota: Quota, requested: int, instances: int
 ) -> int:
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -212,6 +212,7 @@
         """Count an operation against its rate, then run its statement."""
         route = self.view.declarations.routes[self.route_name]
         organisation = self.view.declarations.keys.get(self.key, "-")
+        admission = None
         if self.binding is None:
             admission = self.callers.rate_limiter.admit(
                 organisation, route.latency_goal_seconds
@@ -233,6 +234,9 @@
         )
         routed = self.callers.router.run_statement(call, self.binding)
         self.binding = routed.binding
+        if admission is not None and routed.has_not_run:
+            # An operation that is refused and comes back is counted once.
+            self.callers.rate_limiter.return_token(organisation, admission)
         return routed
 
 
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -13,6 +13,7 @@
     new_bucket,
     RateTolerance,
     reached_quota,
+    return_tokens,
     SPARE_LIFETIME_SECONDS,
     spare_tokens,
     TokenBucket,
@@ -52,6 +53,14 @@
     expires_at: Seconds
 
 
+class ReturnedTokens(NamedTuple):
+    """Describe a rate owner's tokens that were not used, and since when the oldest."""
+
+    owner: InstanceId
+    tokens: int
+    taken_at: Seconds
+
+
 class Demand(NamedTuple):
     """Count an organisation's operations on this instance since a moment."""
 
@@ -67,11 +76,15 @@
     """State whether an operation may run, and if not, after how long to retry.
 
     ``may_wait`` tells that the bucket is new, so that the operation need not be refused.
+    The token is that of the rate ``owner``, if there is one, who counted it at
+    ``taken_at`` or later.
     """
 
     admitted: bool
     retry_after_seconds: Seconds
     may_wait: bool = False
+    owner: InstanceId | None = None
+    taken_at: Seconds = 0.0
 
 
 class RateLimiter:
@@ -101,6 +114,7 @@
         self.prefetched: dict[OrganisationId, PrefetchedTokens] = {}
         self.demands: dict[OrganisationId, Demand] = {}
         self.waiting: dict[OrganisationId, list[AsyncResult]] = {}
+        self.returned: dict[OrganisationId, ReturnedTokens] = {}
 
     def admit(
         self, organisation: OrganisationId, latency_goal_seconds: Seconds = 0.0
@@ -128,8 +142,9 @@
         rate_owner = self.view.rate_owner(organisation)
         if rate_owner == self.view.own_instance:
             return self.admit_as_owner(organisation, quota)
-        if self.use_prefetched_token(organisation):
-            return Admission(True, 0.0)
+        granted_at = self.use_prefetched_token(organisation)
+        if granted_at is not None:
+            return Admission(True, 0.0, owner=rate_owner, taken_at=granted_at)
         decision = AsyncResult()
         queue = self.waiting.get(organisation)
         if queue is not None:
@@ -150,25 +165,56 @@
             demand = Demand(now, 0, demand.operations / passed_seconds)
         self.demands[organisation] = demand
 
-    def use_prefetched_token(self, organisation: OrganisationId) -> bool:
-        """Use a token granted ahead if one is left."""
+    def use_prefetched_token(self, organisation: OrganisationId) -> Seconds | None:
+        """Use a token granted ahead if one is left; return when it was asked for."""
         prefetched = self.prefetched.get(organisation, NO_PREFETCHED_TOKENS)
         if prefetched.tokens < 1 or prefetched.expires_at <= now_seconds():
-            return False
+            return None
         self.prefetched[organisation] = prefetched._replace(
             tokens=prefetched.tokens - 1
         )
-        return True
+        return prefetched.expires_at - SPARE_LIFETIME_SECONDS
 
     def admit_as_owner(self, organisation: OrganisationId, quota: Quota) -> Admission:
         """Take a token from a bucket that this instance owns."""
         tokens = self.take_tokens(organisation, quota, 1)
+        taken_at = now_seconds()
         if tokens.wait_seconds > 0.0:
             gevent.sleep(tokens.wait_seconds)
         return Admission(
-            bool(tokens.granted), tokens.retry_after_seconds, tokens.may_wait
+            bool(tokens.granted),
+            tokens.retry_after_seconds,
+            tokens.may_wait,
+            self.view.own_instance,
+            taken_at,
+        )
+
+    def return_token(self, organisation: OrganisationId, admission: Admission) -> None:
+        """Give back the token of an admitted operation that certainly did not run."""
+        quota = self.view.declarations.quotas.get(organisation)
+        owner, taken_at = admission.owner, admission.taken_at
+        if quota is None or owner is None:
+            return
+        if owner == self.view.own_instance:
+            self.take_back(organisation, quota, 1, taken_at)
+            return
+        known = self.returned.get(organisation)
+        if known is None or known.owner != owner:
+            known = ReturnedTokens(owner, 0, taken_at)
+        self.returned[organisation] = ReturnedTokens(
+            owner, known.tokens + 1, min(known.taken_at, taken_at)
         )
 
+    def take_back(
+        self, organisation: OrganisationId, quota: Quota, count: int, taken_at: Seconds
+    ) -> None:
+        """Put tokens back into a bucket that this instance owns."""
+        bucket = self.owned_buckets.get(organisation)
+        if bucket is not None:
+            self.owned_buckets[organisation] = return_tokens(
+                bucket, quota, count, taken_at, now_seconds()
+            )
+
     def admit_waiting(self, organisation: OrganisationId) -> None:
         """Admit the waiting operations in one request; repeat for newer ones."""
         while decisions := self.waiting.get(organisation):
@@ -192,7 +238,7 @@
             int(demand.operations_per_second * SPARE_LIFETIME_SECONDS) if demand else 0
         )
         asked_at = now_seconds()
-        tokens = self.ask_rate_owner(
+        owner, tokens = self.ask_rate_owner(
             TokenRequest(organisation, count, expected_operations)
         )
         if tokens.spare:
@@ -209,19 +255,26 @@
             )
             for number in range(count - tokens.granted)
         ]
-        return [Admission(True, 0.0)] * tokens.granted + refused
+        granted = Admission(True, 0.0, owner=owner, taken_at=asked_at)
+        return [granted] * tokens.granted + refused
+
+    def ask_rate_owner(
+        self, request: TokenRequest
+    ) -> tuple[InstanceId | None, TokenGrant]:
+        """Ask the rate owner; ask once more if it was lost or may still be starting.
 
-    def ask_rate_owner(self, request: TokenRequest) -> TokenGrant:
-        """Ask the rate owner; ask once more if it was lost or may still be starting."""
+        The owner is None if none was reached and the tokens are a share of its excess.
+        """
         attempts = 0
         while attempts < MAX_OWNERS_ASKED:
             rate_owner = self.view.rate_owner(request.organisation)
             if rate_owner == self.view.own_instance:
-                return self.answer_token_request(rate_owner, request)
+                return rate_owner, self.answer_token_request(rate_owner, request)
             asked_at = now_seconds()
+            returning = self.add_returned(request, rate_owner, asked_at)
             try:
                 tokens: TokenGrant = self.links.call(
-                    rate_owner, request, PEER_FAILOVER_SECONDS, may_repeat=True
+                    rate_owner, returning, PEER_FAILOVER_SECONDS, may_repeat=True
                 )
             except PeerLost:
                 if self.is_starting(rate_owner):
@@ -233,8 +286,19 @@
                 self.links.close_outbox(rate_owner)
                 attempts += 1
             else:
-                return tokens
-        return self.take_fallback(request.organisation, request.requested)
+                return rate_owner, tokens
+        return None, self.take_fallback(request.organisation, request.requested)
+
+    def add_returned(
+        self, request: TokenRequest, owner: InstanceId, now: Seconds
+    ) -> TokenRequest:
+        """Add the tokens to return to a request; those of another owner are dropped."""
+        found = self.returned.pop(request.organisation, None)
+        if found is None or found.owner != owner:
+            return request
+        # The request may be this long on its way.
+        age = now - found.taken_at + PEER_FAILOVER_SECONDS
+        return request._replace(returned=found.tokens, returned_age_seconds=age)
 
     def take_fallback(self, organisation: OrganisationId, count: int) -> TokenGrant:
         """Take tokens from the share that an instance may spend without the owner."""
@@ -281,6 +345,9 @@
         quota = self.view.declarations.quotas.get(message.organisation)
         if quota is None:
             return TokenGrant(message.requested, 0, 0.0, 0.0)
+        if message.returned:
+            taken_at = now_seconds() - message.returned_age_seconds
+            self.take_back(message.organisation, quota, message.returned, taken_at)
         tokens = self.take_tokens(message.organisation, quota, message.requested)
         bucket = self.owned_buckets[message.organisation]
         extra = spare_tokens(bucket, quota, message.spare, len(self.view.members))
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -80,6 +80,33 @@
 )
 
 
+# Reasons that tell that a database has not run the statement.
+NOT_RUN_REASONS = ROOM_REASONS | {
+    "answer-busy",
+    "answer-lagging",
+    "answer-misdirected",
+    "answer-read-only",
+    "begin-busy",
+    "begin-lagging",
+    "begin-misdirected",
+    "begin-read-only",
+    "cold",
+    "evacuated",
+    "given-up",
+    "late",
+    "lead-lost",
+    "lead-pending",
+    "lead-unconfirmed",
+    "no-connection",
+    "no-database",
+    "no-slot",
+    "not-holding",
+    "peer-starting",
+    "queue-full",
+    "unreachable",
+}
+
+
 class TransactionBinding(NamedTuple):
     """Describe where an open transaction runs; later statements begin nothing."""
 
@@ -88,13 +115,17 @@
 
 
 class RoutedResult(NamedTuple):
-    """Carry a result, the binding of a transaction still open, and the last attempt."""
+    """Carry a result, the binding of a transaction still open, and the last attempt.
+
+    ``has_not_run`` tells that no attempt of the first statement ran at a database.
+    """
 
     result: StatementResult
     reason: str
     binding: TransactionBinding | None
     attempts: int
     destination: Destination | None
+    has_not_run: bool = False
 
 
 def is_retried(call: RoutingRequest, last: ExecuteResponse, now: Seconds) -> bool:
@@ -160,6 +191,7 @@
         attempts, last_destination = 0, None
         tried = TriedDestinations()
         room_refusal: ExecuteResponse | None = None
+        has_not_run = True
         last = ExecuteResponse(
             not_run_result(call.planned_statement, "no database is known"),
             "no-database",
@@ -168,7 +200,8 @@
             destination = self.chooser.choose(call, tried)
             if destination is None:
                 if self.view.is_stopped_by_evacuation(call.route.service):
-                    return self.refuse_evacuated(call, attempts, last_destination)
+                    refused = self.refuse_evacuated(call, attempts, last_destination)
+                    return refused._replace(has_not_run=has_not_run)
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
                     break
@@ -186,6 +219,7 @@
             )
             self.record_response(destination.database, last, sent_at)
             result = last.result
+            has_not_run = has_not_run and last.reason in NOT_RUN_REASONS
             if result.effect is not Effect.NONE or not is_retried(
                 call, last, now_seconds()
             ):
@@ -197,7 +231,9 @@
                     binding = TransactionBinding(
                         destination._replace(after=None, begin=""), number
                     )
-                return RoutedResult(result, last.reason, binding, attempts, destination)
+                return RoutedResult(
+                    result, last.reason, binding, attempts, destination, has_not_run
+                )
             tried.add(destination.holder, destination.database.id, last.reason)
             last_destination = destination
             if last.reason in ROOM_REASONS:
@@ -207,7 +243,9 @@
                 last = room_refusal
                 break
             self.record_retry(call, destination, last, tried)
-        return RoutedResult(last.result, last.reason, None, attempts, last_destination)
+        return RoutedResult(
+            last.result, last.reason, None, attempts, last_destination, has_not_run
+        )
 
     def refuse_evacuated(
         self, call: RoutingRequest, attempts: int, last: Destination | None
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -7,10 +7,12 @@
 import pytest
 
 from ....core.pooler.catalogue import Quota
-from ....core.pooler.token_buckets import RateTolerance
-from ....wire.pooling import TokenGrant
+from ....core.pooler.token_buckets import RateTolerance, TokenBucket
+from ....wire.pooling import TokenGrant, TokenRequest
+from ...clock import now_seconds
 from ...peer_frames import PeerLost
-from ..rates import RateLimiter
+from ..fleet_view import PEER_FAILOVER_SECONDS
+from ..rates import Admission, RateLimiter
 
 QUOTA = Quota(200.0, 200.0)
 TOLERANCE = RateTolerance(5.0, 0.1, 20.0)
@@ -93,3 +95,51 @@
     owners = Owners(["late"], starting=3)
     make_limiter(owners).admit("o")
     assert owners.starting == -1
+
+
+class GrantingOwner(Owners):
+    """Stand in for a rate owner that grants all and keeps the requests."""
+
+    def __init__(self) -> None:
+        super().__init__(["owner"])
+        self.requests: list[TokenRequest] = []
+
+    def call(
+        self, instance: str, message: TokenRequest, *arguments: Any, **options: Any
+    ) -> TokenGrant:
+        self.requests.append(message)
+        return TokenGrant(message.requested, 0, 0.0, 0.0)
+
+
+def test_operations_refused_for_room_leave_their_tokens_to_others() -> None:
+    # Refused operations that came back took a token each time, and others were refused
+    # for a rate that their organisation had not reached.
+    limiter = make_limiter(Owners([]))
+    now = now_seconds()
+    limiter.owned_buckets["o"] = TokenBucket(3.0, now, now - 10.0)
+    limiter.view.declarations.quotas["o"] = Quota(0.001, 10.0)
+    for _ in range(20):
+        admission = limiter.admit("o")
+        assert admission.admitted
+        limiter.return_token("o", admission)
+
+
+def test_tokens_are_returned_to_their_owner_with_the_next_request() -> None:
+    owner = GrantingOwner()
+    limiter = make_limiter(owner)
+    for _ in range(2):
+        limiter.return_token("o", limiter.admit("o"))
+    limiter.admit("o")
+    limiter.admit("o")
+    assert [request.returned for request in owner.requests] == [0, 1, 1, 0]
+    # The owner must not take them for younger than they are.
+    assert owner.requests[1].returned_age_seconds >= PEER_FAILOVER_SECONDS
+
+
+def test_tokens_taken_without_the_owner_are_not_returned_to_it() -> None:
+    # The owner never counted them; it would grant more than the rate.
+    owner = GrantingOwner()
+    limiter = make_limiter(owner)
+    limiter.return_token("o", Admission(True, 0.0))
+    limiter.admit("o")
+    assert [request.returned for request in owner.requests] == [0]
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -130,11 +130,15 @@
     """Ask an organisation's rate owner for tokens, one for each operation.
 
     ``requested`` are for waiting operations, ``spare`` for operations to come.
+    ``returned`` tokens of the owner were taken for operations that did not run, none of
+    them longer than ``returned_age_seconds`` ago.
     """
 
     organisation: OrganisationId
     requested: int
     spare: int
+    returned: int = 0
+    returned_age_seconds: Seconds = 0.0
 
 
 @sent_as("Tokens")
