Keep statements within the home regions of their route and organisation

Routes and tenants may declare home-regions, which the system ignored: a statement could reach a database in any region, and its text any holder. The instance that the caller is connected to now limits each try to databases and holders at home, refuses at once (no-home) what only a database elsewhere could run, and rolls back an open transaction outside homes that were just declared. Without declared homes nothing changes; with several regions holders are looked for in the database's region first. The configuration check names routes and tenants whose homes exclude each other.

--- a/berylhinge/core/pooler/assignment.py
+++ b/berylhinge/core/pooler/assignment.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import NamedTuple, TYPE_CHECKING
 
 from ..rendezvous import RankingCache
@@ -16,7 +17,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from ...types import FailureDomainId, InstanceId, OrganisationId, UpstreamId
+    from ...types import (
+        FailureDomainId,
+        InstanceId,
+        OrganisationId,
+        RegionId,
+        UpstreamId,
+    )
     from .catalogue import Database
 
 CONFIRMER_KEY = "confirmer"
@@ -32,8 +39,11 @@
 class InstanceAssignment:
     """Assign databases and rates to the usable instances; changed in place."""
 
-    def __init__(self) -> None:
-        """Start without instances."""
+    def __init__(
+        self, regions: Mapping[FailureDomainId, RegionId] = MappingProxyType({})
+    ) -> None:
+        """Start without instances; ``regions`` are those of the failure domains."""
+        self.regions = regions
         self.rankings = RankingCache()
         self.failure_domains: dict[InstanceId, FailureDomainId] = {}
         self.holders_cache: dict[str, CachedHolders] = {}
@@ -93,7 +103,9 @@
         known = self.holders_cache.get(database.id)
         if known is None or known.failure_domain != database.failure_domain:
             ranked = self.rankings.iterate_ranking(placement_key(database.id))
-            found = holder_order(ranked, self.failure_domains, database.failure_domain)
+            found = holder_order(
+                ranked, self.failure_domains, database.failure_domain, self.regions
+            )
             placed = self.placed.get(database.id)
             if placed is not None:
                 found = [placed, *(name for name in found if name != placed)]
--- a/berylhinge/core/pooler/catalogue.py
+++ b/berylhinge/core/pooler/catalogue.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from types import MappingProxyType
+from typing import NamedTuple, TYPE_CHECKING
 
-from ...types import DatabaseRole, FailureDomainId, OrganisationId, Seconds, UpstreamId
+from ...types import (
+    DatabaseRole,
+    FailureDomainId,
+    OrganisationId,
+    RegionId,
+    Seconds,
+    UpstreamId,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 # Fraction of the time for which a leaving database takes new work that is used.
 LEAVING_WORK_FRACTION = 0.75
@@ -23,7 +34,8 @@
     """Describe a database name on which callers open sessions.
 
     Reads of consistency ``BOUNDED`` accept data that is ``max_staleness_seconds`` old.
-    A lower ``priority`` goes first; a ``public`` route needs no API key.
+    A lower ``priority`` goes first; a ``public`` route needs no API key. Statements
+    stay in the ``homes``, if there are any.
     """
 
     name: str
@@ -34,6 +46,7 @@
     max_staleness_seconds: Seconds
     priority: int
     public: bool
+    homes: frozenset[RegionId] = frozenset()
 
 
 class Service(NamedTuple):
@@ -57,7 +70,10 @@
 
 
 class Declarations(NamedTuple):
-    """Hold one version of what operators declare; ``keys`` are callers' API keys."""
+    """Hold one version of what operators declare; ``keys`` are callers' API keys.
+
+    ``homes`` are the regions to which an organisation's statements are limited.
+    """
 
     version: int
     routes: dict[str, Route]
@@ -65,6 +81,7 @@
     keys: dict[str, OrganisationId]
     quotas: dict[OrganisationId, Quota]
     idle_transaction_seconds: Seconds
+    homes: Mapping[OrganisationId, frozenset[RegionId]] = MappingProxyType({})
 
 
 class Database(NamedTuple):
--- a/berylhinge/core/pooler/database_selection.py
+++ b/berylhinge/core/pooler/database_selection.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from ...types import FailureDomainId, InstanceId, LogPoint, Seconds
+    from ...types import FailureDomainId, InstanceId, LogPoint, RegionId, Seconds
     from .catalogue import Database
 
 # A round trip between failure domains and the price of its traffic, as waiting time.
@@ -61,14 +61,23 @@
     ranked: Iterable[InstanceId],
     failure_domains: Mapping[InstanceId, FailureDomainId],
     failure_domain: FailureDomainId,
+    regions: Mapping[FailureDomainId, RegionId],
 ) -> list[InstanceId]:
     """Return the usable instances in the order in which they hold a database.
 
-    Those in the database's failure domain come first. ``ranked`` has all instances in
-    the database's rendezvous order, ``failure_domains`` the usable ones.
+    Those in the database's failure domain come first, then those in its region.
+    ``ranked`` has all instances in the database's rendezvous order,
+    ``failure_domains`` the usable ones.
     """
-    usable = [name for name in ranked if name in failure_domains]
-    return sorted(usable, key=lambda name: failure_domains[name] != failure_domain)
+
+    def distance(name: InstanceId) -> tuple[bool, bool]:
+        domain = failure_domains[name]
+        return (
+            domain != failure_domain,
+            regions.get(domain) != regions.get(failure_domain),
+        )
+
+    return sorted((name for name in ranked if name in failure_domains), key=distance)
 
 
 def read_order(
--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -108,6 +108,11 @@
         "The failure domain of what could have run it is evacuated.",
         ("evacuation: An evacuation reached a stage.",),
     ),
+    "no-home": Cause(
+        "What could have run it lies outside the home regions of its route or "
+        "organisation.",
+        DATABASE_MESSAGE_TYPES,
+    ),
     "lead-lost": Cause(NOT_LEADING_TEXT, DATABASE_MESSAGE_TYPES),
     "lead-pending": Cause(
         "The database that takes over did not lead in time.", DATABASE_MESSAGE_TYPES
--- a/berylhinge/platform/configuration_check.py
+++ b/berylhinge/platform/configuration_check.py
@@ -49,6 +49,7 @@
 # other readers of the configuration.
 SIMILARITY = 0.8
 KEYS_FIELD = "api-keys"
+HOMES_FIELD = "home-regions"
 DEFAULT_BURST = 1.0
 
 
@@ -205,6 +206,7 @@
         if tenant.get(KEYS_FIELD, []) == []:
             remedy = "add a key or remove the tenant"
             yield FieldError(f"{path}.{KEYS_FIELD}", "no key", "a key", remedy)
+    yield from find_excluded(document)
 
 
 def find_contradictions(document: dict[str, Any]) -> Iterator[FieldError]:
@@ -238,6 +240,21 @@
             yield FieldError(f"{path}.rate-per-s", "nothing", "a rate", remedy)
 
 
+def find_excluded(document: dict[str, Any]) -> Iterator[FieldError]:
+    """Yield routes and tenants whose homes exclude those of all that could use them."""
+    for section, others in (("routes", "tenants"), ("tenants", "routes")):
+        allowed = [homes_in(entry) for _, entry in entries_of(document, others)]
+        for path, entry in entries_of(document, section):
+            homes = homes_in(entry)
+            # An entry without homes may be used anywhere.
+            if homes and allowed and all(allowed) and not homes & set().union(*allowed):
+                got = ", ".join(sorted(homes))
+                expected = f"a home of one of the {others}"
+                remedy = "add a home that both have"
+                place = f"{path}.{HOMES_FIELD}"
+                yield FieldError(place, got, expected, remedy)
+
+
 def diff_configurations(
     before: dict[str, Any], after: dict[str, Any]
 ) -> tuple[FieldDifference, ...]:
@@ -311,6 +328,16 @@
     )
 
 
+def homes_in(entry: dict[str, Any]) -> set[str]:
+    """Return the home regions of a route or tenant that are texts."""
+    homes = entry.get(HOMES_FIELD)
+    return (
+        {home for home in homes if isinstance(home, str)}
+        if isinstance(homes, list)
+        else set()
+    )
+
+
 def number_of(entry: dict[str, Any], field: str, default: float | None) -> float | None:
     """Return a number, the default if it is absent, None if it is no number."""
     value = entry.get(field, default)
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -42,6 +42,7 @@
         "priority": int,
         "public": bool,
         "max-staleness-ms": float,
+        "home-regions": list[str],
     },
     total=False,
 )
@@ -53,7 +54,13 @@
 ColdnessDocument = TypedDict("ColdnessDocument", {"cold-left-ms": float}, total=False)
 TenantDocument = TypedDict(
     "TenantDocument",
-    {"name": str, "api-keys": list[str], "rate-per-s": float, "burst": float},
+    {
+        "name": str,
+        "api-keys": list[str],
+        "rate-per-s": float,
+        "burst": float,
+        "home-regions": list[str],
+    },
     total=False,
 )
 LimitsDocument = TypedDict("LimitsDocument", {"tx-idle-ms": float}, total=False)
@@ -137,6 +144,11 @@
                     "tx-idle-ms", DEFAULT_IDLE_TRANSACTION_MS
                 )
                 / 1000,
+                homes={
+                    entry["name"]: frozenset(entry["home-regions"])
+                    for entry in document.get("tenants", [])
+                    if entry.get("home-regions")
+                },
             )
         )
     except MALFORMED_VALUE_ERRORS as error:
@@ -155,6 +167,7 @@
         max_staleness_seconds=entry.get("max-staleness-ms", 0.0) / 1000,
         priority=entry.get("priority", 0),
         public=entry.get("public", False),
+        homes=frozenset(entry.get("home-regions", [])),
     )
 
 
--- a/berylhinge/platform/tests/test_configuration_check.py
+++ b/berylhinge/platform/tests/test_configuration_check.py
@@ -73,6 +73,7 @@
         ("routes.0.timeout-ms", -1, "$.routes[0].timeout-ms"),
         ("routes.0.timeoutms", 100, "$.routes[0].timeoutms"),
         ("routes.0.public", 1, "$.routes[0].public"),
+        ("routes.0.home-regions", "north", "$.routes[0].home-regions"),
         ("routes.1.host", "strict", "$.routes[1].host"),
         ("services.0.max-conns", 0, "$.services[0].max-conns"),
         ("tenants.0.rate-per-s", True, "$.tenants[0].rate-per-s"),
@@ -125,6 +126,24 @@
     assert place in [fault.path for fault in getattr(found, kind)]
 
 
+@pytest.mark.parametrize(
+    ("tenant_homes", "places"),
+    [
+        ([["south"], ["south"]], ["$.routes[0].home-regions"]),
+        ([["south", "north"], ["south"]], []),
+        ([["south"], []], []),
+    ],
+)
+def test_a_route_whose_homes_exclude_all_tenants_is_named(
+    tenant_homes: list[list[str]], places: list[str]
+) -> None:
+    document = changed("routes.0.home-regions", ["north"])
+    for tenant, homes in zip(document["tenants"], tenant_homes, strict=True):
+        tenant["home-regions"] = homes
+    found = check_configuration(encoded(document))
+    assert [fault.path for fault in found.faults] == places
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"[]", b"3", b"{", b'{"a": 1, "a": 2}', b"\xff"]
 )
--- a/berylhinge/platform/tests/test_documents.py
+++ b/berylhinge/platform/tests/test_documents.py
@@ -29,13 +29,16 @@
             "service": "huvo",
             "max-staleness-ms": 1500,
             "public": False,
+            "home-regions": ["norge"],
         },
         {"host": "lepu", "kind": "primary", "service": "huvo"},
     ],
     "services": [{"name": "huvo", "max-conns": 16, "sync-replicas": 0}],
     "limits": {"tx-idle-ms": 3000},
     "tenants": [
-        {"name": "nypu", "api-keys": ["k1", "k2"], "rate-per-s": 70, "burst": 71}
+        {"name": "nypu", "api-keys": ["k1", "k2"], "rate-per-s": 70, "burst": 71},
+        {"name": "kova", "home-regions": ["norge", "sverige"]},
+        {"name": "tolu", "home-regions": []},
     ],
     "new-field": {"ignored": True},
 }
@@ -58,6 +61,9 @@
     assert found.version == 7
     assert found.keys == {"k1": "nypu", "k2": "nypu"}
     assert found.quotas == {"nypu": Quota(70, 71)}
+    assert found.routes["xapu"].homes == {"norge"}
+    assert found.routes["lepu"].homes == frozenset()
+    assert found.homes == {"kova": {"norge", "sverige"}}
     assert found.services == {"huvo": Service("huvo", 16)}
     route = found.routes["xapu"]
     assert route.consistency is Consistency.BOUNDED
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -12,6 +12,13 @@
     usable_databases,
 )
 from ...core.pooler.floors import lag_of, read_floor
+from ...core.pooler.homes import (
+    ANYWHERE,
+    has_no_home,
+    home_holders,
+    Homes,
+    homes_of,
+)
 from ...types import AccessMode, DatabaseRole
 from ..clock import now_seconds
 
@@ -79,12 +86,53 @@
         self, call: RoutingRequest, tried: TriedDestinations
     ) -> Destination | None:
         """Return the next destination for a statement, or None if there is none now."""
+        homes = self.homes_of(call)
         if not may_run_at_replica(call):
-            return self.choose_primary(call, tried)
-        return self.choose_for_read(call, tried)
+            return self.choose_primary(call, tried, homes)
+        return self.choose_for_read(call, tried, homes)
+
+    def homes_of(self, call: RoutingRequest) -> Homes:
+        """Return the regions to which a statement is limited."""
+        return homes_of(
+            self.view.declarations, call.route, call.organisation, self.view.regions
+        )
+
+    def why_stopped(self, call: RoutingRequest, database: Database) -> str | None:
+        """Return why an open transaction may not go on at its database."""
+        if not self.view.evacuations.may_continue_work(database):
+            return "evacuated"
+        if not self.homes_of(call).includes(database.failure_domain):
+            return "no-home"
+        return None
+
+    def why_unservable(self, call: RoutingRequest) -> str | None:
+        """Return why no database that is left to a statement can run it now."""
+        service = call.route.service
+        if self.view.is_stopped_by_evacuation(service):
+            return "evacuated"
+        is_away = has_no_home(
+            self.view.databases,
+            service,
+            self.view.primary_of(service) or self.view.next_leader_of(service),
+            self.homes_of(call),
+            reads_replicas=may_run_at_replica(call),
+        )
+        return "no-home" if is_away else None
+
+    def holders(self, database: Database, homes: Homes) -> list[InstanceId]:
+        """Return the instances in line for a database that a statement may go to."""
+        found = self.view.holders(database)
+        if homes.regions is None:
+            return found
+        return home_holders(
+            found,
+            homes,
+            self.view.assignment.failure_domains,
+            self.view.own_instance,
+        )
 
     def choose_primary(
-        self, call: RoutingRequest, tried: TriedDestinations
+        self, call: RoutingRequest, tried: TriedDestinations, homes: Homes
     ) -> Destination | None:
         """Return the primary; a read begins a transaction to prove that it leads.
 
@@ -94,12 +142,14 @@
         database = self.view.primary_of(service) or self.view.next_leader_of(service)
         if database is None or not self.view.may_take_work(database):
             return None
+        if not homes.includes(database.failure_domain):
+            return None
         is_single_write = (
             call.planned_statement.transaction is None
             and call.planned_statement.access is AccessMode.WRITE
         )
         begin = "" if is_single_write else "plain"
-        for holder in self.view.holders(database):
+        for holder in self.holders(database, homes):
             if (holder, database.id) not in tried.destinations:
                 return Destination(holder, database, None, begin)
             if holder not in tried.skipped_holders:
@@ -107,7 +157,7 @@
         return None
 
     def choose_for_read(
-        self, call: RoutingRequest, tried: TriedDestinations
+        self, call: RoutingRequest, tried: TriedDestinations, homes: Homes
     ) -> Destination | None:
         """Return the best database whose log is surely long enough, or the primary."""
         now = now_seconds()
@@ -126,18 +176,20 @@
         need = ReadRequirement(
             route.consistency, floor, session_floor, route.max_staleness_seconds
         )
-        candidates = self.order_reads(route.service, call.organisation, need, now)
+        candidates = self.order_reads(
+            route.service, call.organisation, need, now, homes
+        )
         points = [point for point in (floor, session_floor) if point is not None]
         after = max(points) if floor is not None else None
         for database in candidates:
-            holder = self.view.holders(database)[0]
-            if (holder, database.id) in tried.destinations:
+            holder = next(iter(self.holders(database, homes)), None)
+            if holder is None or (holder, database.id) in tried.destinations:
                 continue
             if after is None or database.role is DatabaseRole.PRIMARY:
                 break
             begin = "read" if call.planned_statement.transaction else ""
             return Destination(holder, database, after, begin)
-        return self.choose_primary(call, tried)
+        return self.choose_primary(call, tried, homes)
 
     def order_reads(
         self,
@@ -145,13 +197,14 @@
         organisation: OrganisationId,
         need: ReadRequirement,
         now: Seconds,
+        homes: Homes = ANYWHERE,
     ) -> list[Database]:
         """Return the databases that can serve a read in the order to try them."""
         floors = self.view.floors_of(service)
         databases = self.view.evacuations.readable_databases(
             database
             for database in databases_of(self.view.databases, service)
-            if not database.leaving
+            if not database.leaving and homes.includes(database.failure_domain)
         )
         lag = partial(lag_of, floors, now=now)
         known = self.view.observations
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from math import isfinite
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from ...core.pooler.assignment import InstanceAssignment
@@ -33,7 +34,7 @@
 from .store_progress import StoreProgress
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from ...core.pooler.catalogue import Database
     from ...core.pooler.database_load import DatabaseLoad
@@ -43,6 +44,7 @@
         InstanceId,
         LogPoint,
         OrganisationId,
+        RegionId,
         Seconds,
         UpstreamId,
     )
@@ -81,11 +83,13 @@
         weight: float = 1.0,
         evacuation_seconds: Seconds = 0.0,
         cold_tolerance: ColdTolerance = ColdTolerance(),
+        regions: Mapping[FailureDomainId, RegionId] = MappingProxyType({}),
     ) -> None:
         """Start with nothing known; ``weight`` is this instance's capacity."""
         super().__init__()
         self.features = features
         self.weight = weight
+        self.regions = regions
         self.evacuations = Evacuations(
             evacuation_seconds, is_enabled=features.evacuates
         )
@@ -110,7 +114,7 @@
         self.stopping = False
         self.last_tick_at = now_seconds()
         self.resumed_at: Seconds = float("-inf")
-        self.cached_assignment = InstanceAssignment()
+        self.cached_assignment = InstanceAssignment(regions)
         self.is_assignment_current = False
         self.registered_at: Seconds = float("inf")
         self.duty_revisions: dict[str, int] = {}
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -73,6 +73,7 @@
             cold_tolerance=ColdTolerance(
                 settings.cold_excess_factor, settings.cold_excess_requests
             ),
+            regions=settings.regions or {},
         )
         self.log = Log("pooler", settings.instance)
         self.stopping = Event()
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -80,6 +80,10 @@
 )
 
 
+REFUSAL_TEXTS = {
+    "evacuated": "is evacuated",
+    "no-home": "lies outside its home regions",
+}
 # Reasons that tell that a database has not run the statement.
 NOT_RUN_REASONS = ROOM_REASONS | {
     "answer-busy",
@@ -99,6 +103,7 @@
     "lead-unconfirmed",
     "no-connection",
     "no-database",
+    "no-home",
     "no-slot",
     "not-holding",
     "peer-starting",
@@ -173,9 +178,10 @@
         """Run a statement, with retries, until it has a final result."""
         if binding is not None:
             destination = binding.destination
-            if not self.view.evacuations.may_continue_work(destination.database):
+            stopped = self.chooser.why_stopped(call, destination.database)
+            if stopped is not None:
                 self.abandon_transaction(binding)
-                return self.refuse_evacuated(call, 0, destination)
+                return self.refuse(call, stopped, 0, destination)
             message = self.execute_request(
                 call, binding.destination, binding.transaction_number
             )
@@ -199,8 +205,9 @@
         while True:
             destination = self.chooser.choose(call, tried)
             if destination is None:
-                if self.view.is_stopped_by_evacuation(call.route.service):
-                    refused = self.refuse_evacuated(call, attempts, last_destination)
+                refusal = self.chooser.why_unservable(call)
+                if refusal is not None:
+                    refused = self.refuse(call, refusal, attempts, last_destination)
                     return refused._replace(has_not_run=has_not_run)
                 remaining = call.deadline - now_seconds()
                 if remaining <= RETRY_MIN_PAUSE_SECONDS:
@@ -247,16 +254,16 @@
             last.result, last.reason, None, attempts, last_destination, has_not_run
         )
 
-    def refuse_evacuated(
-        self, call: RoutingRequest, attempts: int, last: Destination | None
+    def refuse(
+        self, call: RoutingRequest, reason: str, attempts: int, last: Destination | None
     ) -> RoutedResult:
-        """Refuse a statement at once that only evacuated databases could run."""
+        """Refuse a statement at once that nothing in its place can run now."""
         result = not_run_result(
             call.planned_statement,
-            f"what could run it of {call.route.service} is evacuated",
+            f"what could run it of {call.route.service} {REFUSAL_TEXTS[reason]}",
             retry_after_seconds=REFUSED_RETRY_SECONDS,
         )
-        return RoutedResult(result, "evacuated", None, attempts, last)
+        return RoutedResult(result, reason, None, attempts, last)
 
     def record_retry(
         self,
--- a/berylhinge/tasks/pooler/settings.py
+++ b/berylhinge/tasks/pooler/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple, TypeAlias
+from typing import Annotated, NamedTuple, TYPE_CHECKING, TypeAlias
 
 import msgspec
 from returns.result import Failure, Result
@@ -10,9 +10,12 @@
 from ...core.document_reader import convert_document, parse_json, TextFormat
 from ...errors import DocumentError, FieldError
 from ...settings import read_settings_file
-from ...types import FailureDomainId, InstanceId, JsonValue
+from ...types import FailureDomainId, InstanceId, JsonValue, RegionId
 from ..http_server import Address, parse_address
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 AddressText: TypeAlias = Annotated[
     str, TextFormat("IP:PORT", parse_address, "correct the address")
 ]
@@ -44,6 +47,7 @@
     evacuation_ms: float = 0.0
     cold_excess_factor: float = 1.0
     cold_excess_requests: float = 0.0
+    regions: dict[str, str] | None = None
 
 
 class PoolerSettings(NamedTuple):
@@ -56,6 +60,7 @@
     outdated promoters and stops a deposed primary. ``agreed_terms`` switch features on
     (``platform/terms``). ``evacuation_ms`` is 0 where no evacuation is in force; a cold
     database may exceed its limit by the factor and by the requests given here.
+    ``regions`` are those of the failure domains.
     """
 
     instance: InstanceId
@@ -80,6 +85,7 @@
     evacuation_ms: float = 0.0
     cold_excess_factor: float = 1.0
     cold_excess_requests: float = 0.0
+    regions: Mapping[FailureDomainId, RegionId] | None = None
 
 
 def load_pooler_settings(path: str) -> PoolerSettings:
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -198,3 +198,18 @@
     wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
     yield fleet
     fleet.close()
+
+
+@pytest.fixture
+def two_region_fleet() -> Iterator[Fleet]:
+    """Run a database in the instances' region and the others in another one."""
+    fleet = Fleet(settings={"regions": {"x": "north", "y": "south", "z": "south"}})
+    for member, zone in zip(fleet.group.members.values(), "xyz", strict=True):
+        member.zone = zone
+    fleet.announce()
+    fleet.add_instance()
+    fleet.add_instance()
+    wait_until(lambda: all(len(pooler.view.members) == 2 for pooler in fleet.instances))
+    wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
+    yield fleet
+    fleet.close()
--- a/berylhinge/types.py
+++ b/berylhinge/types.py
@@ -7,6 +7,7 @@
 
 InstanceId: TypeAlias = str
 FailureDomainId: TypeAlias = str
+RegionId: TypeAlias = str
 OrganisationId: TypeAlias = str
 GroupId: TypeAlias = str
 UpstreamId: TypeAlias = str
