Record what is seen of a database only at its holder

An instance that had been the holder of a database kept its task. On each tick it recorded what that task had last seen as a new observation, over what the present holder reports, and it reported it to its peers. Only the instance that is first in line records and reports now, also while it has given the database up. The new test fails without the change.

--- a/berylhinge/tasks/pooler/cold_limit.py
+++ b/berylhinge/tasks/pooler/cold_limit.py
@@ -29,7 +29,7 @@
         if not member.leaving
     }
     everyone[view.own_instance] = view.failure_domain
-    undisputed = InstanceAssignment()
+    undisputed = InstanceAssignment(view.regions)
     undisputed.set_instances(
         view.members,
         everyone,
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -105,7 +105,7 @@
         held = [
             task.database_state()
             for task in self.tasks.values()
-            if task.database.id in self.view.databases
+            if self.is_first_in_line(task.database.id)
         ]
         held_ids = {state.database for state in held}
         led_services = {
@@ -151,6 +151,13 @@
             return False
         return self.view.holders(known)[0] == self.view.own_instance
 
+    def is_first_in_line(self, database: UpstreamId) -> bool:
+        """Return whether a database is this instance's to hold, even if given up now."""
+        known = self.view.databases.get(database)
+        if known is None:
+            return False
+        return self.view.assignment.holders(known)[0] == self.view.own_instance
+
     def tend(self) -> None:
         """Maintain the tasks of held databases; close those of removed databases."""
         self.view.record_tick()
@@ -159,8 +166,11 @@
             self.ensure_task(identifier)
         for identifier, task in list(self.tasks.items()):
             task.maintain(is_holder=identifier in held)
-            if identifier in self.view.databases:
+            if self.is_first_in_line(identifier):
                 self.view.record_observations((task.database_state(),), now_seconds())
+            elif identifier in self.view.databases:
+                # A former holder no longer sees what the database does.
+                continue
             elif not task.pinned_connections and not task.slots.unanswered:
                 task.close()
                 del self.tasks[identifier]
--- a/berylhinge/tasks/pooler/tests/test_held_databases.py
+++ b/berylhinge/tasks/pooler/tests/test_held_databases.py
@@ -6,8 +6,8 @@
 import pytest
 
 from ....core.pooler.statements import Effect, ErrorCode
-from ....types import AccessMode
-from ....wire.pooling import ExecuteRequest
+from ....types import AccessMode, LogPoint
+from ....wire.pooling import DatabaseStatesRequest, ExecuteRequest
 from ...clock import now_seconds
 from ..fleet_view import PEER_FAILOVER_SECONDS
 from .conftest import Fleet
@@ -125,3 +125,28 @@
     assert instance.held_databases.run_statement("n1", first).reason == "late"
     assert fleet.group.runs == []
     assert not task.pool.idle
+
+
+def test_a_former_holder_does_not_take_its_last_sight_for_the_present(
+    fleet: Fleet,
+) -> None:
+    # After a partition every instance had been the holder of many databases. Each kept
+    # what it had last seen of their replicas, reported it as new, and sent no reads there.
+    replica = fleet.instances[0].view.databases["i-b"]
+    name = fleet.instances[0].view.holders(replica)[0]
+    former = next(found for found in fleet.instances if found.settings.instance != name)
+    task = former.held_databases.ensure_task("i-b")
+    assert task is not None
+    task.tracker.point = LogPoint(1, 1)
+    former.view.record_observation(
+        replica,
+        LogPoint(1, 9),
+        wait_seconds=0.0,
+        leadership_proof=None,
+        asked_at=now_seconds(),
+    )
+    former.held_databases.tend()
+    assert former.view.observations["i-b"].point == LogPoint(1, 9)
+    report = former.held_databases.report_databases("n", DatabaseStatesRequest())
+    points = {state.database: state.point for state in report.states}
+    assert points.get("i-b", LogPoint(1, 9)) == LogPoint(1, 9)
