Ask about replicas that have not been observed lately

An instance asked for the states of a service's databases only when it had no recent proof that the primary leads. Answers of the primary bring such proofs, but no positions of replicas; so an instance that sent all its reads to the primary, since the positions it knew were too old, never learned of newer ones. It now asks its relay, or the primary's holder in a small fleet, when a replica has not been observed for a second and reads of the service are expected: one question a second at most, for all services. The question carries the services, so that the holder of a replica that gets no reads requests its status (every 0.5 s, as before) also when only its peers expect reads.

--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -103,7 +103,7 @@
         """Return the newest proof that the service's primary leads, with its age."""
         proof = self.tracker.leadership_proof
         if proof is None and self.database.role is not DatabaseRole.PRIMARY:
-            self.view.expect_bounded_reads(self.database.service)
+            self.view.read_demand.expect(self.database.service)
             proof = newest_proof(self.view.floors_of(self.database.service))
         return proof_for_peer(proof, arrived_at)
 
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -162,7 +162,7 @@
         """Return the best database whose log is surely long enough, or the primary."""
         now = now_seconds()
         route = call.route
-        self.view.expect_bounded_reads(route.service)
+        self.view.read_demand.expect(route.service)
         floors = self.view.floors_of(route.service)
         floor = read_floor(floors, call.arrived_at, route.max_staleness_seconds)
         if floor is None and not tried.has_asked_for_proof:
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -30,6 +30,7 @@
 from ..broadcast import Broadcast
 from ..clock import now_seconds
 from .evacuations import Evacuations
+from .read_demand import ReadDemand
 from .slot_sharing import SlotSharing
 from .store_progress import StoreProgress
 
@@ -53,8 +54,6 @@
 
 # How long an instance that cannot reach a database leaves it to those that can.
 RELINQUISH_SECONDS = 3.0
-# After a read of a service, more are expected for this long; callers pause for less.
-READ_DEMAND_SECONDS = 2.0
 # Shortest silence of a peer after which an instance skips it and may run a statement
 # that commits nothing by itself elsewhere. So a recipient must not run such a statement
 # if it arrived this late, or if the recipient stalled for this long. An answer usually
@@ -104,7 +103,7 @@
         self.floors: dict[str, FloorHistory] = {}
         self.observations: dict[UpstreamId, DatabaseObservation] = {}
         self.loads: dict[UpstreamId, BelievedLoad] = {}
-        self.bounded_reads_until: dict[str, Seconds] = {}
+        self.read_demand = ReadDemand()
         self.cold_tolerance = cold_tolerance
         self.cold_until: dict[UpstreamId, Seconds] = {}
         self.announced_at: dict[UpstreamId, Seconds] = {}
@@ -358,14 +357,6 @@
         believed = self.loads.get(database)
         return None if believed is None else believed.load
 
-    def expect_bounded_reads(self, service: str) -> None:
-        """Expect more reads of bounded age, which need recent proofs."""
-        self.bounded_reads_until[service] = now_seconds() + READ_DEMAND_SECONDS
-
-    def expects_bounded_reads(self, service: str) -> bool:
-        """Return whether reads of bounded age are expected."""
-        return self.bounded_reads_until.get(service, 0.0) > now_seconds()
-
     def record_reachability(self, state: DatabaseState, asked_at: Seconds) -> None:
         """Record whether a holder reaches its database."""
         known = self.reported_health.get(state.database, UNKNOWN_HEALTH)
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -102,6 +102,7 @@
         The holder of a primary also reports the replicas of its service, so that other
         instances need not ask the holder of each.
         """
+        self.view.read_demand.request_positions(message.read_services)
         held = [
             task.database_state()
             for task in self.tasks.values()
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -11,6 +11,7 @@
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.floors import newest_proof
 from ...core.pooler.token_buckets import reached_fraction
+from ...types import DatabaseRole
 from ...wire.pooling import (
     DatabaseStatesRequest,
     DatabaseStatesResponse,
@@ -170,10 +171,14 @@
 
     def holds_primary(self) -> bool:
         """Return whether this instance is the rightful holder of a primary."""
-        return any(
-            self.view.holders(primary)[0] == self.view.own_instance
-            for service in self.view.declarations.services
-            if (primary := self.view.primary_of(service)) is not None
+        return any(map(self.holds_primary_of, self.view.declarations.services))
+
+    def holds_primary_of(self, service: str) -> bool:
+        """Return whether this instance is the rightful holder of a service's primary."""
+        primary = self.view.primary_of(service)
+        return (
+            primary is not None
+            and self.view.holders(primary)[0] == self.view.own_instance
         )
 
     def spawn_probe(self, peer: InstanceId) -> gevent.Greenlet:
@@ -216,17 +221,22 @@
                     observation = self.view.observations.get(database.id, UNOBSERVED)
                     if now - observation.observed_at >= MAX_OBSERVATION_AGE_SECONDS:
                         due.add(self.view.holders(database)[0])
-            elif self.needs_proof(service, holders, now):
+            elif self.needs_report(service, holders, now):
                 due.add(holders[0])
         return due
 
     def relayed_services(self, now: Seconds) -> list[str]:
-        """Return the services of which the relay is to be asked for a newer proof."""
+        """Return the services of which the relay is to be asked for news."""
         return [
             service
             for service in self.view.declarations.services
-            if self.view.expects_bounded_reads(service)
-            and self.proof_age(service, now) >= MAX_PROOF_AGE_SECONDS
+            if self.view.read_demand.is_expected(service)
+            and (
+                self.proof_age(service, now) >= MAX_PROOF_AGE_SECONDS
+                or self.misses_replicas(
+                    service, self.service_states.asked_at.get(service, 0.0), now
+                )
+            )
         ]
 
     def proof_age(self, service: str, now: Seconds) -> Seconds:
@@ -234,18 +244,52 @@
         proof = newest_proof(self.view.floors_of(service))
         return float("inf") if proof is None else now - proof.asked_at
 
-    def needs_proof(
+    def read_services(self) -> tuple[str, ...]:
+        """Return the services whose replicas' positions are needed.
+
+        Only a primary's holder passes on what its peers need, so that two instances do
+        not keep asking each other after the last read.
+        """
+        demand = self.view.read_demand
+        return tuple(
+            service
+            for service in self.view.declarations.services
+            if demand.is_expected(service)
+            or (demand.needs_positions(service) and self.holds_primary_of(service))
+        )
+
+    def misses_replicas(self, service: str, asked_at: Seconds, now: Seconds) -> bool:
+        """Return whether a replica has not been observed lately, nor asked about.
+
+        Answers of the primary bring proofs but no positions of replicas. A replica whose
+        known position is too old gets no reads, so its own answers bring none either.
+        """
+        if now - asked_at < MAX_OBSERVATION_AGE_SECONDS:
+            return False
+        return any(
+            now - self.view.observations.get(replica.id, UNOBSERVED).observed_at
+            >= MAX_OBSERVATION_AGE_SECONDS
+            for replica in databases_of(self.view.databases, service)
+            if replica.role is DatabaseRole.REPLICA and not replica.leaving
+        )
+
+    def needs_report(
         self, service: str, holders: list[InstanceId], now: Seconds
     ) -> bool:
-        """Return whether this instance needs a newer leadership proof for a service."""
+        """Return whether this instance needs news of a service from its holder."""
         age = self.proof_age(service, now)
-        if self.view.own_instance in holders[:STANDBY_COUNT]:
-            return age >= MAX_STANDBY_PROOF_AGE_SECONDS
+        is_standby = self.view.own_instance in holders[:STANDBY_COUNT]
+        if is_standby and age >= MAX_STANDBY_PROOF_AGE_SECONDS:
+            return True
         if self.service_states.relay() is not None:
             return False
+        if not self.view.read_demand.is_expected(service):
+            return False
         is_relay = self.view.own_instance == self.view.relays()[0]
         limit = MAX_RELAYED_PROOF_AGE_SECONDS if is_relay else MAX_PROOF_AGE_SECONDS
-        return self.view.expects_bounded_reads(service) and age >= limit
+        return age >= limit or self.misses_replicas(
+            service, self.probed_at.get(holders[0], 0.0), now
+        )
 
     def silent_peers(self) -> set[InstanceId]:
         """Return the peers that owe answers and have been silent for too long."""
@@ -269,7 +313,7 @@
         try:
             report = self.links.call(
                 peer,
-                DatabaseStatesRequest(),
+                DatabaseStatesRequest(self.read_services()),
                 PROBE_TIMEOUT_SECONDS,
                 may_repeat=True,
             )
--- a/berylhinge/tasks/pooler/service_states.py
+++ b/berylhinge/tasks/pooler/service_states.py
@@ -116,7 +116,7 @@
         """Report the databases of services, with proofs that are recent if possible."""
         renewals = []
         for service in message.services:
-            self.view.expect_bounded_reads(service)
+            self.view.read_demand.expect(service)
             proof = newest_proof(self.view.floors_of(service))
             age = float("inf") if proof is None else now_seconds() - proof.asked_at
             if age >= MAX_RELAYED_PROOF_AGE_SECONDS:
--- a/berylhinge/tasks/pooler/status_renewal.py
+++ b/berylhinge/tasks/pooler/status_renewal.py
@@ -31,7 +31,7 @@
         return proven is None or now - proven.asked_at >= PROOF_RENEWAL_SECONDS
     return (
         database.role is not DatabaseRole.PRIMARY
-        and view.expects_bounded_reads(database.service)
+        and view.read_demand.needs_positions(database.service)
         and now - tracker.health.answered_at >= POSITION_RENEWAL_SECONDS
     )
 
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -86,9 +86,12 @@
 class DatabaseStatesRequest(NamedTuple):
     """Ask for the states of the databases that the recipient holds.
 
-    The holder of a primary also reports the other databases of its service.
+    The holder of a primary also reports the other databases of its service. Reads are
+    expected of the ``read_services``, so that positions of their replicas are needed.
     """
 
+    read_services: tuple[str, ...] = ()
+
 
 @sent_as("Services")
 class ServiceStatesRequest(NamedTuple):
