Let the soak play evacuations, cold databases and competing callers

The soak played none of the parts for hard load. On seeds with all features it now also evacuates failure domains, lets databases come back cold, makes one slow, and adds callers of one organisation in haste and callers that rest inside transactions. The judge checks that nothing runs in an evacuated domain past the bound while all instances are in touch with the store, and that a cold database never gets more than was declared.

--- a/berylhinge/cli/soak.py
+++ b/berylhinge/cli/soak.py
@@ -54,9 +54,15 @@
     failed = 0
     names = [f"n{number}" for number in range(instances)]
     for number in range(seed, seed + runs):
-        planned = plan(number, seconds=seconds, instances=names, databases=DATABASES)
         # Every other seed plays a deployment that asks for all features.
         terms = FEATURE_TERMS if number % 2 else ()
+        planned = plan(
+            number,
+            seconds=seconds,
+            instances=names,
+            databases=DATABASES,
+            has_features=bool(terms),
+        )
         case = Case(number, seconds, instances, "", tuple(planned), terms)
         if play(case, keep):
             continue
--- a/berylhinge/soak/callers.py
+++ b/berylhinge/soak/callers.py
@@ -52,13 +52,15 @@
         address: Callable[[], tuple[str, int]],
         keys: dict[str, str],
         record: Callable[[Operation], None],
+        pause_seconds: float = PAUSE_SECONDS,
     ) -> None:
-        """Prepare without a session."""
+        """Prepare without a session; ``pause_seconds`` is the mean between operations."""
         self.number = number
         self.rng = rng
         self.address = address
         self.keys = keys
         self.record = record
+        self.pause_seconds = pause_seconds
         self.stopping = False
         self.sessions = 0
         self.statements = 0
@@ -108,7 +110,7 @@
             )
             if session.state != "I":
                 return
-            gevent.sleep(self.rng.expovariate(1.0 / PAUSE_SECONDS))
+            gevent.sleep(self.rng.expovariate(1.0) * self.pause_seconds)
 
     def request(self) -> str:
         """Return a new id."""
--- a/berylhinge/soak/faults.py
+++ b/berylhinge/soak/faults.py
@@ -14,6 +14,8 @@
 
 # Longer than the usual answer, shorter than the routes' timeout.
 DELAY_SECONDS = 0.15
+# With 2 slots, 100 statements a second: fewer than the callers of a run send.
+SLOW_STATEMENT_SECONDS = 0.02
 
 
 def begin(world: World, fault: Fault) -> None:
@@ -22,6 +24,10 @@
         harm_store(world, fault)
     elif fault.kind in ON_DATABASES:
         harm_database(world, fault)
+    elif fault.kind == "evacuated":
+        world.evacuate(fault.target)
+    elif fault.kind == "slow":
+        world.group.members[fault.target].statement_seconds = SLOW_STATEMENT_SECONDS
     else:
         harm_instance(world, fault)
 
@@ -96,8 +102,12 @@
         database.silent = database.deaf = False
         world.group.replicate()
         if not database.running:
-            database.restart()
+            world.restart_database(fault.target)
         world.paths[fault.target].heal()
+    elif fault.kind == "evacuated":
+        world.take_back(fault.target)
+    elif fault.kind == "slow":
+        world.group.members[fault.target].statement_seconds = 0.0
     else:
         world.instances[fault.target].store.heal()
         world.signal(fault.target, signal.SIGCONT)
--- a/berylhinge/soak/history.py
+++ b/berylhinge/soak/history.py
@@ -43,9 +43,24 @@
     values: tuple[tuple[str, str], ...] = ()
 
 
+class Span(NamedTuple):
+    """Name a database for which something was in force for a time."""
+
+    database: str
+    starts_at: float
+    ends_at: float
+
+
 class Observed(NamedTuple):
-    """Hold what callers saw, and from when on keys were withdrawn."""
+    """Hold what callers saw, and what was in force when.
+
+    ``withdrawn`` tells from when on keys were withdrawn. ``evacuations`` were in force
+    while no instance was harmed in its reach of the store; ``cold`` databases had just
+    started.
+    """
 
     operations: tuple[Operation, ...]
     withdrawn: dict[str, float]
     probes: dict[str, bool]
+    evacuations: tuple[Span, ...] = ()
+    cold: tuple[Span, ...] = ()
--- a/berylhinge/soak/judge.py
+++ b/berylhinge/soak/judge.py
@@ -5,7 +5,9 @@
 from collections import defaultdict
 from typing import NamedTuple, TYPE_CHECKING
 
+from ..standins.declared import COLD_PER_SECOND
 from .history import Outcome
+from .world import COLD_EXCESS_FACTOR, COLD_EXCESS_REQUESTS, EVACUATION_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -17,6 +19,10 @@
 STALENESS_SECONDS = {"strict": 0.0, "aged": 1.5, "own": 2.5}
 # A withdrawn key stops within this time of the store's answer.
 REVOCATION_SECONDS = 5.0
+# Most statements that a cold database gets in a second: the declared number, with the
+# tolerated excess.
+MOST_COLD_RUNS = int(COLD_PER_SECOND * COLD_EXCESS_FACTOR + COLD_EXCESS_REQUESTS)
+COLD_WINDOW_SECONDS = 1.0
 
 
 class Violation(NamedTuple):
@@ -41,6 +47,8 @@
         *check_reads(observed, seen),
         *check_runs(observed, seen),
         *check_transactions(observed, seen),
+        *check_evacuations(observed, seen),
+        *check_cold(observed, seen),
         *(
             Violation("recovers", f"nothing is served through {name}")
             for name, served in observed.probes.items()
@@ -184,3 +192,30 @@
     for run in between:
         if run.connection == connection and run.request not in own:
             yield Violation("pinned", f"{run.request} ran inside {sorted(own)}")
+
+
+def check_evacuations(observed: Observed, seen: Seen) -> Iterator[Violation]:
+    """Check that nothing runs in an evacuated failure domain after its bound."""
+    for span in observed.evacuations:
+        empty_at = span.starts_at + EVACUATION_MS / 1000
+        for run in seen.runs:
+            if run.database == span.database and empty_at < run.at < span.ends_at:
+                late = run.at - span.starts_at
+                detail = f"{run.request} ran at {run.database} {late:.3f} s after"
+                yield Violation("evacuated", f"{detail} the order")
+
+
+def check_cold(observed: Observed, seen: Seen) -> Iterator[Violation]:
+    """Check that a database that has just started gets no more than was declared."""
+    for span in observed.cold:
+        moments = [
+            run.at
+            for run in seen.runs
+            if run.database == span.database and span.starts_at <= run.at < span.ends_at
+        ]
+        for place, moment in enumerate(moments[MOST_COLD_RUNS:]):
+            first = moments[place]
+            if moment - first < COLD_WINDOW_SECONDS:
+                detail = f"{span.database} got {MOST_COLD_RUNS + 1} statements in"
+                yield Violation("cold", f"{detail} {moment - first:.3f} s")
+                break
--- a/berylhinge/soak/schedule.py
+++ b/berylhinge/soak/schedule.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from .history import Span
+
 # Seconds without faults at the start, so that the fleet has formed.
 QUIET_SECONDS = 1.0
 # Mean pause between the starts of two faults; they overlap often.
@@ -30,6 +32,12 @@
     "callers-reset",
 )
 ON_DATABASES = ("crash", "silent", "deaf", "delayed", "reset", "cut")
+# Faults of load and orders of the operator, where the instances have agreed on features
+# that answer them.
+ON_CALLERS = ("hot-organisation", "idle-transactions")
+ON_FEATURES = (*ON_CALLERS, "slow", "evacuated")
+# An evacuation lasts longer, so that it is complete for a while.
+EVACUATION_SECONDS = (4.0, 7.0)
 ON_STORE = (
     "down",
     "answers-lost",
@@ -40,6 +48,23 @@
 )
 
 
+# After these an instance may be out of touch with the store, until it has caught up.
+OUT_OF_TOUCH = frozenset(
+    {
+        "pause",
+        "store-silent",
+        "store-cut",
+        "store-refused",
+        "store-delayed",
+        "down",
+        "answers-lost",
+        "history-forgotten",
+        "restored",
+    }
+)
+CATCH_UP_SECONDS = 2.0
+
+
 class Fault(NamedTuple):
     """Harm a target from ``at`` on, in seconds from the start."""
 
@@ -55,14 +80,19 @@
 
 
 def plan(
-    seed: int, *, seconds: float, instances: Sequence[str], databases: Sequence[str]
+    seed: int,
+    *,
+    seconds: float,
+    instances: Sequence[str],
+    databases: Sequence[str],
+    has_features: bool = False,
 ) -> list[Fault]:
     """Return the faults of a seed, in the order of their starts."""
     rng = Random(seed)
     faults = []
     now = QUIET_SECONDS
     while (now := now + rng.expovariate(1.0 / GAP_SECONDS)) < seconds:
-        fault = draw(rng, now, instances, databases)
+        fault = draw(rng, now, instances, databases, has_features=has_features)
         faults.append(fault)
         while rng.random() < REPEAT_CHANCE:
             fault = fault._replace(at=fault.ends_at + SHORT_SECONDS)
@@ -74,14 +104,39 @@
 
 
 def draw(
-    rng: Random, now: float, instances: Sequence[str], databases: Sequence[str]
+    rng: Random,
+    now: float,
+    instances: Sequence[str],
+    databases: Sequence[str],
+    *,
+    has_features: bool,
 ) -> Fault:
     """Return one fault."""
     lasting = rng.uniform(SHORT_SECONDS, LONG_SECONDS)
-    kinds, targets = rng.choice(
-        [(ON_INSTANCES, instances), (ON_DATABASES, databases), (ON_STORE, ("store",))]
-    )
-    return Fault(rng.choice(kinds), rng.choice(targets), round(now, 2), lasting)
+    targets_by_kind: list[tuple[Sequence[str], Sequence[str]]] = [
+        (ON_INSTANCES, instances),
+        (ON_DATABASES, databases),
+        (ON_STORE, ("store",)),
+    ]
+    if has_features:
+        targets_by_kind.append((ON_FEATURES, databases))
+    kinds, targets = rng.choice(targets_by_kind)
+    fault = Fault(rng.choice(kinds), rng.choice(targets), round(now, 2), lasting)
+    if fault.kind == "evacuated":
+        return fault._replace(seconds=rng.uniform(*EVACUATION_SECONDS))
+    return fault
+
+
+def undisturbed_span(
+    span: Span, faults: Sequence[Fault], started_at: float
+) -> Span | None:
+    """Return the part of a span in which all instances are in touch with the store."""
+    ends_at = span.ends_at
+    for fault in faults:
+        begins, over = started_at + fault.at, started_at + fault.ends_at
+        if fault.kind in OUT_OF_TOUCH and over + CATCH_UP_SECONDS > span.starts_at:
+            ends_at = min(ends_at, begins)
+    return span._replace(ends_at=ends_at) if ends_at > span.starts_at else None
 
 
 def shrink(
--- a/berylhinge/soak/soak.py
+++ b/berylhinge/soak/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from random import Random
 from typing import NamedTuple, TYPE_CHECKING
 
@@ -10,13 +11,15 @@
 
 from ..standins.line_session import LineSession, Lost
 from . import faults
+from .caller_load import ExtraCallers
 from .callers import Caller
 from .history import Observed, Operation, Outcome
 from .judge import judge, Seen
+from .schedule import ON_CALLERS, undisturbed_span
 from .world import World
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
     from pathlib import Path
 
     from .cases import Case
@@ -94,13 +97,24 @@
         for number in range(CALLERS)
     ]
     jobs = [gevent.spawn(caller.run) for caller in callers]
-    apply_all(world, planned, seconds)
+    extra = ExtraCallers(address, world.keys.copy(), recorded.append, seed, {}, [])
+    started_at = time.monotonic()
+    apply_all(world, extra, planned, started_at, seconds)
     probes = recover(world)
     for caller in callers:
         caller.stopping = True
-    gevent.joinall(jobs, timeout=LAST_SECONDS, raise_error=True)
+    gevent.joinall([*jobs, *extra.jobs], timeout=LAST_SECONDS, raise_error=True)
     group = world.group
-    observed = Observed(tuple(recorded), world.withdrawn, probes)
+    evacuations = [
+        undisturbed_span(span, planned, started_at) for span in world.evacuations
+    ]
+    observed = Observed(
+        tuple(recorded),
+        world.withdrawn,
+        probes,
+        tuple(span for span in evacuations if span is not None),
+        tuple(world.cold),
+    )
     runs = [run for run in group.runs if run.request != PROBE]
     seen = Seen(list(group.log), list(group.rolled_back), runs)
     return Soaked(
@@ -111,14 +125,24 @@
     )
 
 
-def apply_all(world: World, planned: Sequence[Fault], seconds: float) -> None:
+def apply_all(
+    world: World,
+    extra: ExtraCallers,
+    planned: Sequence[Fault],
+    started_at: float,
+    seconds: float,
+) -> None:
     """Begin and end each fault at its time."""
-    started_at = time.monotonic()
-    moments = [(fault.at, faults.begin, fault) for fault in planned]
-    moments += [(fault.ends_at, faults.end, fault) for fault in planned]
+    moments: list[tuple[float, Callable[[Fault], None], Fault]] = []
+    for fault in planned:
+        if fault.kind in ON_CALLERS:
+            begin, end = extra.begin, extra.end
+        else:
+            begin, end = partial(faults.begin, world), partial(faults.end, world)
+        moments += [(fault.at, begin, fault), (fault.ends_at, end, fault)]
     for at, act, fault in sorted(moments, key=lambda moment: moment[0]):
         gevent.sleep(max(0.0, started_at + at - time.monotonic()))
-        act(world, fault)
+        act(fault)
     gevent.sleep(max(0.0, started_at + seconds - time.monotonic()))
 
 
--- a/berylhinge/soak/tests/test_judge.py
+++ b/berylhinge/soak/tests/test_judge.py
@@ -3,8 +3,9 @@
 import pytest
 
 from ...standins.session_database import Entry, Run
-from ..history import Observed, Operation, Outcome, Step
-from ..judge import judge, Seen
+from ..history import Observed, Operation, Outcome, Span, Step
+from ..judge import judge, MOST_COLD_RUNS, Seen
+from ..world import EVACUATION_MS
 
 DONE, NOT_KEPT, UNKNOWN = Outcome.DONE, Outcome.NOT_KEPT, Outcome.UNKNOWN
 
@@ -60,8 +61,12 @@
     runs: list[Run] | None = None,
     withdrawn: dict[str, float] | None = None,
     probes: dict[str, bool] | None = None,
+    evacuations: tuple[Span, ...] = (),
+    cold: tuple[Span, ...] = (),
 ) -> list[str]:
-    observed = Observed(tuple(operations), withdrawn or {}, probes or {})
+    observed = Observed(
+        tuple(operations), withdrawn or {}, probes or {}, evacuations, cold
+    )
     found = judge(observed, Seen(kept or [], lost or [], runs or []))
     return [violation.promise for violation in found]
 
@@ -148,3 +153,35 @@
 
 def test_an_instance_that_serves_nothing() -> None:
     assert promises([], probes={"n0": True, "n1": False}) == ["recovers"]
+
+
+@pytest.mark.parametrize(
+    ("database", "seconds_after", "expected"),
+    [
+        ("d", -0.1, []),
+        ("d", 0.1, ["evacuated"]),
+        ("other", 0.1, []),
+        ("d", 5.1, []),
+    ],
+    ids=["within-the-bound", "after-it", "elsewhere", "taken-back"],
+)
+def test_evacuations(database: str, seconds_after: float, expected: list[str]) -> None:
+    empty_at = 1.0 + EVACUATION_MS / 1000
+    run = ran("r-3.0")._replace(database=database, at=empty_at + seconds_after)
+    spans = (Span("d", 1.0, empty_at + 5.0),)
+    assert promises([read(None, 3.0)], runs=[run], evacuations=spans) == expected
+
+
+@pytest.mark.parametrize(
+    ("count", "within_seconds", "expected"),
+    [
+        (MOST_COLD_RUNS, 0.5, []),
+        (MOST_COLD_RUNS + 1, 0.5, ["cold"]),
+        (MOST_COLD_RUNS + 1, 1.5, []),
+    ],
+)
+def test_cold_databases(count: int, within_seconds: float, expected: list[str]) -> None:
+    pause = within_seconds / (count - 1)
+    runs = [ran("r-3.0")._replace(at=2.0 + number * pause) for number in range(count)]
+    spans = (Span("d", 1.0, 9.0),)
+    assert promises([read(None, 3.0)], runs=runs, cold=spans) == expected
--- a/berylhinge/soak/tests/test_soak.py
+++ b/berylhinge/soak/tests/test_soak.py
@@ -90,7 +90,13 @@
 def test_a_fresh_seed_keeps_every_promise(terms: tuple[str, ...]) -> None:
     seed = random.SystemRandom().randrange(10**6)
     names = ["n0", "n1", "n2"]
-    faults = plan(seed, seconds=8.0, instances=names, databases=DATABASES)
+    faults = plan(
+        seed,
+        seconds=8.0,
+        instances=names,
+        databases=DATABASES,
+        has_features=bool(terms),
+    )
     case = Case(seed, 8.0, 3, "", tuple(faults), terms)
     assert play(case, None), f"seed {seed}"
 
--- a/berylhinge/soak/world.py
+++ b/berylhinge/soak/world.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from itertools import chain
 from pathlib import Path
 from random import SystemRandom
@@ -15,10 +16,11 @@
 import msgspec
 from gevent import socket
 
-from ..standins.declared import announce, declare
+from ..standins.declared import announce, COLD_START_SECONDS, declare
 from ..standins.metadata_store import MetadataStore
 from ..standins.session_database import DatabaseGroup, SessionDatabase
 from ..tasks.http_server import Address, server_address
+from .history import Span
 from .proxy import LoopbackProxy
 
 if TYPE_CHECKING:
@@ -28,7 +30,12 @@
     from .schedule import Fault
 
 DATABASES = ("db-a", "db-b", "db-c")
+ZONES = ("x", "y", "z")
 ANNOUNCE_SECONDS = 0.3
+# Bounds of what the instances agreed on, as a platform sets them.
+EVACUATION_MS = 3000.0
+COLD_EXCESS_FACTOR = 1.5
+COLD_EXCESS_REQUESTS = 5.0
 STOP_SECONDS = 5.0
 GRACE_SECONDS = 3.0
 # Capacities of the instances in turn, in a fleet of unequal ones.
@@ -83,8 +90,9 @@
         self.store = MetadataStore(Address("127.0.0.1", 0))
         self.group = DatabaseGroup("s")
         self.paths: dict[str, LoopbackProxy] = {}
-        for name in DATABASES:
+        for name, zone in zip(DATABASES, ZONES, strict=True):
             database = SessionDatabase(self.group, name, max_connections=24)
+            database.zone = zone if agreed_terms else ZONES[0]
             self.paths[name] = LoopbackProxy("127.0.0.1", database.server.server_port)
             database.advertised = self.paths[name].address
         self.store.on_promotion = self.promote
@@ -93,7 +101,10 @@
         self.keys = {f"k{number}": f"org-{number}" for number in range(organisations)}
         self.withdrawn: dict[str, float] = {}
         self.copies: dict[Fault, StoreCopy] = {}
-        declare(self.store, self.version, self.keys)
+        self.evacuated_at: dict[str, float] = {}
+        self.evacuations: list[Span] = []
+        self.cold: list[Span] = []
+        self.write_declarations()
         self.instances: dict[str, Instance] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         for number in range(instances):
@@ -115,6 +126,9 @@
             "first_start": first,
             "grace_seconds": GRACE_SECONDS,
             "agreed_terms": self.agreed_terms,
+            "evacuation_ms": EVACUATION_MS,
+            "cold_excess_factor": COLD_EXCESS_FACTOR,
+            "cold_excess_requests": COLD_EXCESS_REQUESTS,
             "processor_cores": cores,
             **{key: next(self.addresses) for key in OWN_LISTENERS},
         }
@@ -152,7 +166,11 @@
 
     def announce(self) -> None:
         """Write the entries of running databases, and remove the others."""
+        now = time.monotonic()
+        cold = {span.database: span.ends_at for span in self.cold}
         for member in self.group.members.values():
+            left = max(0.0, cold.get(member.id, 0.0) - now)
+            member.cold_left_ms = int(left * 1000)
             announce(self.store, member)
 
     def promote(self, service: str, name: str) -> bool:
@@ -164,12 +182,43 @@
     def declare(self) -> None:
         """Put the next version in force."""
         self.version += 1
-        declare(self.store, self.version, self.keys)
+        self.write_declarations()
+
+    def write_declarations(self) -> None:
+        """Write what the operator declares."""
+        limits_cold = bool(self.agreed_terms)
+        declare(self.store, self.version, self.keys, limits_cold=limits_cold)
+
+    def restart_database(self, name: str) -> None:
+        """Let a database come back, cold where the instances know of that."""
+        database = self.group.members[name]
+        if self.agreed_terms:
+            now = time.monotonic()
+            self.cold.append(Span(name, now, now + COLD_START_SECONDS))
+        database.restart()
+        self.announce()
+
+    def evacuate(self, name: str) -> None:
+        """Order the evacuation of a database's failure domain."""
+        self.store.put(f"op/evacuate/{self.group.members[name].zone}", {})
+        self.evacuated_at.setdefault(name, time.monotonic())
+
+    def take_back(self, name: str) -> None:
+        """End the evacuation of a database's failure domain."""
+        ordered_at = self.evacuated_at.pop(name, None)
+        if ordered_at is not None:
+            self.evacuations.append(Span(name, ordered_at, time.monotonic()))
+        self.store.delete(f"op/evacuate/{self.group.members[name].zone}")
 
     def restore_store(self, copy: StoreCopy) -> None:
         """Go back to a copy of the store; the operator and the databases write again."""
         self.store.restore(copy)
-        declare(self.store, self.version, self.keys)
+        self.write_declarations()
+        for name, member in self.group.members.items():
+            if name in self.evacuated_at:
+                self.store.put(f"op/evacuate/{member.zone}", {})
+            else:
+                self.store.delete(f"op/evacuate/{member.zone}")
         self.announce()
 
     def close(self) -> None:
--- a/berylhinge/standins/declared.py
+++ b/berylhinge/standins/declared.py
@@ -9,11 +9,24 @@
     from .session_database import SessionDatabase
 
 ROUTE_TIMEOUT_MS = 1_500
+# A database that has just started gets so many statements a second, for so long.
+COLD_PER_SECOND = 20.0
+COLD_START_SECONDS = 2.0
 
 
-def declare(store: MetadataStore, version: int, keys: dict[str, str]) -> None:
+def declare(
+    store: MetadataStore,
+    version: int,
+    keys: dict[str, str],
+    *,
+    limits_cold: bool = False,
+) -> None:
     """Put one route of each kind in force; ``keys`` holds an organisation for each."""
-    store.put("op/config", declarations(version, keys))
+    document = declarations(version, keys)
+    if limits_cold:
+        cold = {"cold-per-s": COLD_PER_SECOND, "cold-start-s": COLD_START_SECONDS}
+        document["services"][0] |= cold
+    store.put("op/config", document)
 
 
 def announce(store: MetadataStore, member: SessionDatabase) -> None:
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -96,7 +96,8 @@
     """Serve one member of a group.
 
     ``deaf`` lets it receive nothing, ``silent`` lets it answer nothing, and
-    ``lost_answers`` has the statements whose next answer is lost.
+    ``lost_answers`` has the statements whose next answer is lost. A statement takes
+    ``statement_seconds``.
     """
 
     def __init__(self, group: DatabaseGroup, name: str, *, max_connections: int = 16):
@@ -113,6 +114,7 @@
         self.advertised = ""
         self.zone = "x"
         self.cold_left_ms = 0
+        self.statement_seconds = 0.0
         self.sockets: set[Any] = set()
         self.listen(0)
         group.members[name] = self
@@ -219,6 +221,8 @@
             _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
             while database.silent:
                 gevent.sleep(0.05)
+            if database.statement_seconds:
+                gevent.sleep(database.statement_seconds)
             answer = self.run(request, text) + self.ready()
             if text in database.lost_answers:
                 database.lost_answers.discard(text)
