Ask sooner about replicas that were far behind

Where a replica was half a second behind or more when it was observed, each asks after 0.3 s now while reads are expected.

--- a/berylhinge/core/pooler/database_selection.py
+++ b/berylhinge/core/pooler/database_selection.py
@@ -25,6 +25,10 @@
 # An observed log position may be older than the database's own by a heartbeat.
 OBSERVED_LAG_MARGIN_SECONDS = 0.1
 
+# A replica that follows its primary is some hundredths of a second behind; routes that
+# read replicas accept data that is a second old or more.
+BEHIND_SECONDS = 0.5
+
 
 class DatabaseObservation(NamedTuple):
     """Hold the last known state of a database.
@@ -156,6 +160,19 @@
     )
 
 
+def is_behind(
+    observation: DatabaseObservation,
+    *,
+    lag: Callable[[LogPoint], Seconds],
+    now: Seconds,
+) -> bool:
+    """Tell whether a replica was far behind, or at no known position, when observed."""
+    if observation.point is None:
+        return True
+    passed = now - observation.observed_at
+    return lag(observation.point) - passed >= BEHIND_SECONDS
+
+
 def expected_cost(
     database: Database,
     observation: DatabaseObservation,
--- a/berylhinge/core/pooler/tests/test_database_selection.py
+++ b/berylhinge/core/pooler/tests/test_database_selection.py
@@ -6,6 +6,7 @@
 from ..catalogue import Consistency, Database
 from ..database_selection import (
     DatabaseObservation,
+    is_behind,
     read_order,
     ReadRequirement,
     UNOBSERVED,
@@ -67,3 +68,20 @@
         now=10.0,
     )
     assert [entry.id for entry in order] == expected
+
+
+@pytest.mark.parametrize(
+    ("known", "age_of_position", "expected"),
+    [
+        (AT_FLOOR, 2.0, False),
+        (AT_FLOOR, 2.4, False),
+        (AT_FLOOR, 2.6, True),
+        (AT_FLOOR, float("inf"), True),
+        (UNOBSERVED, 0.0, True),
+    ],
+)
+def test_a_replica_is_behind_by_its_lag_when_observed(
+    known: DatabaseObservation, age_of_position: float, expected: bool
+) -> None:
+    # An old observation is no lag: the replica has gone on since.
+    assert is_behind(known, lag=lambda point: age_of_position, now=12.0) == expected
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
 
 from ...core.peer_contacts import PeerAddress
 from ...core.pooler.catalogue import databases_of
-from ...core.pooler.database_selection import UNOBSERVED
-from ...core.pooler.floors import newest_proof
+from ...core.pooler.database_selection import is_behind, UNOBSERVED
+from ...core.pooler.floors import lag_of, newest_proof
 from ...core.pooler.token_buckets import reached_fraction
 from ...types import DatabaseRole
 from ...wire.pooling import (
@@ -29,6 +30,7 @@
 from .starting_peers import StartingPeers
 
 if TYPE_CHECKING:
+    from ...core.pooler.catalogue import Database
     from ...types import InstanceId, Seconds
     from ..logs import Log
     from .fleet_view import FleetView
@@ -40,6 +42,9 @@
 MAX_STANDBY_PROOF_AGE_SECONDS = 0.5
 # Oldest observation of a replica's log position and queue.
 MAX_OBSERVATION_AGE_SECONDS = 1.0
+# The same where the replica was too far behind for reads: each of up to four instances
+# passes on that it has caught up.
+MAX_BEHIND_AGE_SECONDS = 0.3
 # Oldest confirmation of the declarations before the confirming instance is asked for a
 # newer one, which spares a call to the store: at a relay, which passes it on; at the
 # holder of a primary, where leases need it; and elsewhere.
@@ -219,7 +224,8 @@
             if not holders or holders[0] == self.view.own_instance:
                 for database in databases_of(self.view.databases, service):
                     observation = self.view.observations.get(database.id, UNOBSERVED)
-                    if now - observation.observed_at >= MAX_OBSERVATION_AGE_SECONDS:
+                    limit = self.observation_limit(database, now)
+                    if now - observation.observed_at >= limit:
                         due.add(self.view.holders(database)[0])
             elif self.needs_report(service, holders, now):
                 due.add(holders[0])
@@ -264,14 +270,25 @@
         Answers of the primary bring proofs but no positions of replicas. A replica whose
         known position is too old gets no reads, so its own answers bring none either.
         """
-        if now - asked_at < MAX_OBSERVATION_AGE_SECONDS:
-            return False
-        return any(
-            now - self.view.observations.get(replica.id, UNOBSERVED).observed_at
-            >= MAX_OBSERVATION_AGE_SECONDS
-            for replica in databases_of(self.view.databases, service)
-            if replica.role is DatabaseRole.REPLICA and not replica.leaving
-        )
+        for replica in databases_of(self.view.databases, service):
+            if replica.role is DatabaseRole.PRIMARY or replica.leaving:
+                continue
+            known = self.view.observations.get(replica.id, UNOBSERVED)
+            limit = self.observation_limit(replica, now)
+            if now - max(known.observed_at, asked_at) >= limit:
+                return True
+        return False
+
+    def observation_limit(self, database: Database, now: Seconds) -> Seconds:
+        """Return at which age an observation of a database is renewed."""
+        is_needed = self.view.read_demand.needs_positions(database.service)
+        if not is_needed or database.role is DatabaseRole.PRIMARY:
+            return MAX_OBSERVATION_AGE_SECONDS
+        known = self.view.observations.get(database.id, UNOBSERVED)
+        floors = self.view.floors_of(database.service)
+        if is_behind(known, lag=partial(lag_of, floors, now=now), now=now):
+            return MAX_BEHIND_AGE_SECONDS
+        return MAX_OBSERVATION_AGE_SECONDS
 
     def needs_report(
         self, service: str, holders: list[InstanceId], now: Seconds
