Look at a database that a peer takes this instance to hold

Instances that suspect different peers disagree on who holds a database. One that was asked for a database's state, but took another instance for its holder, neither looked at the database nor reported it, so that its position became unknown to those who asked. The question names the databases now; whoever is asked looks at them as their holder does and tells how old the last answer is. The new test fails without the change.

--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -355,8 +355,12 @@
                 error=str(error),
             )
 
-    def maintain(self, *, is_holder: bool) -> None:
-        """End overdue transactions and connections; renew a leadership proof."""
+    def maintain(self, *, is_holder: bool, is_asked: bool = False) -> None:
+        """End overdue transactions and connections; renew a leadership proof.
+
+        A status is also requested for a peer that ``is_asked`` tells of, which takes
+        this instance for the holder.
+        """
         now = now_seconds()
         silent_since = self.tracker.unanswered_since()
         if silent_since is not None:
@@ -379,7 +383,8 @@
                 del self.pinned_connections[key]
                 gevent.spawn(self.roll_back_and_return, pinned.connection)
         self.pool.close_expired(is_holder=is_holder)
-        if is_holder and is_status_due(self.view, self.database, self.tracker, now):
+        is_reported = is_holder or is_asked
+        if is_reported and is_status_due(self.view, self.database, self.tracker, now):
             self.probe.start()
 
     def close(self) -> None:
--- a/berylhinge/tasks/pooler/database_tracker.py
+++ b/berylhinge/tasks/pooler/database_tracker.py
@@ -43,6 +43,11 @@
         """Return the log position to report; a leadership proof takes precedence."""
         return self.leadership_proof.point if self.leadership_proof else self.point
 
+    @property
+    def answer_age_seconds(self) -> Seconds:
+        """Return how long ago the database answered, infinity if it never did."""
+        return now_seconds() - self.health.answered_at
+
     @property
     def is_unresponsive(self) -> bool:
         """Return whether the failure has lasted ``UNRESPONSIVE_SECONDS`` or longer."""
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from ...core.pooler.database_selection import UNOBSERVED
@@ -26,6 +27,9 @@
     from ..metrics import Metrics
     from .fleet_view import FleetView
 
+# Peers that take another instance for the holder of a database ask it once a second.
+ASKED_SECONDS = 2.0
+
 
 class HeldDatabases:
     """Own the database tasks of this instance."""
@@ -36,6 +40,7 @@
         self.view = view
         self.log = log
         self.tasks: dict[UpstreamId, DatabaseTask] = {}
+        self.asked_until: dict[UpstreamId, Seconds] = {}
 
     def ensure_task(self, database: UpstreamId) -> DatabaseTask | None:
         """Return a known database's task, a new one if its ``born_ms`` has changed."""
@@ -103,17 +108,20 @@
         instances need not ask the holder of each.
         """
         self.view.read_demand.request_positions(message.read_services)
+        for name in message.databases:
+            self.asked_until[name] = now_seconds() + ASKED_SECONDS
+            self.ensure_task(name)
         held = [
-            task.database_state()
+            self.own_state(task)
             for task in self.tasks.values()
-            if self.is_first_in_line(task.database.id)
+            if self.is_in_charge(task.database.id)
         ]
         held_ids = {state.database for state in held}
         led_services = {
             task.database.service
             for task in self.tasks.values()
             if task.database.role is DatabaseRole.PRIMARY
-            and self.is_holder(task.database.id)
+            and self.is_in_charge(task.database.id)
         }
         others = [
             self.reported_state(database)
@@ -159,6 +167,29 @@
             return False
         return self.view.assignment.holders(known)[0] == self.view.own_instance
 
+    def is_asked(self, database: UpstreamId) -> bool:
+        """Return whether a peer takes this instance for the holder of a database."""
+        return self.asked_until.get(database, 0.0) > now_seconds()
+
+    def is_in_charge(self, database: UpstreamId) -> bool:
+        """Return whether this instance reports what it sees of a database."""
+        if self.is_first_in_line(database):
+            return True
+        has_answered = isfinite(self.tasks[database].tracker.answer_age_seconds)
+        return (
+            has_answered and database in self.view.databases and self.is_asked(database)
+        )
+
+    def own_state(self, task: DatabaseTask) -> DatabaseState:
+        """Return the state of a database as this instance sees it.
+
+        Only what its first holder sees is the present; others tell how old it is.
+        """
+        state = task.database_state()
+        if self.is_first_in_line(task.database.id):
+            return state
+        return state._replace(age_seconds=task.tracker.answer_age_seconds)
+
     def tend(self) -> None:
         """Maintain the tasks of held databases; close those of removed databases."""
         self.view.record_tick()
@@ -166,13 +197,16 @@
         for identifier in held:
             self.ensure_task(identifier)
         for identifier, task in list(self.tasks.items()):
-            task.maintain(is_holder=identifier in held)
-            if self.is_first_in_line(identifier):
-                self.view.record_observations((task.database_state(),), now_seconds())
+            task.maintain(
+                is_holder=identifier in held, is_asked=self.is_asked(identifier)
+            )
+            if self.is_in_charge(identifier):
+                self.view.record_observations((self.own_state(task),), now_seconds())
             elif identifier in self.view.databases:
                 # A former holder no longer sees what the database does.
                 continue
             elif not task.pinned_connections and not task.slots.unanswered:
                 task.close()
                 del self.tasks[identifier]
+                self.asked_until.pop(identifier, None)
                 self.reports.update_connections([(identifier, 0)])
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
-    from ...types import InstanceId, Seconds
+    from ...types import InstanceId, Seconds, UpstreamId
     from ..logs import Log
     from .fleet_view import FleetView
 
@@ -264,6 +264,14 @@
             or (demand.needs_positions(service) and self.holds_primary_of(service))
         )
 
+    def held_by(self, peer: InstanceId) -> tuple[UpstreamId, ...]:
+        """Return the databases of which a peer is the holder as far as is known here."""
+        return tuple(
+            database.id
+            for database in self.view.databases.values()
+            if self.view.holders(database)[0] == peer
+        )
+
     def misses_replicas(self, service: str, asked_at: Seconds, now: Seconds) -> bool:
         """Return whether a replica has not been observed lately, nor asked about.
 
@@ -330,7 +338,7 @@
         try:
             report = self.links.call(
                 peer,
-                DatabaseStatesRequest(self.read_services()),
+                DatabaseStatesRequest(self.read_services(), self.held_by(peer)),
                 PROBE_TIMEOUT_SECONDS,
                 may_repeat=True,
             )
--- a/berylhinge/tasks/pooler/status_renewal.py
+++ b/berylhinge/tasks/pooler/status_renewal.py
@@ -32,7 +32,7 @@
     return (
         database.role is not DatabaseRole.PRIMARY
         and view.read_demand.needs_positions(database.service)
-        and now - tracker.health.answered_at >= POSITION_RENEWAL_SECONDS
+        and tracker.answer_age_seconds >= POSITION_RENEWAL_SECONDS
     )
 
 
--- a/berylhinge/tasks/pooler/tests/test_held_databases.py
+++ b/berylhinge/tasks/pooler/tests/test_held_databases.py
@@ -150,3 +150,24 @@
     report = former.held_databases.report_databases("n", DatabaseStatesRequest())
     points = {state.database: state.point for state in report.states}
     assert points.get("i-b", LogPoint(1, 9)) == LogPoint(1, 9)
+
+
+def test_an_instance_that_is_taken_for_the_holder_looks_at_the_database(
+    fleet: Fleet,
+) -> None:
+    # Behind a partition peers passed over a holder that this instance still took for
+    # reachable. Nobody looked at the replica, so its position was not known to anyone.
+    fleet.caller("strict").ask("WRITE item v1")
+    replica = fleet.instances[0].view.databases["i-b"]
+    name = fleet.instances[0].view.holders(replica)[0]
+    asked = next(found for found in fleet.instances if found.settings.instance != name)
+    request = DatabaseStatesRequest(("s",), ("i-b",))
+    holding = asked.held_databases
+    until = now_seconds() + 3.0
+    points: dict[str, LogPoint | None] = {}
+    while points.get("i-b") != LogPoint(1, 1) and now_seconds() < until:
+        states = holding.report_databases("n", request).states
+        points = {state.database: state.point for state in states}
+        gevent.sleep(0.1)
+    assert points["i-b"] == LogPoint(1, 1)
+    assert holding.tasks["i-b"].tracker.answer_age_seconds < 1.0
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -88,9 +88,11 @@
 
     The holder of a primary also reports the other databases of its service. Reads are
     expected of the ``read_services``, so that positions of their replicas are needed.
+    The sender takes the recipient for the holder of the ``databases``.
     """
 
     read_services: tuple[str, ...] = ()
+    databases: tuple[UpstreamId, ...] = ()
 
 
 @sent_as("Services")
