--- a/berylhinge/soak/caller_load.py
+++ b/berylhinge/soak/caller_load.py
@@ -1,4 +1,4 @@
-"""Add callers for a time: those of one organisation in haste, or idle ones."""
+"""Add callers for a time: those of one organisation without pauses, or idle ones."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     from .schedule import Fault
 
 # Twice as many as the other callers, without a pause between their operations.
-HASTY_CALLERS = 20
+BUSY_CALLERS = 20
 # Half of the connections that a database of a soak takes.
 IDLE_CALLERS = 12
 # Until an idle caller looks whether it should go.
@@ -77,7 +77,7 @@
                     record=self.record,
                     pause_seconds=0.0,
                 )
-                for number in range(HASTY_CALLERS)
+                for number in range(BUSY_CALLERS)
             ]
         self.added[fault] = callers
         self.jobs.extend(gevent.spawn(caller.run) for caller in callers)
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -257,7 +257,7 @@
     def refuse(
         self, call: RoutingRequest, reason: str, attempts: int, last: Destination | None
     ) -> RoutedResult:
-        """Refuse a statement at once that nothing in its place can run now."""
+        """Refuse a statement at once that no permitted database can run now."""
         result = not_run_result(
             call.planned_statement,
             f"what could run it of {call.route.service} {REFUSAL_TEXTS[reason]}",
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -184,11 +184,11 @@
     fleet.close()
 
 
-@pytest.fixture(params=[True, False], ids=["fenced", "unfenced"])
-def evacuating_fleet(request: pytest.FixtureRequest) -> Iterator[Fleet]:
-    """Run each database in a failure domain of its own, under a short bound."""
-    settings = {"agreed_terms": ("places",), "evacuation_ms": 3000.0}
-    fleet = Fleet(promotions_fenced=request.param, settings=settings)
+def start_zoned_fleet(
+    settings: dict[str, Any], *, promotions_fenced: bool = True
+) -> Fleet:
+    """Start two instances, and a database in each of three failure domains."""
+    fleet = Fleet(promotions_fenced=promotions_fenced, settings=settings)
     for member, zone in zip(fleet.group.members.values(), "xyz", strict=True):
         member.zone = zone
     fleet.announce()
@@ -196,6 +196,14 @@
     fleet.add_instance()
     wait_until(lambda: all(len(pooler.view.members) == 2 for pooler in fleet.instances))
     wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
+    return fleet
+
+
+@pytest.fixture(params=[True, False], ids=["fenced", "unfenced"])
+def evacuating_fleet(request: pytest.FixtureRequest) -> Iterator[Fleet]:
+    """Run each database in a failure domain of its own, under a short bound."""
+    settings = {"agreed_terms": ("places",), "evacuation_ms": 3000.0}
+    fleet = start_zoned_fleet(settings, promotions_fenced=request.param)
     yield fleet
     fleet.close()
 
@@ -203,13 +211,7 @@
 @pytest.fixture
 def two_region_fleet() -> Iterator[Fleet]:
     """Run a database in the instances' region and the others in another one."""
-    fleet = Fleet(settings={"regions": {"x": "north", "y": "south", "z": "south"}})
-    for member, zone in zip(fleet.group.members.values(), "xyz", strict=True):
-        member.zone = zone
-    fleet.announce()
-    fleet.add_instance()
-    fleet.add_instance()
-    wait_until(lambda: all(len(pooler.view.members) == 2 for pooler in fleet.instances))
-    wait_until(lambda: SETTLED_ERA_KEY in fleet.store.items)
+    regions = {"x": "north", "y": "south", "z": "south"}
+    fleet = start_zoned_fleet({"regions": regions})
     yield fleet
     fleet.close()
