Do not promote a former leader whose log has diverged

A primary was cut off with two commits that its successor had not received; the successor was promoted and committed. When it lost its registration in the store and all replicas were out of reach, the former primary was the only database reached, and it was promoted with its old log, 0.1 s after the successor had announced itself again: the two commits came back, and those of the successor were lost. Not new: the choice by the longest log reached is older than this work. A former leader without an entry of the newest known term is left out for 10 s now, and a promoter that found no primary looks again when it has the duty.

--- /dev/null
+++ b/berylhinge/core/pooler/diverged_logs.py
@@ -0,0 +1,44 @@
+"""Keep a former leader from leading again with commits that its replacement rolled back.
+
+A former leader that is cut off keeps commits that its callers were told of and that its
+successor never received. Were it promoted while the successor is out of reach, they
+would come back, and the successor's own commits would be lost.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from ...types import LogPoint, Seconds, Term, UpstreamId
+    from .leadership import LeadershipRecord
+
+# A service waits this long for its present leader, or for a replica that received
+# commits of it, before a former leader may lead again. Databases that lose their way to
+# the platform are back by then; one that is lost for good must not stop its service.
+DIVERGED_LOG_WAIT_SECONDS = 10.0
+
+
+def newest_term(points: Iterable[LogPoint | None]) -> Term:
+    """Return the newest term of some log positions, 0 if none is known."""
+    return max((point.term for point in points if point is not None), default=0)
+
+
+def diverged_leaders(
+    points: Mapping[UpstreamId, LogPoint], record: LeadershipRecord | None, term: Term
+) -> set[UpstreamId]:
+    """Return the former leaders without a commit of the newest term that is known."""
+    if record is None:
+        return set()
+    return {
+        name
+        for name, point in points.items()
+        if name in record.recorded.former and point.term < term
+    }
+
+
+def may_lead_again(waiting_since: Seconds, now: Seconds) -> bool:
+    """Tell whether a service has waited long enough for a log that has not diverged."""
+    return now - waiting_since >= DIVERGED_LOG_WAIT_SECONDS
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -44,6 +44,7 @@
 from .evacuation_moves import EvacuationMoves
 from .leader_notices import LeaderNotices
 from .leader_records import LeaderRecords
+from .returning_leaders import ReturningLeaders
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
@@ -97,6 +98,7 @@
         self.paused_until: dict[str, Seconds] = {}
         self.missing_since: dict[str, Seconds] = {}
         self.refused_orders: dict[str, RefusedOrder] = {}
+        self.returning_leaders = ReturningLeaders(view, log)
         links.register_call(ReachabilityRequest, self.answer_reachability)
 
     def watch(self) -> None:
@@ -267,6 +269,8 @@
                 refused=self.refused_orders.get(service, NO_REFUSED_ORDER),
                 now=now_seconds(),
             )
+        if pending is None:
+            points = self.returning_leaders.drop_diverged(service, points, known)
         chosen = choose_leader(
             candidates, points, known, pending, are_promotions_fenced=is_fenced
         )
@@ -282,6 +286,9 @@
             )
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
             return
+        find_returned = self.returning_leaders.find_returned
+        if primary is None and find_returned(service, known) is not None:
+            return
         recorded = next_recorded_leader(
             known,
             promoter=self.view.own_instance,
@@ -298,6 +305,10 @@
         if fence is None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
             return
+        returned = find_returned(service, known) if primary is None else None
+        if returned is not None:
+            self.record_again(service, returned.id)
+            return
         if not is_fenced:
             self.notices.end_other_leases(service, recorded, fence)
             # Without a fence at the platform nothing stops a promotion that is overtaken.
