--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -50,6 +50,8 @@
     "duty: A leader is being replaced.",
     "holder: A database leads.",
     "duty: No replica can lead.",
+    "duty: Only former leaders are reached.",
+    "duty: The primary is known again.",
     "duty: A promotion was asked for.",
 )
 PEER_MESSAGE_TYPES = (
