Keep few fills of a token bucket that is drained fast

Each grant kept the fill before it for 2 s, and copied all of them: 10,000 grants kept 10,000. Of each past slot of 50 ms only the highest fill is kept now; the bound of the property holds.

--- a/berylhinge/core/pooler/tests/test_token_buckets.py
+++ b/berylhinge/core/pooler/tests/test_token_buckets.py
@@ -13,6 +13,8 @@
     isolated_quota,
     MAX_WAIT_SECONDS,
     new_bucket,
+    PEAK_LIFETIME_SECONDS,
+    PEAK_SLOT_SECONDS,
     RateTolerance,
     reached_fraction,
     reached_quota,
@@ -215,6 +217,16 @@
     assert return_tokens(bucket, QUOTA, 3, taken_at, 10.0).tokens == tokens
 
 
+def test_a_bucket_that_is_drained_keeps_few_fills() -> None:
+    # Each of thousands of grants a second copied as many fills.
+    quota = Quota(1.0, 20_000.0)
+    bucket = new_bucket(quota, 0.0, None)
+    for step in range(10_000):
+        bucket = grant_tokens(bucket, quota, 1, step / 5_000).bucket
+    in_a_slot = 5_000 * PEAK_SLOT_SECONDS
+    assert len(bucket.peaks) <= PEAK_LIFETIME_SECONDS / PEAK_SLOT_SECONDS + in_a_slot
+
+
 @pytest.mark.parametrize("rate", [5.0, 50.0, 400.0])
 @pytest.mark.parametrize("burst_factor", [0.2, 1.0, 4.0])
 @pytest.mark.parametrize("seed", range(8))
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -37,6 +37,7 @@
 # An operation that finds no room is refused within its latency goal; its token comes
 # back with the next request to the rate owner.
 PEAK_LIFETIME_SECONDS = 2.0
+PEAK_SLOT_SECONDS = 0.05
 
 
 class FillPeak(NamedTuple):
@@ -186,15 +187,27 @@
 def updated_peaks(
     bucket: TokenBucket, tokens: float, now: Seconds
 ) -> tuple[FillPeak, ...]:
-    """Return the highest fills of a bucket that holds that many tokens now."""
+    """Return the highest fills of a bucket that holds that many tokens now.
+
+    Of each past slot of time only the highest is kept, so that they stay few.
+    """
     kept = [
         peak
         for peak in bucket.peaks
         if peak.tokens > tokens and peak.at > now - PEAK_LIFETIME_SECONDS
     ]
+    if kept and slot_of(kept[-1].at) != slot_of(now):
+        slot = [peak for peak in kept if slot_of(peak.at) == slot_of(kept[-1].at)]
+        kept = kept[: -len(slot)]
+        kept.append(FillPeak(slot[-1].at, slot[0].tokens))
     return (*kept, FillPeak(now, tokens))
 
 
+def slot_of(moment: Seconds) -> int:
+    """Return the number of a moment's slot of time."""
+    return int(moment // PEAK_SLOT_SECONDS)
+
+
 def spare_tokens(
     bucket: TokenBucket, quota: Quota, requested: int, instances: int
 ) -> int:
