--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -49,6 +49,8 @@
     "duty: A primary was looked at.": lines.PrimaryProbed,
     "duty: A leader is being replaced.": lines.LeaderReplacing,
     "duty: No replica can lead.": lines.NoPromotableReplica,
+    "duty: Only former leaders are reached.": lines.FormerLeadersReached,
+    "duty: The primary is known again.": lines.PrimaryReturned,
     "duty: The duty was not taken.": lines.DutyClaimFailed,
     "duty: Another instance has the duty.": lines.ServiceLogLine,
     "duty: A lost record of a leader was written again.": lines.LeaderRecordedAgain,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -327,6 +327,23 @@
     pending_seconds: float | None
 
 
+class FormerLeadersReached(ServiceLogLine):
+    """Report that only former leaders are reached, whose logs have diverged.
+
+    They lack ``newest_term``; one of them may lead again after a while.
+    """
+
+    points: dict[str, str]
+    newest_term: int
+    waited_seconds: float
+
+
+class PrimaryReturned(ServiceLogLine):
+    """Report that a missing primary is known again and is not replaced."""
+
+    database: str
+
+
 class DutyClaimFailed(ServiceLogLine):
     """Report why the store call that claims the promotion duty failed."""
 
