Count the wait for a leader with the newest term anew each time

The wait of a service began when only diverged former leaders were reached for the first time, and ended only when another database was reached by a promoter; after the primary had come back by itself, the next loss found it long over. A wait that was not looked at for as long as it lasts is over now.

--- a/berylhinge/core/pooler/diverged_logs.py
+++ b/berylhinge/core/pooler/diverged_logs.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -21,6 +21,13 @@
 DIVERGED_LOG_WAIT_SECONDS = 10.0
 
 
+class DivergedWait(NamedTuple):
+    """Hold since when only diverged former leaders are reached, and the last look."""
+
+    since: Seconds
+    looked_at: Seconds
+
+
 def newest_term(points: Iterable[LogPoint | None]) -> Term:
     """Return the newest term of some log positions, 0 if none is known."""
     return max((point.term for point in points if point is not None), default=0)
@@ -39,6 +46,16 @@
     }
 
 
-def may_lead_again(waiting_since: Seconds, now: Seconds) -> bool:
+def continue_wait(wait: DivergedWait | None, now: Seconds) -> DivergedWait:
+    """Return the wait of a service of which only diverged former leaders are reached.
+
+    One that was not looked at for as long as it lasts is over.
+    """
+    if wait is None or now - wait.looked_at >= DIVERGED_LOG_WAIT_SECONDS:
+        return DivergedWait(now, now)
+    return wait._replace(looked_at=now)
+
+
+def may_lead_again(wait: DivergedWait) -> bool:
     """Tell whether a service has waited long enough for a log that has not diverged."""
-    return now - waiting_since >= DIVERGED_LOG_WAIT_SECONDS
+    return wait.looked_at - wait.since >= DIVERGED_LOG_WAIT_SECONDS
--- a/berylhinge/core/pooler/homes.py
+++ b/berylhinge/core/pooler/homes.py
@@ -46,8 +46,9 @@
     declared = declarations.homes.get(organisation, frozenset())
     if not route.homes and not declared:
         return ANYWHERE
-    both = route.homes & declared if route.homes and declared else None
-    return Homes(route.homes | declared if both is None else both, domain_regions)
+    do_both_declare = route.homes and declared
+    regions = route.homes & declared if do_both_declare else route.homes | declared
+    return Homes(regions, domain_regions)
 
 
 def home_holders(
--- a/berylhinge/core/pooler/tests/test_diverged_logs.py
+++ b/berylhinge/core/pooler/tests/test_diverged_logs.py
@@ -4,8 +4,8 @@
 
 from ....types import LogPoint
 from ..diverged_logs import (
+    continue_wait,
     diverged_leaders,
-    DIVERGED_LOG_WAIT_SECONDS,
     may_lead_again,
     newest_term,
 )
@@ -41,6 +41,21 @@
     assert newest_term([None]) == 0
 
 
-def test_a_service_does_not_wait_for_ever() -> None:
-    assert not may_lead_again(5.0, 5.0 + DIVERGED_LOG_WAIT_SECONDS - 0.1)
-    assert may_lead_again(5.0, 5.0 + DIVERGED_LOG_WAIT_SECONDS)
+@pytest.mark.parametrize(
+    ("looks", "expected"),
+    [
+        ([0.0, 4.0, 9.9], False),
+        ([0.0, 4.0, 10.0], True),
+        # The primary came back, and is lost again.
+        ([0.0, 4.0, 90.0], False),
+        ([0.0, 4.0, 90.0, 95.0, 100.0], True),
+    ],
+)
+def test_a_service_waits_for_a_while_each_time(
+    looks: list[float], expected: bool
+) -> None:
+    wait = None
+    for now in looks:
+        wait = continue_wait(wait, now)
+    assert wait is not None
+    assert may_lead_again(wait) == expected
--- a/berylhinge/tasks/pooler/returning_leaders.py
+++ b/berylhinge/tasks/pooler/returning_leaders.py
@@ -7,7 +7,9 @@
 from ...core.pooler.catalogue import databases_of
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.diverged_logs import (
+    continue_wait,
     diverged_leaders,
+    DivergedWait,
     may_lead_again,
     newest_term,
 )
@@ -18,7 +20,7 @@
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
     from ...core.pooler.leadership import LeadershipRecord
-    from ...types import LogPoint, Seconds, UpstreamId
+    from ...types import LogPoint, UpstreamId
     from ..logs import Log
     from .fleet_view import FleetView
 
@@ -30,7 +32,7 @@
         """Start without a service that waits."""
         self.view = view
         self.log = log
-        self.waiting_since: dict[str, Seconds] = {}
+        self.waits: dict[str, DivergedWait] = {}
 
     def drop_diverged(
         self,
@@ -49,18 +51,18 @@
         diverged = diverged_leaders(points, record, term)
         left = {name: point for name, point in points.items() if name not in diverged}
         if left or not diverged:
-            self.waiting_since.pop(service, None)
+            self.waits.pop(service, None)
             return left
         now = now_seconds()
-        waiting_since = self.waiting_since.setdefault(service, now)
+        wait = self.waits[service] = continue_wait(self.waits.get(service), now)
         self.log.info(
             "Only former leaders are reached.",
             service=service,
             points={name: str(point) for name, point in points.items()},
             newest_term=term,
-            waited_seconds=round(now - waiting_since, 3),
+            waited_seconds=round(now - wait.since, 3),
         )
-        return points if may_lead_again(waiting_since, now) else {}
+        return points if may_lead_again(wait) else {}
 
     def find_returned(
         self, service: str, record: LeadershipRecord | None
