--- a/berylhinge/standins/tests/test_database.py
+++ b/berylhinge/standins/tests/test_database.py
@@ -61,7 +61,10 @@
 def test_a_replica_answers_reads_and_refuses_writes(group, caller):
     caller.write(INSERT, "Miso")
     replica = Caller(group.databases[1].data)
-    eventually(lambda: replica.read().cats == ["Miso"])
+    # The replica has no table until it has received the statement that creates it.
+    eventually(
+        lambda: (answer := replica.read()).status == 200 and answer.cats == ["Miso"]
+    )
     refused = replica.write(INSERT, "Tofu")
     assert (refused.error, refused.body["ran"]) == ("not-primary", False)
 
