Refill a bucket by the granted part of the rate when tokens return

A rate owner that reaches a part of the fleet grants that part of a rate, but the return of a token refilled its bucket by the whole rate since the last change: 201 tokens in the new test, in which a fiftieth of 200/s is reached for a second, where 5 are allowed. The return counts with the granted part now.

--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -211,8 +211,9 @@
         """Put tokens back into a bucket that this instance owns."""
         bucket = self.owned_buckets.get(organisation)
         if bucket is not None:
+            granted = reached_quota(quota, self.reached_fraction())
             self.owned_buckets[organisation] = return_tokens(
-                bucket, quota, count, taken_at, now_seconds()
+                bucket, granted, count, taken_at, now_seconds()
             )
 
     def admit_waiting(self, organisation: OrganisationId) -> None:
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -124,6 +124,18 @@
         limiter.return_token("o", admission)
 
 
+def test_a_return_refills_no_more_than_the_part_of_the_rate_that_is_granted() -> None:
+    # Parts of a partitioned fleet would have granted the whole rate each.
+    limiter = make_limiter(Owners([]))
+    limiter.reached_fraction = lambda: 0.02
+    now = now_seconds()
+    limiter.owned_buckets["o"] = TokenBucket(0.0, now - 1.0, now - 10.0)
+    limiter.return_token("o", Admission(True, 0.0, owner="own", taken_at=now))
+    # A token, and what a fiftieth of the rate adds in a second.
+    expected = 1.0 + QUOTA.rate * 0.02
+    assert limiter.owned_buckets["o"].tokens == pytest.approx(expected, abs=1.0)
+
+
 def test_tokens_are_returned_to_their_owner_with_the_next_request() -> None:
     owner = GrantingOwner()
     limiter = make_limiter(owner)
