Compute shared values of the hard-load parts in one place

No change of behaviour. The refill of a bucket, the lag of an observed replica, the texts of a list of the configuration, the expected leader of a service and whether an instance holds a database were each written twice. The homes of all others were united for each entry, and an instance decided twice for each report which databases it is in charge of. Whether a replica's lag is looked at is decided after the cheaper check of its age.

--- a/berylhinge/core/pooler/database_selection.py
+++ b/berylhinge/core/pooler/database_selection.py
@@ -153,10 +153,9 @@
         return False
     if observation.point >= requirement.floor:
         return True
-    passed = now - observation.observed_at
+    observed_lag = lag_when_observed(observation, observation.point, lag, now)
     return (
-        lag(observation.point) - passed + OBSERVED_LAG_MARGIN_SECONDS
-        < requirement.max_staleness_seconds
+        observed_lag + OBSERVED_LAG_MARGIN_SECONDS < requirement.max_staleness_seconds
     )
 
 
@@ -169,8 +168,18 @@
     """Tell whether a replica was far behind, or at no known position, when observed."""
     if observation.point is None:
         return True
-    passed = now - observation.observed_at
-    return lag(observation.point) - passed >= BEHIND_SECONDS
+    observed_lag = lag_when_observed(observation, observation.point, lag, now)
+    return observed_lag >= BEHIND_SECONDS
+
+
+def lag_when_observed(
+    observation: DatabaseObservation,
+    point: LogPoint,
+    lag: Callable[[LogPoint], Seconds],
+    now: Seconds,
+) -> Seconds:
+    """Return how far behind its known position was when a replica was observed there."""
+    return lag(point) - (now - observation.observed_at)
 
 
 def expected_cost(
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -135,9 +135,7 @@
     bucket: TokenBucket, quota: Quota, requested: int, now: Seconds
 ) -> BucketGrant:
     """Take whole tokens, reserving those that arrive within the maximum wait."""
-    passed = max(0.0, now - bucket.updated_at)
-    size = max(quota.burst, 1.0)
-    tokens = min(size, bucket.tokens + passed * quota.rate)
+    tokens = refilled_tokens(bucket, quota, now)
     peaks = updated_peaks(bucket, tokens, now)
     is_new = now - bucket.created_at < NEW_BUCKET_SECONDS
     reserved = quota.rate * MAX_WAIT_SECONDS
@@ -147,6 +145,7 @@
         kept = bucket._replace(tokens=left, updated_at=now, peaks=peaks)
         return BucketGrant(kept, given, 0.0, 1.0)
     wait = max(0.0, -left) / quota.rate if given else 0.0
+    passed = max(0.0, now - bucket.updated_at)
     awaited = max(0.0, bucket.awaited - passed * quota.rate)
     retry = 0.0
     if refused:
@@ -167,8 +166,7 @@
     """
     if taken_at <= max(bucket.created_at, now - PEAK_LIFETIME_SECONDS):
         return bucket
-    passed = max(0.0, now - bucket.updated_at)
-    tokens = min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
+    tokens = refilled_tokens(bucket, quota, now)
     peaks = updated_peaks(bucket, tokens, now)
     since = [peak for peak in peaks if peak.at > taken_at]
     highest = max([tokens, *(peak.tokens for peak in since)])
@@ -184,6 +182,12 @@
     )
 
 
+def refilled_tokens(bucket: TokenBucket, quota: Quota, now: Seconds) -> float:
+    """Return how many tokens a bucket holds now."""
+    passed = max(0.0, now - bucket.updated_at)
+    return min(max(quota.burst, 1.0), bucket.tokens + passed * quota.rate)
+
+
 def updated_peaks(
     bucket: TokenBucket, tokens: float, now: Seconds
 ) -> tuple[FillPeak, ...]:
--- a/berylhinge/platform/configuration_check.py
+++ b/berylhinge/platform/configuration_check.py
@@ -244,10 +244,13 @@
     """Yield routes and tenants whose homes exclude those of all that could use them."""
     for section, others in (("routes", "tenants"), ("tenants", "routes")):
         allowed = [homes_in(entry) for _, entry in entries_of(document, others)]
+        if not allowed or not all(allowed):
+            # An entry without homes may be used anywhere.
+            continue
+        reachable = set().union(*allowed)
         for path, entry in entries_of(document, section):
             homes = homes_in(entry)
-            # An entry without homes may be used anywhere.
-            if homes and allowed and all(allowed) and not homes & set().union(*allowed):
+            if homes and not homes & reachable:
                 got = ", ".join(sorted(homes))
                 expected = f"a home of one of the {others}"
                 remedy = "add a home that both have"
@@ -322,20 +325,20 @@
 
 def keys_of(tenant: dict[str, Any]) -> list[str]:
     """Return the keys of a tenant that are texts."""
-    keys = tenant.get(KEYS_FIELD)
-    return (
-        [key for key in keys if isinstance(key, str)] if isinstance(keys, list) else []
-    )
+    return texts_in(tenant, KEYS_FIELD)
 
 
 def homes_in(entry: dict[str, Any]) -> set[str]:
     """Return the home regions of a route or tenant that are texts."""
-    homes = entry.get(HOMES_FIELD)
-    return (
-        {home for home in homes if isinstance(home, str)}
-        if isinstance(homes, list)
-        else set()
-    )
+    return set(texts_in(entry, HOMES_FIELD))
+
+
+def texts_in(entry: dict[str, Any], field: str) -> list[str]:
+    """Return the texts of a list, none if it is no list."""
+    value = entry.get(field)
+    if not isinstance(value, list):
+        return []
+    return [text for text in value if isinstance(text, str)]
 
 
 def number_of(entry: dict[str, Any], field: str, default: float | None) -> float | None:
--- a/berylhinge/tasks/pooler/cold_limit.py
+++ b/berylhinge/tasks/pooler/cold_limit.py
@@ -78,11 +78,7 @@
         """Return how many requests a second the database may get, None for any."""
         if not self.is_limited(database):
             return None
-        is_holder = (
-            self.view.is_confirmed()
-            and self.view.holders(database)[0] == self.view.own_instance
-        )
-        if not is_holder:
+        if not self.view.is_confirmed() or not self.view.is_held_here(database):
             return 0
         service = self.view.declarations.services[database.service]
         return cold_start.requests_allowed(
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -113,7 +113,7 @@
         is_away = has_no_home(
             self.view.databases,
             service,
-            self.view.primary_of(service) or self.view.next_leader_of(service),
+            self.view.expected_leader_of(service),
             self.homes_of(call),
             reads_replicas=may_run_at_replica(call),
         )
@@ -139,7 +139,7 @@
         While another database takes over, its holder keeps the statement until then.
         """
         service = call.route.service
-        database = self.view.primary_of(service) or self.view.next_leader_of(service)
+        database = self.view.expected_leader_of(service)
         if database is None or not self.view.may_take_work(database):
             return None
         if not homes.includes(database.failure_domain):
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -147,6 +147,10 @@
         """Return the recorded leader of a service that no database leads yet."""
         return next_leader_of(self.databases, service, self.leadership.get(service))
 
+    def expected_leader_of(self, service: str) -> Database | None:
+        """Return the primary of a service, or the database that is to lead it."""
+        return self.primary_of(service) or self.next_leader_of(service)
+
     def is_next_leader(self, database: Database) -> bool:
         """Return whether a database is to lead its service and does not yet."""
         found = self.next_leader_of(database.service)
@@ -252,6 +256,10 @@
             ]
         return found
 
+    def is_held_here(self, database: Database) -> bool:
+        """Return whether this instance is the rightful holder of a database."""
+        return self.holders(database)[0] == self.own_instance
+
     def shares_slots_fairly(self, service: str) -> bool:
         """Return whether organisations compete for a service's slots by shares."""
         return self.slot_sharing.applies_to(service, self.declarations)
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -111,17 +111,15 @@
         for name in message.databases:
             self.asked_until[name] = now_seconds() + ASKED_SECONDS
             self.ensure_task(name)
-        held = [
-            self.own_state(task)
-            for task in self.tasks.values()
-            if self.is_in_charge(task.database.id)
+        reported = [
+            task for name, task in self.tasks.items() if self.is_in_charge(name)
         ]
+        held = [self.own_state(task) for task in reported]
         held_ids = {state.database for state in held}
         led_services = {
             task.database.service
-            for task in self.tasks.values()
+            for task in reported
             if task.database.role is DatabaseRole.PRIMARY
-            and self.is_in_charge(task.database.id)
         }
         others = [
             self.reported_state(database)
@@ -158,7 +156,7 @@
         known = self.view.databases.get(database)
         if known is None or not self.view.is_confirmed():
             return False
-        return self.view.holders(known)[0] == self.view.own_instance
+        return self.view.is_held_here(known)
 
     def is_first_in_line(self, database: UpstreamId) -> bool:
         """Return whether a database is this instance's to hold, even if given up now."""
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -181,10 +181,7 @@
     def holds_primary_of(self, service: str) -> bool:
         """Return whether this instance is the rightful holder of a service's primary."""
         primary = self.view.primary_of(service)
-        return (
-            primary is not None
-            and self.view.holders(primary)[0] == self.view.own_instance
-        )
+        return primary is not None and self.view.is_held_here(primary)
 
     def spawn_probe(self, peer: InstanceId) -> gevent.Greenlet:
         """Probe one instance in a task of its own."""
@@ -223,9 +220,7 @@
             holders = [] if primary is None else self.view.holders(primary)
             if not holders or holders[0] == self.view.own_instance:
                 for database in databases_of(self.view.databases, service):
-                    observation = self.view.observations.get(database.id, UNOBSERVED)
-                    limit = self.observation_limit(database, now)
-                    if now - observation.observed_at >= limit:
+                    if self.is_news_due(database, float("-inf"), now):
                         due.add(self.view.holders(database)[0])
             elif self.needs_report(service, holders, now):
                 due.add(holders[0])
@@ -278,25 +273,24 @@
         Answers of the primary bring proofs but no positions of replicas. A replica whose
         known position is too old gets no reads, so its own answers bring none either.
         """
-        for replica in databases_of(self.view.databases, service):
-            if replica.role is DatabaseRole.PRIMARY or replica.leaving:
-                continue
-            known = self.view.observations.get(replica.id, UNOBSERVED)
-            limit = self.observation_limit(replica, now)
-            if now - max(known.observed_at, asked_at) >= limit:
-                return True
-        return False
-
-    def observation_limit(self, database: Database, now: Seconds) -> Seconds:
-        """Return at which age an observation of a database is renewed."""
-        is_needed = self.view.read_demand.needs_positions(database.service)
-        if not is_needed or database.role is DatabaseRole.PRIMARY:
-            return MAX_OBSERVATION_AGE_SECONDS
+        return any(
+            self.is_news_due(database, asked_at, now)
+            for database in databases_of(self.view.databases, service)
+            if database.role is DatabaseRole.REPLICA and not database.leaving
+        )
+
+    def is_news_due(self, database: Database, asked_at: Seconds, now: Seconds) -> bool:
+        """Return whether a database was neither observed lately nor asked about."""
         known = self.view.observations.get(database.id, UNOBSERVED)
+        age = now - max(known.observed_at, asked_at)
+        if age >= MAX_OBSERVATION_AGE_SECONDS:
+            return True
+        if age < MAX_BEHIND_AGE_SECONDS or database.role is DatabaseRole.PRIMARY:
+            return False
         floors = self.view.floors_of(database.service)
-        if is_behind(known, lag=partial(lag_of, floors, now=now), now=now):
-            return MAX_BEHIND_AGE_SECONDS
-        return MAX_OBSERVATION_AGE_SECONDS
+        return self.view.read_demand.needs_positions(database.service) and is_behind(
+            known, lag=partial(lag_of, floors, now=now), now=now
+        )
 
     def needs_report(
         self, service: str, holders: list[InstanceId], now: Seconds
