Draw the runs of a soak and start its callers in one place

No change of what a seed plays. The test and the command each drew a case, and the callers of faults were made beside the usual ones with the same arguments; the class that held them was a tuple of lists that were changed.

--- a/berylhinge/cli/soak.py
+++ b/berylhinge/cli/soak.py
@@ -52,18 +52,10 @@
 ) -> None:
     """Play RUNS seeds one after the other, each a script of faults."""
     failed = 0
-    names = [f"n{number}" for number in range(instances)]
     for number in range(seed, seed + runs):
         # Every other seed plays a deployment that asks for all features.
         terms = FEATURE_TERMS if number % 2 else ()
-        planned = plan(
-            number,
-            seconds=seconds,
-            instances=names,
-            databases=DATABASES,
-            has_features=bool(terms),
-        )
-        case = Case(number, seconds, instances, "", tuple(planned), terms)
+        case = draw_case(number, seconds, instances, terms)
         if play(case, keep):
             continue
         failed += 1
@@ -93,6 +85,20 @@
     return case._replace(faults=tuple(shrink(case.faults, fails)))
 
 
+def draw_case(
+    seed: int, seconds: float, instances: int, terms: tuple[str, ...]
+) -> Case:
+    """Return a seed's run, with the faults that the agreed terms call for."""
+    planned = plan(
+        seed,
+        seconds=seconds,
+        instances=[f"n{number}" for number in range(instances)],
+        databases=DATABASES,
+        has_features=bool(terms),
+    )
+    return Case(seed, seconds, instances, "", tuple(planned), terms)
+
+
 def play(case: Case, keep: Path | None) -> bool:
     """Play a case and print what came of it; keep the logs of a failed one."""
     with tempfile.TemporaryDirectory(prefix="berylhinge-soak-") as name:
--- a/berylhinge/soak/soak.py
+++ b/berylhinge/soak/soak.py
@@ -11,8 +11,8 @@
 
 from ..standins.line_session import LineSession, Lost
 from . import faults
-from .caller_load import ExtraCallers
-from .callers import Caller
+from .caller_load import CallerLoad
+from .callers import PAUSE_SECONDS
 from .history import Observed, Operation, Outcome
 from .judge import judge, Seen
 from .schedule import ON_CALLERS, undisturbed_span
@@ -86,24 +86,13 @@
         front = world.instances[rng.choice(names)].front
         return "127.0.0.1", front.server.server_port
 
-    callers = [
-        Caller(
-            number,
-            Random(f"{seed}/{number}"),
-            address=address,
-            keys=world.keys.copy(),
-            record=recorded.append,
-        )
-        for number in range(CALLERS)
-    ]
-    jobs = [gevent.spawn(caller.run) for caller in callers]
-    extra = ExtraCallers(address, world.keys.copy(), recorded.append, seed, {}, [])
+    load = CallerLoad(address, world.keys.copy(), recorded.append, seed)
+    load.start(load.make_callers(range(CALLERS), load.keys, PAUSE_SECONDS))
     started_at = time.monotonic()
-    apply_all(world, extra, planned, started_at, seconds)
+    apply_all(world, load, planned, started_at, seconds)
     probes = recover(world)
-    for caller in callers:
-        caller.stopping = True
-    gevent.joinall([*jobs, *extra.jobs], timeout=LAST_SECONDS, raise_error=True)
+    load.stop()
+    gevent.joinall(load.jobs, timeout=LAST_SECONDS, raise_error=True)
     group = world.group
     evacuations = [
         undisturbed_span(span, planned, started_at) for span in world.evacuations
@@ -127,7 +116,7 @@
 
 def apply_all(
     world: World,
-    extra: ExtraCallers,
+    load: CallerLoad,
     planned: Sequence[Fault],
     started_at: float,
     seconds: float,
@@ -136,7 +125,7 @@
     moments: list[tuple[float, Callable[[Fault], None], Fault]] = []
     for fault in planned:
         if fault.kind in ON_CALLERS:
-            begin, end = extra.begin, extra.end
+            begin, end = load.begin, load.end
         else:
             begin, end = partial(faults.begin, world), partial(faults.end, world)
         moments += [(fault.at, begin, fault), (fault.ends_at, end, fault)]
--- a/berylhinge/soak/tests/test_soak.py
+++ b/berylhinge/soak/tests/test_soak.py
@@ -10,12 +10,11 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from ...cli.soak import main, play
+from ...cli.soak import draw_case, main, play
 from ...platform.terms import FEATURE_TERMS
 from ..cases import Case, read_case, write_case
 from ..proxy import LoopbackProxy
-from ..schedule import Fault, plan
-from ..world import DATABASES
+from ..schedule import Fault
 
 CASES = sorted((Path(__file__).parents[1] / "kept").glob("*.json"))
 
@@ -89,16 +88,7 @@
 @pytest.mark.parametrize("terms", [(), FEATURE_TERMS])
 def test_a_fresh_seed_keeps_every_promise(terms: tuple[str, ...]) -> None:
     seed = random.SystemRandom().randrange(10**6)
-    names = ["n0", "n1", "n2"]
-    faults = plan(
-        seed,
-        seconds=8.0,
-        instances=names,
-        databases=DATABASES,
-        has_features=bool(terms),
-    )
-    case = Case(seed, 8.0, 3, "", tuple(faults), terms)
-    assert play(case, None), f"seed {seed}"
+    assert play(draw_case(seed, 8.0, 3, terms), None), f"seed {seed}"
 
 
 @pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
