Show that one session's flood stops an instance

Cause: statements that are answered locally are handled in a loop that never yields, so a client that sends without waiting keeps the process from all else.

Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+cd "$(dirname "$0")"
+exec python3 run.py
