--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,11 +12,11 @@
 # transactions of up to 12 statements with pauses between them.
 BUDGET_SECONDS = 6.0
 WORK_SECONDS = 0.1
-PAUSE_SECONDS = 0.3
+PAUSE_SECONDS = 0.4
 STATEMENTS = 12
-SESSIONS = 16
+SESSIONS = 20
 # Half of the transactions begin before the SIGTERM.
-BEGIN_AFTER_SECONDS = (-0.3, 1.2)
+BEGIN_AFTER_SECONDS = (-0.45, 1.2)
 GRACE_SECONDS = 6.0
 
 
--- a/review/earlier/standins/world.py
+++ b/review/earlier/standins/world.py
@@ -16,7 +16,7 @@
 from databases import Group
 from platform_standin import Promotions, Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 ZONES = ("oslo-a", "oslo-b", "bergen-a")
 # Bounds of the site kattevakt-pool.
 BOUNDS = {
