End lines at CR LF only, and refuse what does not fit into one

Cause: LineBuffer split at every line feed, whether or not a carriage return came before it. The statements reached the databases with a CR LF of their own, so the instance had split them and not the database.

Change: platform/line_framing holds what ends a line, for callers and databases alike, and refuses to encode a CR LF in any field or a blank in one that is not the last. A holder refuses such a statement as `unsendable` before anything is sent; an entry of a database whose service or id is no field names no database; requests for a status pass over organisations whose name is no field. Bytes that are not UTF-8 are MALFORMED; they ended the session without an answer. The stand-in of the databases ended lines at a line feed too, which hid the fault; it is corrected.

--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -38,6 +38,7 @@
     "holder: A database answers again.": lines.DatabaseLogLine,
     "holder: A database leads.": lines.DatabaseLeads,
     "holder: A statement got no slot.": load_lines.SlotRefused,
+    "holder: A statement cannot be sent as one line.": lines.UnsendableStatement,
     "holder: A rollback had no answer; closed.": lines.RollbackUnanswered,
     "peers: A peer is silent.": lines.PeerUnresponsive,
     "peers: A peer answers again.": lines.PeerLogLine,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -385,3 +385,11 @@
     points: dict[str, str]
     outcome: str
     took_seconds: float
+
+
+class UnsendableStatement(InstanceLogLine):
+    """Report what of a statement does not fit into one line of the protocol."""
+
+    request_id: str
+    organisation: str
+    detail: str
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -18,6 +18,7 @@
 )
 from ..tasks.http_server import parse_address
 from ..types import DatabaseRole, FailureDomainId, Seconds
+from .line_framing import check_field
 
 CONFIGURATION_KEY = "op/config"
 DATABASES_PREFIX = "servers/"
@@ -175,6 +176,8 @@
     """Decode a database's announcement, or return why it is not usable."""
     try:
         entry = msgspec.json.decode(value, type=DatabaseDocument)
+        for name in (identifier, entry["service"]):
+            check_field(name)
         ip_address(parse_address(entry["address"]).host)
         return Success(
             Database(
--- a/berylhinge/platform/line_protocol.py
+++ b/berylhinge/platform/line_protocol.py
@@ -1,11 +1,12 @@
 """Translate the platform's line protocol for sessions.
 
-Callers and databases use the same lines: a word, fields separated by spaces, CR LF.
+Callers and databases use the same lines: a word and fields separated by spaces; see
+``line_framing`` for what ends a line.
 """
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, TYPE_CHECKING
 
 from ..core.pooler.statements import (
     Begin,
@@ -22,10 +23,16 @@
     Statement,
 )
 from ..types import AccessMode, DatabaseRole, LogPoint
+from .line_framing import encode_line, is_field, is_sendable, is_text
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..wire.pooling import ExecuteRequest
 
-# The platform's limit for one message.
-MAX_LINE_BYTES = 1 << 20
 NO_POINT = "-"
+# Who connects for a statement of the proxy's own if no organisation is known.
+NO_ORGANISATION = "-"
 
 CODE_BY_WORD = {
     "BUSY": ErrorCode.BUSY,
@@ -68,48 +75,17 @@
     """End the session."""
 
 
-class LineTooLong(Exception):
-    """Report a message that exceeds ``MAX_LINE_BYTES``."""
-
-
-class LineBuffer:
-    """Split a byte stream into lines."""
-
-    __slots__ = ("buffer", "scanned")
-
-    def __init__(self) -> None:
-        """Start with an empty buffer."""
-        self.buffer = bytearray()
-        self.scanned = 0
-
-    def feed(self, data: bytes) -> list[str]:
-        """Add bytes and return the lines that are complete; raise LineTooLong."""
-        self.buffer += data
-        end = self.buffer.rfind(b"\n", self.scanned)
-        if end < 0:
-            self.scanned = len(self.buffer)
-            if self.scanned > MAX_LINE_BYTES:
-                raise LineTooLong
-            return []
-        complete_part = bytes(self.buffer[:end])
-        del self.buffer[: end + 1]
-        self.scanned = len(self.buffer)
-        text = complete_part.decode("utf-8", "surrogateescape")
-        lines = [line.removesuffix("\r") for line in text.split("\n")]
-        if any(len(line) > MAX_LINE_BYTES for line in lines):
-            raise LineTooLong
-        return lines
-
-
 def parse_caller_line(line: str) -> Start | Query | Terminate | Malformed:
     """Parse a line of a caller."""
+    if not is_text(line):
+        return Malformed("", "got bytes that are not UTF-8, expected text")
     word, _, rest = line.partition(" ")
     if word == "QUERY":
         request, _, text = rest.partition(" ")
         return Query(parse_statement(request, text))
     if word == "START":
         name, _, key = rest.partition(" ")
-        return Start(name, key.strip())
+        return Start(name, key.strip(" "))
     if word == "TERMINATE":
         return Terminate()
     return Malformed("", "expected START, QUERY or TERMINATE")
@@ -146,11 +122,6 @@
     return Malformed(request, f"got {word[:20]!r}, expected a statement's text")
 
 
-def encode_line(*parts: str) -> bytes:
-    """Join the parts into one line."""
-    return (" ".join(parts) + "\r\n").encode("utf-8", "surrogateescape")
-
-
 def ready_line(state: str, point: LogPoint | None) -> bytes:
     """Return the line that ends an answer; ``state`` is the session's."""
     return encode_line("READY", STATE_LETTERS[state], format_point(point))
@@ -216,6 +187,30 @@
     return encode_line("QUERY", request or "-", "AFTER", format_point(after), text)
 
 
+def find_unsendable(request: ExecuteRequest) -> str:
+    """Name what of a request cannot be sent in one line; empty if all can."""
+    texts = {"text": request.text}
+    texts.update(
+        (f"value of {name!r}", value) for name, value in request.values.items()
+    )
+    texts.update(
+        (f"template of {name!r}", shape.template)
+        for name, shape in request.prepared.items()
+    )
+    fields = {"id": request.request, "organisation": request.organisation}
+    fields.update((f"name {name!r}", name) for name in request.values)
+    unsendable = (
+        *(label for label, field in fields.items() if not is_field(field)),
+        *(label for label, text in texts.items() if not is_sendable(text)),
+    )
+    return next(iter(unsendable), "")
+
+
+def status_organisation(organisations: Iterable[str]) -> str:
+    """Return an organisation to connect for when the proxy asks for a status."""
+    return next(filter(is_field, organisations), NO_ORGANISATION)
+
+
 def set_text(name: str, value: str) -> str:
     """Return the text that sets a session value."""
     return f"SET {name} {value}"
--- a/berylhinge/platform/tests/test_line_protocol.py
+++ b/berylhinge/platform/tests/test_line_protocol.py
@@ -18,14 +18,8 @@
 )
 from ...types import AccessMode, DatabaseRole, LogPoint
 from .. import line_protocol
-from ..line_protocol import (
-    LineBuffer,
-    LineTooLong,
-    parse_answer,
-    parse_caller_line,
-    Query,
-    Start,
-)
+from ..line_framing import LineBuffer
+from ..line_protocol import parse_answer, parse_caller_line, Query, Start
 
 
 @pytest.mark.parametrize(
@@ -50,6 +44,14 @@
         ),
         ("QUERY 5c EXECUTE s1 1a4 xk q", Query(Execute("5c", "s1", "1a4 xk q"))),
         ("QUERY 5c DEALLOC s1", Query(Deallocate("5c", "s1"))),
+        # A line feed that no carriage return precedes is part of a field.
+        (
+            "QUERY 5c WRITE 1a x\nQUERY 5d WRITE 1b y",
+            Query(
+                DataStatement("5c", AccessMode.WRITE, "WRITE 1a x\nQUERY 5d WRITE 1b y")
+            ),
+        ),
+        ("START lepu270 u3f1\n", Start("lepu270", "u3f1\n")),
     ],
 )
 def test_callers_lines(line: str, expected: object) -> None:
@@ -71,6 +73,7 @@
         "QUERY 5c STATUS",
         "QUERY 5c DEMOTE 9",
         "QUERY 5c PREPARE s1 DROP q",
+        "QUERY 5c WRITE 1a \udcff",
     ],
 )
 def test_other_lines_are_malformed(line: str) -> None:
@@ -86,21 +89,6 @@
         parse_caller_line(line)
 
 
-@given(st.lists(st.text("abc ", min_size=1), min_size=1), st.integers(1, 9))
-def test_lines_do_not_depend_on_how_bytes_arrive(texts: list[str], size: int) -> None:
-    data = "".join(f"{text}\r\n" for text in texts).encode()
-    buffer, found = LineBuffer(), []
-    for at in range(0, len(data), size):
-        found += buffer.feed(data[at : at + size])
-    assert found == texts
-
-
-@pytest.mark.parametrize("ends", [b"", b"\r\n"])
-def test_a_line_over_the_limit_is_refused(ends: bytes) -> None:
-    with pytest.raises(LineTooLong):
-        LineBuffer().feed(b"x" * (line_protocol.MAX_LINE_BYTES + 2) + ends)
-
-
 @pytest.mark.parametrize(
     ("answer", "code", "rows", "signature", "point"),
     [
--- a/berylhinge/standins/line_session.py
+++ b/berylhinge/standins/line_session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from gevent import socket
 
@@ -10,6 +10,7 @@
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 # Longer than the routes' timeout, so that an answer is seen if one comes.
 ANSWER_SECONDS = 4.0
+LINE_END = b"\r\n"
 
 
 class Lost(Exception):
@@ -33,6 +34,16 @@
         return self.code in PROMISES
 
 
+def read_line(file: Any) -> bytes:
+    """Return the bytes up to a carriage return and line feed, or to the stream's end."""
+    line: bytes = file.readline()
+    while line.endswith(b"\n") and not line.endswith(LINE_END):
+        line += (rest := file.readline())
+        if not rest:
+            break
+    return line
+
+
 class LineSession:
     """Hold one session; ``state`` is the last one told, empty after a loss."""
 
@@ -48,12 +59,12 @@
     def line(self) -> str:
         """Return the next line; raise Lost at the end."""
         try:
-            found = self.file.readline()
+            found = read_line(self.file)
         except OSError as error:
             raise Lost from error
-        if not found.endswith(b"\n"):
+        if not found.endswith(LINE_END):
             raise Lost
-        return str(found.decode().rstrip("\r\n"))
+        return str(found.decode().removesuffix("\r\n"))
 
     def ask(self, request: str, text: str) -> LineAnswer | None:
         """Run one statement; return None when no whole answer comes."""
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -11,6 +11,8 @@
 import gevent
 from gevent.server import StreamServer
 
+from .line_session import read_line
+
 
 class Run(NamedTuple):
     """Record one statement that ran, on which connection and for whom."""
@@ -206,7 +208,7 @@
     def serve(self) -> None:
         """Answer lines until the stream ends."""
         file = self.sock.makefile("rb")
-        first = file.readline().decode().strip()
+        first = read_line(file).decode().strip()
         if not first:
             return None
         _, service, rest = first.split(" ", 2)
@@ -217,8 +219,8 @@
         if service != database.group.service or name not in ("", database.id):
             return self.sock.sendall(b"ERROR WRONGNODE other\r\n")
         self.sock.sendall(self.ready())
-        for line in file:
-            _, request, text = line.decode().rstrip("\r\n").split(" ", 2)
+        while line := read_line(file):
+            _, request, text = line.decode().removesuffix("\r\n").split(" ", 2)
             while database.silent:
                 gevent.sleep(0.05)
             if database.statement_seconds:
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -27,6 +27,7 @@
     StatementResult,
 )
 from ...platform import line_protocol
+from ...platform.line_framing import LineBuffer, LineTooLong
 from ..clock import now_seconds
 from .destinations import RoutingRequest
 from .fleet_view import rounded_age
@@ -64,7 +65,7 @@
         self.callers = callers
         self.view = callers.view
         self.sock = sock
-        self.lines = line_protocol.LineBuffer()
+        self.lines = LineBuffer()
         self.session = new_session()
         self.route_name = ""
         self.key = ""
@@ -84,7 +85,7 @@
                 self.callers.log.info(
                     "A caller left inside a transaction.", error=str(error)
                 )
-        except line_protocol.LineTooLong:
+        except LineTooLong:
             self.sock.sendall(
                 line_protocol.error_line(
                     ErrorCode.TOO_LARGE, "the message is too long; send a shorter one"
--- a/berylhinge/tasks/pooler/connection_pool.py
+++ b/berylhinge/tasks/pooler/connection_pool.py
@@ -16,6 +16,7 @@
 )
 from ...core.pooler.failure_results import not_run_result
 from ...core.pooler.statements import ErrorCode, refused_result, StatementResult
+from ...platform import line_protocol
 from ..clock import now_seconds
 from .database_connection import (
     CONNECT_TIMEOUT_SECONDS,
@@ -198,7 +199,8 @@
         organisations = self.view.declarations.quotas
         if not organisations or self.open_count >= self.connection_limit:
             return None
-        return self.open_connection(next(iter(organisations)), timeout_seconds)
+        organisation = line_protocol.status_organisation(organisations)
+        return self.open_connection(organisation, timeout_seconds)
 
     def release(self, connection: DatabaseConnection, *, clean: bool) -> None:
         """Keep a usable connection, and wake the statements that wait for one."""
--- a/berylhinge/tasks/pooler/database_connection.py
+++ b/berylhinge/tasks/pooler/database_connection.py
@@ -10,6 +10,7 @@
 
 from ...core.pooler.connection_pool import IdleConnection, plan_setup
 from ...platform import line_protocol
+from ...platform.line_framing import is_text, LineBuffer
 from ..clock import now_seconds
 from ..http_connection import ConnectionFailed
 from ..http_server import parse_address
@@ -46,7 +47,7 @@
         self.prepared: frozenset[str] = frozenset()
         self.idle_since = now_seconds()
         self.sock: Any = None
-        self.lines = line_protocol.LineBuffer()
+        self.lines = LineBuffer()
         self.pending: list[str] = []
 
     def describe_idle(self) -> IdleConnection:
@@ -58,15 +59,14 @@
     def open(self, database: Database, timeout_seconds: Seconds) -> LogPoint | None:
         """Connect to exactly this database; raise ConnectRefused."""
         address = parse_address(database.address)
+        line = line_protocol.start_line(
+            database.service, self.organisation, database.id
+        )
         try:
             with gevent.Timeout(timeout_seconds):
                 self.sock = socket.create_connection(tuple(address))
                 self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.sock.sendall(
-                    line_protocol.start_line(
-                        database.service, self.organisation, database.id
-                    )
-                )
+                self.sock.sendall(line)
                 first = self.read_line()
         except gevent.Timeout as error:
             self.close()
@@ -92,15 +92,16 @@
         """Run one statement; close and raise ConnectionFailed without an answer."""
         if self.sock is None:
             raise ConnectionFailed("the connection is closed", sent=False)
+        line = line_protocol.query_line(request, text, after)
         is_complete = False
         try:
             with gevent.Timeout(max(0.001, timeout_seconds)):
-                self.sock.sendall(line_protocol.query_line(request, text, after))
+                self.sock.sendall(line)
                 answer = self.read_answer()
             is_complete = True
         except gevent.Timeout as error:
             raise ConnectionFailed("the answer timed out", sent=True) from error
-        except (OSError, ValueError, line_protocol.LineTooLong) as error:
+        except (OSError, ValueError) as error:
             raise ConnectionFailed(str(error) or "closed", sent=True) from error
         finally:
             if not is_complete:
@@ -108,13 +109,16 @@
         return answer
 
     def read_line(self) -> str:
-        """Return the next line; raise OSError at the end of the stream."""
+        """Return the next line; raise OSError at the end of the stream, or ValueError."""
         while not self.pending:
             data = self.sock.recv(RECEIVE_BYTES)
             if not data:
                 raise ConnectionResetError("the database closed the connection")
             self.pending = self.lines.feed(data)
-        return self.pending.pop(0)
+        line = self.pending.pop(0)
+        if not is_text(line):
+            raise ValueError("got bytes that are not UTF-8, expected text")
+        return line
 
     def read_answer(self) -> DatabaseAnswer:
         """Read up to the line that ends an answer."""
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -7,6 +7,8 @@
 
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.failure_results import may_commit, not_run_result
+from ...core.pooler.statements import ErrorCode, refused_result
+from ...platform import line_protocol
 from ...types import DatabaseRole
 from ...wire.pooling import (
     DatabaseState,
@@ -71,6 +73,9 @@
                 f"it arrived {delay:.3f} s late and the sender may have given up",
             )
             return ExecuteResponse(result, "late")
+        unsendable = line_protocol.find_unsendable(request)
+        if unsendable:
+            return self.refuse_unsendable(request, unsendable)
         request = request._replace(
             latency_goal_seconds=request.latency_goal_seconds - delay,
             give_up_seconds=request.give_up_seconds - delay,
@@ -93,6 +98,20 @@
             return ExecuteResponse(result, "given-up")
         return task.run_statement(sender, request, delay)
 
+    def refuse_unsendable(
+        self, request: ExecuteRequest, unsendable: str
+    ) -> ExecuteResponse:
+        """Refuse a statement that a database would not read as one line."""
+        detail = f"the {unsendable} does not fit into one line"
+        self.log.info(
+            "A statement cannot be sent as one line.",
+            request_id=request.request,
+            organisation=request.organisation,
+            detail=detail,
+        )
+        result = refused_result(ErrorCode.MALFORMED, detail)
+        return ExecuteResponse(result, "unsendable")
+
     def abandon_transaction(self, sender: InstanceId, message: RollbackRequest) -> None:
         """Roll back an open transaction of the sender."""
         task = self.tasks.get(message.database)
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -223,7 +223,7 @@
 
     def probe_database(self, database: Database) -> ReachabilityResponse:
         """Request a database's status on a new connection."""
-        organisation = next(iter(self.view.declarations.quotas), "")
+        organisation = line_protocol.status_organisation(self.view.declarations.quotas)
         known = self.view.observations.get(database.id, UNOBSERVED).point
         connection = DatabaseConnection(0, organisation)
         try:
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ....soak.world import free_addresses
+from ....standins.line_session import read_line
 from ....standins.metadata_store import MetadataStore, wait_until
 from ....standins.session_database import DatabaseGroup, SessionDatabase
 from ...http_server import Address, parse_address, server_address
@@ -62,7 +63,7 @@
         self.started = self.read_line()
 
     def read_line(self) -> str:
-        return str(self.file.readline().decode().rstrip("\r\n"))
+        return str(read_line(self.file).decode().removesuffix("\r\n"))
 
     def send(self, text: str) -> None:
         self.number += 1
