Choose a successor by what it has received, and know enough logs

Cause: the answer to STATUS has two positions, what a replica has received and what it has applied. The choice took the applied one, so a replica that applied late and held every commit lost to one that held less. sync-replicas was read nowhere, and a replica whose status was late, BUSY or refused was left out although it might alone hold commits.

Evidence: the log line of a promotion had one position and did not say which; it has both now.

Change: ReceivedPoint is a type of its own. core/pooler/received_logs decides how many logs must be known, which is n - sync-replicas + 1, and who may lead; tasks/pooler/status_requests asks, longer and through other instances where it matters. The log lines of the duty moved to a module of their own, and the stand-in's group too; the stand-in tells received from applied and can wait for replicas.

--- a/berylhinge/core/pooler/catalogue.py
+++ b/berylhinge/core/pooler/catalogue.py
@@ -53,13 +53,15 @@
     """Describe a replicated group of databases.
 
     A cold database gets ``cold_per_second`` requests per second; 0 is no limit. It is
-    cold for ``cold_start_seconds`` after its start.
+    cold for ``cold_start_seconds`` after its start. A commit is acknowledged once
+    ``synchronous_replicas`` have received it.
     """
 
     name: str
     max_connections: int
     cold_per_second: float = 0.0
     cold_start_seconds: Seconds = 0.0
+    synchronous_replicas: int = 0
 
 
 class Quota(NamedTuple):
--- a/berylhinge/core/pooler/diverged_logs.py
+++ b/berylhinge/core/pooler/diverged_logs.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from ...types import LogPoint, Seconds, Term, UpstreamId
+    from ...types import LogPoint, ReceivedPoint, Seconds, Term, UpstreamId
     from .leadership import LeadershipRecord
 
 # A service waits this long for its present leader, or for a replica that received
@@ -28,13 +28,15 @@
     looked_at: Seconds
 
 
-def newest_term(points: Iterable[LogPoint | None]) -> Term:
+def newest_term(points: Iterable[LogPoint | ReceivedPoint | None]) -> Term:
     """Return the newest term of some log positions, 0 if none is known."""
     return max((point.term for point in points if point is not None), default=0)
 
 
 def diverged_leaders(
-    points: Mapping[UpstreamId, LogPoint], record: LeadershipRecord | None, term: Term
+    points: Mapping[UpstreamId, ReceivedPoint],
+    record: LeadershipRecord | None,
+    term: Term,
 ) -> set[UpstreamId]:
     """Return the former leaders without a commit of the newest term that is known."""
     if record is None:
--- a/berylhinge/core/pooler/failover.py
+++ b/berylhinge/core/pooler/failover.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-    from ...types import LogPoint, Seconds, UpstreamId
+    from ...types import ReceivedPoint, Seconds, UpstreamId
     from .catalogue import Database
 
 # A refused connection shows a stopped process, so other instances are asked early.
@@ -80,14 +80,14 @@
 
 def choose_successor(
     candidates: Iterable[Database],
-    points: Mapping[UpstreamId, LogPoint],
+    points: Mapping[UpstreamId, ReceivedPoint],
     *,
     preferred: UpstreamId = "",
     former: Collection[UpstreamId] = (),
 ) -> Database | None:
     """Return the reachable database with the longest log.
 
-    ``points`` has the log position of each reachable one. Ties go to ``preferred``,
+    ``points`` has what each reachable one has received. Ties go to ``preferred``,
     whose earlier promotion may still take effect, else to one that is not among the
     ``former`` leaders, which would have to prove that it leads again.
     """
--- a/berylhinge/core/pooler/promotion_orders.py
+++ b/berylhinge/core/pooler/promotion_orders.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
 
-    from ...types import LogPoint, Seconds, UpstreamId
+    from ...types import LogPoint, ReceivedPoint, Seconds, UpstreamId
     from .catalogue import Database
     from .leadership import LeadershipRecord
 
@@ -84,7 +84,7 @@
 
 
 def term_to_exceed(
-    chosen: Database, point: LogPoint, record: LeadershipRecord | None
+    chosen: Database, point: ReceivedPoint, record: LeadershipRecord | None
 ) -> int:
     """Return the term after which a chosen database must lead to be used; 0 for none.
 
@@ -107,7 +107,7 @@
 
 def choose_leader(
     candidates: Collection[Database],
-    points: Mapping[UpstreamId, LogPoint],
+    points: Mapping[UpstreamId, ReceivedPoint],
     record: LeadershipRecord | None,
     pending: PendingOrder | None,
     *,
--- a/berylhinge/core/pooler/tests/test_diverged_logs.py
+++ b/berylhinge/core/pooler/tests/test_diverged_logs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ....types import LogPoint
+from ....types import LogPoint, ReceivedPoint
 from ..diverged_logs import (
     continue_wait,
     diverged_leaders,
@@ -18,17 +18,17 @@
 @pytest.mark.parametrize(
     ("points", "record", "term", "expected"),
     [
-        ({"a": LogPoint(1, 75)}, RECORD, 2, {"a"}),
-        ({"a": LogPoint(2, 80)}, RECORD, 2, set()),
-        ({"a": LogPoint(1, 75)}, RECORD, 1, set()),
-        ({"b": LogPoint(1, 73), "c": LogPoint(1, 73)}, RECORD, 2, set()),
-        ({"a": LogPoint(1, 75), "c": LogPoint(2, 77)}, RECORD, 2, {"a"}),
-        ({"a": LogPoint(1, 75)}, None, 2, set()),
+        ({"a": ReceivedPoint(1, 75)}, RECORD, 2, {"a"}),
+        ({"a": ReceivedPoint(2, 80)}, RECORD, 2, set()),
+        ({"a": ReceivedPoint(1, 75)}, RECORD, 1, set()),
+        ({"b": ReceivedPoint(1, 73), "c": ReceivedPoint(1, 73)}, RECORD, 2, set()),
+        ({"a": ReceivedPoint(1, 75), "c": ReceivedPoint(2, 77)}, RECORD, 2, {"a"}),
+        ({"a": ReceivedPoint(1, 75)}, None, 2, set()),
     ],
     ids=["cut-off", "caught-up", "no-commit-since", "never-led", "beside", "no-record"],
 )
 def test_a_former_leader_without_its_successors_commits_has_diverged(
-    points: dict[str, LogPoint],
+    points: dict[str, ReceivedPoint],
     record: LeadershipRecord | None,
     term: int,
     expected: set[str],
--- a/berylhinge/core/pooler/tests/test_failover.py
+++ b/berylhinge/core/pooler/tests/test_failover.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ....types import DatabaseRole, LogPoint
+from ....types import DatabaseRole, ReceivedPoint
 from ..catalogue import Database
 from ..failover import (
     choose_successor,
@@ -53,15 +53,15 @@
 @pytest.mark.parametrize(
     ("points", "leaving", "expected"),
     [
-        ({"a": LogPoint(1, 5), "b": LogPoint(1, 7)}, (), "b"),
-        ({"a": LogPoint(2, 1), "b": LogPoint(1, 7)}, (), "a"),
-        ({"a": LogPoint(1, 5)}, (), "a"),
-        ({"a": LogPoint(1, 5), "b": LogPoint(1, 7)}, ("b",), "a"),
+        ({"a": ReceivedPoint(1, 5), "b": ReceivedPoint(1, 7)}, (), "b"),
+        ({"a": ReceivedPoint(2, 1), "b": ReceivedPoint(1, 7)}, (), "a"),
+        ({"a": ReceivedPoint(1, 5)}, (), "a"),
+        ({"a": ReceivedPoint(1, 5), "b": ReceivedPoint(1, 7)}, ("b",), "a"),
         ({}, (), None),
     ],
 )
 def test_the_successor_has_the_longest_reachable_log(
-    points: dict[str, LogPoint], leaving: tuple[str, ...], expected: str | None
+    points: dict[str, ReceivedPoint], leaving: tuple[str, ...], expected: str | None
 ) -> None:
     candidates = [replica(name, leaving=name in leaving) for name in ("a", "b")]
     found = choose_successor(candidates, points)
--- a/berylhinge/core/pooler/tests/test_promotion_orders.py
+++ b/berylhinge/core/pooler/tests/test_promotion_orders.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ....types import DatabaseRole, LogPoint
+from ....types import DatabaseRole, LogPoint, ReceivedPoint
 from ..catalogue import Database
 from ..leadership import (
     LeadershipRecord,
@@ -55,7 +55,11 @@
 
     def __init__(self) -> None:
         self.now, self.revision, self.term, self.primary = 0.0, 100, 1, "p"
-        self.points = {"p": LogPoint(1, 12), "x": LogPoint(1, 10), "r": LogPoint(1, 9)}
+        self.points = {
+            "p": ReceivedPoint(1, 12),
+            "x": ReceivedPoint(1, 10),
+            "r": ReceivedPoint(1, 9),
+        }
         self.answers_as_primary = {"p"}
         self.databases = {
             name: Database(name, "s", "", "z", 2, DatabaseRole.REPLICA, False, 0)
@@ -126,7 +130,7 @@
         self.term += 1
         self.primary = target
         self.answers_as_primary.add(target)
-        self.points[target] = LogPoint(self.term, self.points[target].position + 1)
+        self.points[target] = ReceivedPoint(self.term, self.points[target].position + 1)
 
     def commit(self, unreached: str) -> None:
         """Let a caller commit where the holder of the leader believes that it may."""
@@ -135,7 +139,7 @@
         if (
             found is not None
             and found.id in self.answers_as_primary - {unreached}
-            and is_lead_proven(self.record, self.points[found.id])
+            and is_lead_proven(self.record, LogPoint(*self.points[found.id]))
         ):
             assert self.record is not None
             leader = self.databases[found.id] = found._replace(
--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from . import load_log_lines as load_lines, log_lines as lines
+from . import (
+    duty_log_lines as duty_lines,
+    load_log_lines as load_lines,
+    log_lines as lines,
+)
 
 LINE_TYPES: dict[str, type] = {
     "log: Lines were dropped.": lines.LogLinesDropped,
@@ -49,14 +53,15 @@
     "relay: Relayed changes were malformed.": lines.MalformedChanges,
     "duty: A primary was looked at.": lines.PrimaryProbed,
     "duty: A leader is being replaced.": lines.LeaderReplacing,
-    "duty: No replica can lead.": lines.NoPromotableReplica,
-    "duty: Only former leaders are reached.": lines.FormerLeadersReached,
-    "duty: The primary is known again.": lines.PrimaryReturned,
-    "duty: The duty was not taken.": lines.DutyClaimFailed,
-    "duty: Another instance has the duty.": lines.ServiceLogLine,
-    "duty: A lost record of a leader was written again.": lines.LeaderRecordedAgain,
-    "duty: The record of a leader was replaced.": lines.LeaderRecordReplaced,
-    "duty: A promotion was asked for.": lines.PromotionRequested,
+    "duty: No replica can lead.": duty_lines.NoPromotableReplica,
+    "duty: Only former leaders are reached.": duty_lines.FormerLeadersReached,
+    "duty: The primary is known again.": duty_lines.PrimaryReturned,
+    "duty: The duty was not taken.": duty_lines.DutyClaimFailed,
+    "duty: Another instance has the duty.": duty_lines.ServiceLogLine,
+    "duty: A lost record of a leader was written again.": duty_lines.LeaderRecordedAgain,
+    "duty: The record of a leader was replaced.": duty_lines.LeaderRecordReplaced,
+    "duty: Acknowledged commits may be missing.": duty_lines.LogsMissing,
+    "duty: A promotion was asked for.": duty_lines.PromotionRequested,
     "registry: An evacuation was not understood.": load_lines.EvacuationRejected,
     "evacuation: An evacuation reached a stage.": load_lines.EvacuationProceeding,
     "evacuation: An evacuation names an unknown failure domain.": (
--- a/berylhinge/platform/configuration_check.py
+++ b/berylhinge/platform/configuration_check.py
@@ -41,6 +41,7 @@
     "latency-goal-ms": (0, False),
     "max-staleness-ms": (0, True),
     "max-conns": (1, True),
+    "sync-replicas": (0, True),
     "rate-per-s": (0, True),
     "burst": (0, True),
     "tx-idle-ms": (0, False),
--- a/berylhinge/platform/documents.py
+++ b/berylhinge/platform/documents.py
@@ -49,7 +49,13 @@
 )
 ServiceDocument = TypedDict(
     "ServiceDocument",
-    {"name": str, "max-conns": int, "cold-start-s": float, "cold-per-s": float},
+    {
+        "name": str,
+        "max-conns": int,
+        "cold-start-s": float,
+        "cold-per-s": float,
+        "sync-replicas": int,
+    },
     total=False,
 )
 ColdnessDocument = TypedDict("ColdnessDocument", {"cold-left-ms": float}, total=False)
@@ -128,6 +134,7 @@
                         entry.get("max-conns", 1),
                         entry.get("cold-per-s", 0.0),
                         entry.get("cold-start-s", 0.0),
+                        entry.get("sync-replicas", 0),
                     )
                     for entry in document.get("services", [])
                 },
--- a/berylhinge/platform/line_protocol.py
+++ b/berylhinge/platform/line_protocol.py
@@ -22,7 +22,7 @@
     SetValue,
     Statement,
 )
-from ..types import AccessMode, DatabaseRole, LogPoint
+from ..types import AccessMode, DatabaseRole, LogPoint, ReceivedPoint
 from .line_framing import encode_line, is_field, is_sendable, is_text
 
 if TYPE_CHECKING:
@@ -168,11 +168,14 @@
 
 
 class DatabaseStatus(NamedTuple):
-    """Hold the role, term and log position that a database reports."""
+    """Hold the role and term that a database reports, and what it has received.
+
+    What it has applied stands in the line that ends the answer.
+    """
 
     role: DatabaseRole
     term: int
-    point: LogPoint | None
+    received: ReceivedPoint | None
 
 
 def start_line(service: str, organisation: str, identifier: str) -> bytes:
@@ -271,12 +274,12 @@
 
 
 def parse_status(row: str) -> DatabaseStatus | None:
-    """Parse a status row: role, term, log position, and figures not used here."""
+    """Parse a status row: role, term, last entry received, and figures not used here."""
     fields = row.split(" ")
     if len(fields) < 3 or fields[0] not in ("primary", "replica"):
         return None
     if not fields[1].isdecimal():
         return None
-    return DatabaseStatus(
-        DatabaseRole(fields[0]), int(fields[1]), parse_point(fields[2])
-    )
+    point = parse_point(fields[2])
+    received = None if point is None else ReceivedPoint(*point)
+    return DatabaseStatus(DatabaseRole(fields[0]), int(fields[1]), received)
--- a/berylhinge/soak/world.py
+++ b/berylhinge/soak/world.py
@@ -16,9 +16,10 @@
 import msgspec
 from gevent import socket
 
+from ..standins.database_group import DatabaseGroup
 from ..standins.declared import announce, COLD_START_SECONDS, declare
 from ..standins.metadata_store import MetadataStore
-from ..standins.session_database import DatabaseGroup, SessionDatabase
+from ..standins.session_database import SessionDatabase
 from ..tasks.http_server import Address, server_address
 from .history import Span
 from .proxy import LoopbackProxy
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -5,101 +5,22 @@
 import socket
 import time
 from contextlib import suppress
-from itertools import count
-from typing import Any, NamedTuple
+from typing import Any
 
 import gevent
 from gevent.server import StreamServer
 
+from .database_group import DatabaseGroup, Run
 from .line_session import read_line
 
 
-class Run(NamedTuple):
-    """Record one statement that ran, on which connection and for whom."""
-
-    database: str
-    connection: int
-    organisation: str
-    request: str
-    text: str
-    values: tuple[tuple[str, str], ...]
-    at: float
-
-
-class Entry(NamedTuple):
-    """Hold one committed transaction's writes."""
-
-    term: int
-    writes: list[tuple[str, str]]
-
-
-class DatabaseGroup:
-    """Hold the line of entries that lead; each member has received a part of it.
-
-    Without ``stops_deposed`` a primary goes on as one after another was promoted, until
-    it is demoted; what it commits then is kept in ``stale_commits`` and lost.
-    """
-
-    def __init__(self, service: str, *, lag_seconds: float = 0.02) -> None:
-        """Start without members."""
-        self.service = service
-        self.lag_seconds = lag_seconds
-        self.term = 1
-        self.members: dict[str, SessionDatabase] = {}
-        self.primary = ""
-        self.log: list[Entry] = []
-        self.rolled_back: list[Entry] = []
-        self.runs: list[Run] = []
-        self.stops_deposed = True
-        self.deposed: set[str] = set()
-        self.stale_commits: list[list[tuple[str, str]]] = []
-        self.signatures = count(1)
-        self.connections = count(1)
-
-    def commit_at(self, member: str, writes: list[tuple[str, str]]) -> None:
-        """Commit at a member that leads, or that goes on as if it did."""
-        if member == self.primary:
-            self.commit(writes)
-        else:
-            self.stale_commits.append(writes)
-
-    def commit(self, writes: list[tuple[str, str]]) -> None:
-        """Add an entry to the primary's log and let the others receive it later."""
-        self.log.append(Entry(self.term, writes))
-        self.members[self.primary].received = len(self.log)
-        self.replicate()
-
-    def replicate(self) -> None:
-        """Let every member receive what the log holds now, after a while."""
-        for member in self.members.values():
-            if not member.leads:
-                gevent.spawn_later(self.lag_seconds, member.receive, len(self.log))
-
-    def promote(self, service: str, name: str) -> bool:
-        """Let a running member lead the next term with what it has received."""
-        member = self.members.get(name)
-        if service != self.service or member is None or not member.running:
-            return False
-        if self.primary != name:
-            self.term += 1
-            if not self.stops_deposed:
-                self.deposed.add(self.primary)
-            self.deposed.discard(name)
-            self.primary = name
-            self.rolled_back += self.log[member.received :]
-            del self.log[member.received :]
-            for other in self.members.values():
-                other.received = min(other.received, len(self.log))
-            self.commit([])
-        return True
-
-
 class SessionDatabase:
     """Serve one member of a group.
 
     ``deaf`` lets it receive nothing, ``silent`` lets it answer nothing, and
     ``lost_answers`` has the statements whose next answer is lost. A statement takes
-    ``statement_seconds``.
+    ``statement_seconds``, a status ``status_seconds``; ``busy_statuses`` of them are
+    refused first. What it has received is applied after ``apply_seconds``.
     """
 
     def __init__(self, group: DatabaseGroup, name: str, *, max_connections: int = 16):
@@ -107,7 +28,11 @@
         self.group = group
         self.id = name
         self.max_connections = max_connections
-        self.received = 0
+        self.received = self.applied = 0
+        self.apply_seconds = 0.0
+        self.status_seconds = 0.0
+        self.busy_statuses = 0
+        self.is_leaving = False
         self.deaf = False
         self.sequence = 0
         self.silent = False
@@ -137,8 +62,9 @@
         """Tell whether this member leads, or goes on as if it did."""
         return self.group.primary == self.id or self.id in self.group.deposed
 
-    def entry(self, state: str = "ready") -> dict[str, object]:
+    def entry(self, state: str = "") -> dict[str, object]:
         """Return what the member registers, numbered in its order."""
+        state = state or ("draining" if self.is_leaving else "ready")
         self.sequence += 1
         return {
             "service": self.group.service,
@@ -156,6 +82,11 @@
         """Take in the log up to a length."""
         if not self.deaf and self.running:
             self.received = max(self.received, min(length, len(self.group.log)))
+            gevent.spawn_later(self.apply_seconds, self.apply, self.received)
+
+    def apply(self, length: int) -> None:
+        """Show reads the log up to a length."""
+        self.applied = max(self.applied, min(length, self.received))
 
     def crash(self) -> None:
         """Stop listening and reset every connection."""
@@ -172,11 +103,14 @@
         self.running = True
         self.group.replicate()
 
-    def position(self) -> str:
-        """Return TERM.NUMBER."""
-        held = self.received
+    def position(self, held: int) -> str:
+        """Return TERM.NUMBER of the last of some entries."""
         return f"{self.group.log[held - 1].term if held else 1}.{held}"
 
+    def applied_position(self) -> str:
+        """Return TERM.NUMBER of what reads see."""
+        return self.position(self.applied)
+
     def serve(self, sock: Any, _address: object) -> None:
         """Serve one connection."""
         self.sockets.add(sock)
@@ -234,7 +168,7 @@
 
     def ready(self) -> bytes:
         """Return the closing line."""
-        return f"READY {self.state} {self.database.position()}\r\n".encode()
+        return f"READY {self.state} {self.database.applied_position()}\r\n".encode()
 
     def error(self, code: str) -> bytes:
         """Return an error, which fails an open transaction."""
@@ -252,7 +186,9 @@
         if text.startswith("AFTER "):
             _, point, text = text.split(" ", 2)
             wanted = tuple(int(part) for part in point.split("."))
-            held = tuple(int(part) for part in self.database.position().split("."))
+            held = tuple(
+                int(part) for part in self.database.applied_position().split(".")
+            )
             if held < wanted:
                 return self.error("LAGGING")
         word, _, rest = text.partition(" ")
@@ -295,7 +231,7 @@
         """Read an item."""
         if self.state == "T" and self.has_lost_lead():
             return self.error("READONLY")
-        log = self.database.group.log[: self.database.received]
+        log = self.database.group.log[: self.database.applied]
         written = [write for entry in log for write in entry.writes]
         found = dict([*written, *self.writes])
         return self.done(found[item]) if item in found else self.done()
@@ -357,6 +293,11 @@
 
     def run_status(self, _rest: str) -> bytes:
         """Tell the role."""
-        role = "primary" if self.database.leads else "replica"
-        term, point = self.database.group.term, self.database.position()
+        database = self.database
+        gevent.sleep(database.status_seconds)
+        if database.busy_statuses:
+            database.busy_statuses -= 1
+            return self.error("BUSY")
+        role = "primary" if database.leads else "replica"
+        term, point = database.group.term, database.position(database.received)
         return f"ROW {role} {term} {point} 0 0 0 1\r\nCOMPLETE -\r\n".encode()
--- a/berylhinge/tasks/pooler/database_tracker.py
+++ b/berylhinge/tasks/pooler/database_tracker.py
@@ -7,14 +7,14 @@
 from ...core.pooler.failover import record_answer, record_failure, UNKNOWN_HEALTH
 from ...core.pooler.floors import FloorProof
 from ...platform import line_protocol
-from ...types import DatabaseRole
+from ...types import DatabaseRole, LogPoint
 from ...wire.pooling import LeadershipProof
 from ..clock import now_seconds
 
 if TYPE_CHECKING:
     from ...core.pooler.failover import DatabaseHealth
     from ...platform.line_protocol import DatabaseAnswer
-    from ...types import LogPoint, Seconds
+    from ...types import Seconds
 
 # A database that leaves a request unanswered for this long is probed, and counts as
 # failing while the failure lasts.
@@ -88,11 +88,12 @@
         """
         self.record_answer()
         status = line_protocol.parse_status(answer.rows[0]) if answer.rows else None
-        told = status.point if status is not None else None
-        self.point = answer.point or told or self.point
+        self.point = answer.point or self.point
         is_primary = status is not None and status.role is DatabaseRole.PRIMARY
         if status is not None and is_primary and may_lead:
-            self.record_proof(asked_at, status.point)
+            # A primary has applied what it has received.
+            received = status.received
+            self.record_proof(asked_at, LogPoint(*received) if received else None)
         elif status is not None and not is_primary:
             self.leadership_proof = None
         return is_primary
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -15,7 +15,6 @@
     Verdict,
 )
 from ...core.pooler.leadership import (
-    choose_witnesses,
     is_promotion_due,
     may_replace_unreached,
     next_recorded_leader,
@@ -30,37 +29,33 @@
     RefusedOrder,
     term_to_exceed,
 )
-from ...core.pooler.store_eras import era_of
-from ...core.rendezvous import rank_nodes
-from ...platform import line_protocol
-from ...wire.pooling import (
-    ReachabilityRequest,
-    ReachabilityResponse,
+from ...core.pooler.received_logs import (
+    are_logs_missing,
+    continue_log_wait,
+    find_successors,
+    is_log_wait_over,
+    points_of,
 )
+from ...core.pooler.store_eras import era_of
 from ..clock import now_seconds
-from ..http_connection import ConnectionFailed
-from ..peer_frames import PeerLost
-from .database_connection import ConnectRefused, DatabaseConnection
 from .evacuation_moves import EvacuationMoves
 from .leader_notices import LeaderNotices
 from .leader_records import LeaderRecords
 from .returning_leaders import ReturningLeaders
+from .status_requests import StatusRequests, UNREACHED, WITNESS_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
     from ...core.pooler.leadership import RecordedLeader
+    from ...core.pooler.received_logs import LogSurvey, MissingLogWait
     from ...platform.metadata_store import MetadataStore
-    from ...types import InstanceId, LogPoint, Seconds, UpstreamId
+    from ...types import Seconds, UpstreamId
     from ..logs import Log
     from ..metrics import Metrics
     from ..peer_links import Links
     from .fleet_view import FleetView
     from .held_databases import HeldDatabases
 
-# Time to connect and to answer a status request; a database that takes longer counts as
-# unreachable.
-REACH_TIMEOUT_SECONDS = 0.3
-WITNESS_TIMEOUT_SECONDS = 0.4
 # Number of instances in line for a service's duty that watch its primary.
 STANDBY_COUNT = 3
 # Pause before a promotion call without an answer is repeated.
@@ -84,7 +79,7 @@
         metrics: Metrics,
         log: Log,
     ) -> None:
-        """Register the answer to reachability requests; nothing is watched yet."""
+        """Register the answer to peers; nothing is watched yet."""
         self.view = view
         self.held_databases = held_databases
         self.links = links
@@ -99,7 +94,8 @@
         self.missing_since: dict[str, Seconds] = {}
         self.refused_orders: dict[str, RefusedOrder] = {}
         self.returning_leaders = ReturningLeaders(view, log)
-        links.register_call(ReachabilityRequest, self.answer_reachability)
+        self.statuses = StatusRequests(view, held_databases, links)
+        self.log_waits: dict[str, MissingLogWait] = {}
 
     def watch(self) -> None:
         """Judge the primary of every service, and start the action it needs."""
@@ -170,23 +166,17 @@
 
     def may_replace(self, primary: Database) -> bool:
         """Return whether neither this instance nor a witness reaches a primary."""
-        others = {
-            member.instance: member.failure_domain
-            for member in self.view.members.values()
-            if not member.leaving and member.instance != self.view.own_instance
-        }
-        usable = {
-            name: domain
-            for name, domain in others.items()
-            if not self.view.is_suspect(name)
-        }
-        ranked = rank_nodes(others, f"witness/{primary.id}")
-        witnesses = choose_witnesses(ranked, usable or others)
-        jobs = [gevent.spawn(self.ask_witness, name, primary) for name in witnesses]
-        own_job = gevent.spawn(self.probe_database, primary)
+        witnesses = self.statuses.choose_witnesses(primary)
+        jobs = [
+            gevent.spawn(self.statuses.ask_witness, name, primary) for name in witnesses
+        ]
+        own_job = gevent.spawn(self.statuses.probe_database, primary)
         gevent.joinall([own_job, *jobs], timeout=WITNESS_TIMEOUT_SECONDS)
-        own = own_job.value or ReachabilityResponse(False, None)
-        answers = {name: job.value for name, job in zip(witnesses, jobs, strict=True)}
+        own = own_job.value or UNREACHED
+        answers = {
+            name: None if job.value is None else job.value.reachable
+            for name, job in zip(witnesses, jobs, strict=True)
+        }
         self.log.info(
             "A primary was looked at.",
             database=primary.id,
@@ -196,69 +186,28 @@
         if not own.reachable and any(answers.values()):
             self.view.relinquish_database(primary.id)
         return not own.reachable and may_replace_unreached(
-            answers, has_peers=bool(others)
+            answers, has_peers=bool(witnesses)
         )
 
-    def ask_witness(self, name: InstanceId, primary: Database) -> bool | None:
-        """Ask one witness whether it reaches a database; None if it did not answer."""
-        try:
-            answer = self.links.call(
-                name,
-                ReachabilityRequest(primary.id),
-                WITNESS_TIMEOUT_SECONDS,
-                may_repeat=True,
-            )
-        except PeerLost:
-            return None
-        return bool(answer.reachable)
-
-    def answer_reachability(
-        self, sender: InstanceId, message: ReachabilityRequest
-    ) -> ReachabilityResponse:
-        """Answer a peer whether this instance reaches a database."""
-        database = self.view.databases.get(message.database)
-        if database is None:
-            return ReachabilityResponse(False, None)
-        return self.probe_database(database)
-
-    def probe_database(self, database: Database) -> ReachabilityResponse:
-        """Request a database's status on a new connection."""
-        organisation = line_protocol.status_organisation(self.view.declarations.quotas)
-        known = self.view.observations.get(database.id, UNOBSERVED).point
-        connection = DatabaseConnection(0, organisation)
-        try:
-            point = connection.open(database, REACH_TIMEOUT_SECONDS)
-            answer = connection.run_internal(
-                line_protocol.STATUS_TEXT, REACH_TIMEOUT_SECONDS
-            )
-            return ReachabilityResponse(True, answer.point or point or known)
-        except ConnectRefused as error:
-            # A database that refuses a connection with an error code is running.
-            return ReachabilityResponse(error.code is not None, known)
-        except ConnectionFailed:
-            return ReachabilityResponse(False, None)
-        finally:
-            connection.close()
-
     def promote_replica(self, service: str, primary: Database | None) -> None:
         """Request the promotion of the reachable replica with the longest log."""
         started_at = now_seconds()
-        candidates = [
+        replicas = [
             entry
-            for entry in self.view.evacuations.successors_of(
-                databases_of(self.view.databases, service)
-            )
+            for entry in databases_of(self.view.databases, service)
             if primary is None or entry.id != primary.id
         ]
-        jobs = {
-            entry.id: gevent.spawn(self.probe_database, entry) for entry in candidates
-        }
-        gevent.joinall(list(jobs.values()), timeout=WITNESS_TIMEOUT_SECONDS)
-        points: dict[UpstreamId, LogPoint] = {
-            name: job.value.point
-            for name, job in jobs.items()
-            if job.value is not None and job.value.reachable and job.value.point
-        }
+        survey = self.find_logs(service, replicas)
+        if survey is None:
+            return
+        candidates = find_successors(
+            survey,
+            replicas,
+            self.view.evacuations.successors_of(replicas),
+            synchronous_replicas=self.synchronous_replicas(service),
+            is_planned=primary is not None and primary.leaving,
+        )
+        points = points_of(survey, candidates)
         known = self.view.leadership.get(service)
         is_fenced = self.view.are_promotions_fenced
         pending = None
@@ -278,7 +227,7 @@
             self.log.info(
                 "No replica can lead.",
                 service=service,
-                reached=len(points),
+                reached=len(points_of(survey, replicas)),
                 pending=pending.leader if pending else None,
                 pending_seconds=(
                     round(pending.until - now_seconds(), 3) if pending else None
@@ -333,10 +282,39 @@
             repeats_pending=pending is not None,
             after_term=recorded.after_term,
             points={name: str(point) for name, point in points.items()},
+            applied={
+                entry.id: str(self.view.observations.get(entry.id, UNOBSERVED).point)
+                for entry in replicas
+            },
             outcome=outcome,
             took_seconds=round(now_seconds() - started_at, 3),
         )
 
+    def synchronous_replicas(self, service: str) -> int:
+        """Return how many replicas receive a commit before it is acknowledged."""
+        return self.view.declarations.services[service].synchronous_replicas
+
+    def find_logs(self, service: str, replicas: list[Database]) -> LogSurvey | None:
+        """Return the replicas' logs; None if acknowledged commits may be missing."""
+        survey = self.statuses.survey_logs(replicas, self.synchronous_replicas(service))
+        if not are_logs_missing(survey, replicas, self.synchronous_replicas(service)):
+            self.log_waits.pop(service, None)
+            return survey
+        now = now_seconds()
+        wait = continue_log_wait(self.log_waits.get(service), now)
+        self.log_waits[service] = wait
+        self.log.info(
+            "Acknowledged commits may be missing.",
+            service=service,
+            replicas=[entry.id for entry in replicas],
+            received={name: str(point) for name, point in survey.received.items()},
+            waited_seconds=round(now - wait.since, 3),
+        )
+        if is_log_wait_over(wait):
+            return survey
+        self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
+        return None
+
     def request_promotion(
         self, service: str, chosen: Database, fence: int, recorded_at: Seconds
     ) -> str:
--- a/berylhinge/tasks/pooler/returning_leaders.py
+++ b/berylhinge/tasks/pooler/returning_leaders.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
     from ...core.pooler.leadership import LeadershipRecord
-    from ...types import LogPoint, UpstreamId
+    from ...types import ReceivedPoint, UpstreamId
     from ..logs import Log
     from .fleet_view import FleetView
 
@@ -37,9 +37,9 @@
     def drop_diverged(
         self,
         service: str,
-        points: dict[UpstreamId, LogPoint],
+        points: dict[UpstreamId, ReceivedPoint],
         record: LeadershipRecord | None,
-    ) -> dict[UpstreamId, LogPoint]:
+    ) -> dict[UpstreamId, ReceivedPoint]:
         """Leave out former leaders whose logs have diverged, for a while."""
         proof = newest_proof(self.view.floors_of(service))
         seen = [
--- a/berylhinge/tasks/pooler/tests/conftest.py
+++ b/berylhinge/tasks/pooler/tests/conftest.py
@@ -7,9 +7,10 @@
 import pytest
 
 from ....soak.world import free_addresses
+from ....standins.database_group import DatabaseGroup
 from ....standins.line_session import read_line
 from ....standins.metadata_store import MetadataStore, wait_until
-from ....standins.session_database import DatabaseGroup, SessionDatabase
+from ....standins.session_database import SessionDatabase
 from ...http_server import Address, parse_address, server_address
 from .. import registry
 from ..instance import Pooler
--- a/berylhinge/tasks/pooler/tests/test_leadership.py
+++ b/berylhinge/tasks/pooler/tests/test_leadership.py
@@ -14,7 +14,7 @@
 from ...peer_frames import PeerLost
 from ...peer_links import Links
 from ..instance import Pooler
-from ..promotion_duty import PromotionTask
+from ..status_requests import StatusRequests
 from ..store_state import PROMOTIONS_PREFIX
 from .conftest import Caller, Fleet
 from .test_fleet import ask_until_done, code
@@ -158,7 +158,9 @@
     primary = fleet.group.primary
     alone = fleet.instances[0]
     monkeypatch.setattr(
-        PromotionTask, "probe_database", lambda _task, _database: UNREACHED
+        StatusRequests,
+        "probe_database",
+        lambda _requests, _database, _timeout=0.3: UNREACHED,
     )
     assert alone.promotion_task.may_replace(alone.view.databases[primary])
     cut_off(alone, fleet, monkeypatch)
--- a/berylhinge/tasks/pooler/tests/test_line_ends.py
+++ b/berylhinge/tasks/pooler/tests/test_line_ends.py
@@ -106,4 +106,4 @@
         quotas={name: Quota(1.0, 1.0), **known.quotas}
     )
     database = instance.view.databases["i-a"]
-    assert instance.promotion_task.probe_database(database).reachable
+    assert instance.promotion_task.statuses.probe_database(database).reachable
--- a/berylhinge/tasks/pooler/tests/test_returning_leaders.py
+++ b/berylhinge/tasks/pooler/tests/test_returning_leaders.py
@@ -8,7 +8,7 @@
 from ....core.pooler.catalogue import Database
 from ....core.pooler.floors import FloorProof, record_proof
 from ....core.pooler.leadership import LeadershipRecord, RecordedLeader
-from ....types import DatabaseRole, LogPoint
+from ....types import DatabaseRole, LogPoint, ReceivedPoint
 from ....wire.pooling import ReachabilityResponse
 from ...clock import now_seconds
 from ..instance import Pooler
@@ -20,12 +20,12 @@
 ) -> None:
     """Let a service look as if only one of its databases is reached."""
 
-    def probe(database: Database) -> ReachabilityResponse:
+    def probe(database: Database, _timeout: float = 0.3) -> ReachabilityResponse:
         if database.id != name:
             return ReachabilityResponse(False, None)
-        return ReachabilityResponse(True, point)
+        return ReachabilityResponse(True, ReceivedPoint(*point))
 
-    monkeypatch.setattr(pooler.promotion_task, "probe_database", probe)
+    monkeypatch.setattr(pooler.promotion_task.statuses, "probe_database", probe)
 
 
 def promotions_of(fleet: Fleet, monkeypatch: pytest.MonkeyPatch) -> list[str]:
--- a/berylhinge/types.py
+++ b/berylhinge/types.py
@@ -31,6 +31,17 @@
 LOG_START = LogPoint(0, 0)
 
 
+class ReceivedPoint(NamedTuple):
+    """Identify the last log entry that a database has received, applied or not.
+
+    A database that is promoted leads with what it has received; reads see what it has
+    applied, a ``LogPoint``.
+    """
+
+    term: Term
+    position: Position
+
+
 class AccessMode(StrEnum):
     """Distinguish statements that only read from those that may change data."""
 
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -7,7 +7,14 @@
 from ..core.pooler.database_load import DatabaseLoad
 from ..core.pooler.leadership import RecordedLeader
 from ..core.pooler.statements import PreparedStatement, StatementResult
-from ..types import AccessMode, LogPoint, OrganisationId, Seconds, UpstreamId
+from ..types import (
+    AccessMode,
+    LogPoint,
+    OrganisationId,
+    ReceivedPoint,
+    Seconds,
+    UpstreamId,
+)
 from .kinds import sent_as
 
 
@@ -170,10 +177,13 @@
 
 @sent_as("Reached")
 class ReachabilityResponse(NamedTuple):
-    """Report whether the database was reached, and its log position."""
+    """Report whether the database was reached, and what it said that it has received.
+
+    ``received`` is None if it was reached and did not give its status.
+    """
 
     reachable: bool
-    point: LogPoint | None
+    received: ReceivedPoint | None
 
 
 @sent_as("Lead")
