Take a statement in a planned stop only if its answer is due in time

Cause: until 0.85 of the grace period a stopping instance took every statement of an open transaction, then its process ended, whatever ran. What waited for a slot or a connection was not counted as running at all.

Evidence: `The instance stopped.` had no count of what ran; it has it now, with the seconds since the request, and each statement that is left is logged.

Change: core/pooler/planned_stop holds the moments of a stop. After half of the grace period a statement starts only if its limit ends before answers are due; others are refused at once, by the instance that took them and by the one that holds the database, with reason `stopping`. The stop waits for every statement without a result.

--- a/berylhinge/core/pooler/diagnosis.py
+++ b/berylhinge/core/pooler/diagnosis.py
@@ -54,6 +54,10 @@
     "duty: The primary is known again.",
     "duty: A promotion was asked for.",
 )
+STOP_MESSAGE_TYPES = (
+    "pooler: The instance is leaving.",
+    "pooler: The instance stopped.",
+)
 PEER_MESSAGE_TYPES = (
     "peers: A peer is silent.",
     "peers: A peer answers again.",
@@ -135,6 +139,10 @@
     "not-holding": Cause(
         "The instance that was asked does not know the database.", PEER_MESSAGE_TYPES
     ),
+    "stopping": Cause(
+        "The instance was stopping, and the answer was not due before its end.",
+        STOP_MESSAGE_TYPES,
+    ),
     "transaction-lost": Cause(
         "The open transaction's connection was closed: idle for too long, or lost.",
         (*DATABASE_MESSAGE_TYPES, *PEER_MESSAGE_TYPES),
--- a/berylhinge/log_line_types.py
+++ b/berylhinge/log_line_types.py
@@ -17,6 +17,7 @@
     "pooler: Settings may have changed.": lines.InstanceLogLine,
     "callers: A request was refused.": lines.RequestRefused,
     "callers: A request failed.": lines.RequestFailed,
+    "callers: The process ends before a request.": lines.RequestCut,
     "callers: A request was served.": lines.RequestEnded,
     "callers: A caller left inside a transaction.": lines.CallerDisconnected,
     "router: A statement did not run and is tried elsewhere.": lines.StatementRetried,
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -47,10 +47,23 @@
 
 
 class InstanceStopped(InstanceLogLine):
-    """Count the sessions left at the stop; ``open`` of them were not idle."""
+    """Count the sessions left at the stop; ``open`` of them were not idle.
 
+    ``running`` are statements at held databases, of callers of any instance.
+    """
+
+    seconds: float
     sessions: int
     open: int
+    running: int
+
+
+class RequestCut(InstanceLogLine):
+    """Report a statement without an answer when the process ends."""
+
+    request_id: str
+    route: str
+    seconds: float
 
 
 class UnexpectedError(InstanceLogLine):
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -39,6 +39,7 @@
 
     from ...core.pooler.catalogue import Database
     from ...core.pooler.database_load import DatabaseLoad
+    from ...core.pooler.planned_stop import StopSchedule
     from ...platform.terms import Features
     from ...types import (
         FailureDomainId,
@@ -110,7 +111,7 @@
         self.leaving_since: dict[UpstreamId, Seconds] = {}
         self.slot_sharing = SlotSharing(is_agreed=features.shares_slots_fairly)
         self.changed = Broadcast()
-        self.stopping = False
+        self.stop: StopSchedule | None = None
         self.last_tick_at = now_seconds()
         self.resumed_at: Seconds = float("-inf")
         self.cached_assignment = InstanceAssignment(regions)
@@ -211,7 +212,7 @@
             and member.instance not in self.suspects
             and member.instance != self.own_instance
         }
-        if not self.stopping or not found:
+        if self.stop is None or not found:
             found[self.own_instance] = self.failure_domain
         return found
 
--- a/berylhinge/tasks/pooler/held_databases.py
+++ b/berylhinge/tasks/pooler/held_databases.py
@@ -7,6 +7,7 @@
 
 from ...core.pooler.database_selection import UNOBSERVED
 from ...core.pooler.failure_results import may_commit, not_run_result
+from ...core.pooler.planned_stop import may_start_statement
 from ...core.pooler.statements import ErrorCode, refused_result
 from ...platform import line_protocol
 from ...types import DatabaseRole
@@ -43,6 +44,8 @@
         self.log = log
         self.tasks: dict[UpstreamId, DatabaseTask] = {}
         self.asked_until: dict[UpstreamId, Seconds] = {}
+        # Statements of all instances that have no result yet.
+        self.running = 0
 
     def ensure_task(self, database: UpstreamId) -> DatabaseTask | None:
         """Return a known database's task, a new one if its ``born_ms`` has changed."""
@@ -63,6 +66,24 @@
         self, sender: InstanceId, request: ExecuteRequest, delay: Seconds = 0.0
     ) -> ExecuteResponse:
         """Run one statement, delayed in transit by ``delay`` seconds beyond others."""
+        self.running += 1
+        try:
+            return self.run_if_possible(sender, request, delay)
+        finally:
+            self.running -= 1
+
+    def run_if_possible(
+        self, sender: InstanceId, request: ExecuteRequest, delay: Seconds
+    ) -> ExecuteResponse:
+        """Run one statement, or refuse it with the reason why it cannot run here."""
+        limit = request.give_up_seconds - delay
+        if not may_start_statement(self.view.stop, now_seconds(), limit):
+            if request.continues_transaction:
+                self.abandon_transaction(
+                    sender, RollbackRequest(request.database, request.transaction)
+                )
+            detail = f"{self.view.own_instance} stops"
+            return ExecuteResponse(not_run_result(request, detail), "stopping")
         if delay >= PEER_FAILOVER_SECONDS and not may_commit(request):
             if request.continues_transaction:
                 self.abandon_transaction(
@@ -118,6 +139,18 @@
         if task is not None:
             task.abandon_transaction(sender, message)
 
+    def has_open_transactions(self) -> bool:
+        """Return whether a transaction of any instance is open at a held database."""
+        return any(task.pinned_connections for task in self.tasks.values())
+
+    def end_transactions(self) -> None:
+        """Roll back the open transactions that wait for their next statement."""
+        for task in self.tasks.values():
+            for sender, number in list(task.pinned_connections):
+                task.abandon_transaction(
+                    sender, RollbackRequest(task.database.id, number)
+                )
+
     def report_databases(
         self, sender: InstanceId, message: DatabaseStatesRequest
     ) -> DatabaseStatesResponse:
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -11,6 +11,7 @@
 from ...core.peer_envelopes import new_channel, replace_secrets
 from ...core.pooler.cold_start import ColdTolerance
 from ...core.pooler.placement import instance_weight
+from ...core.pooler.planned_stop import are_transactions_ended, schedule_stop
 from ...core.pooler.sessions import IDLE
 from ...core.pooler.token_buckets import RateTolerance
 from ...platform.metadata_store import MetadataStore
@@ -41,11 +42,6 @@
 if TYPE_CHECKING:
     from .settings import PoolerSettings
 
-# The load balancer removes an instance after two failed probes, 1 s apart; until then
-# new callers still arrive.
-DRAIN_DELAY_SECONDS = 2.5
-# Part of the grace period in which open transactions may end by themselves.
-GRACE_FRACTION = 0.85
 DRAIN_POLL_SECONDS = 0.05
 # A silence is detected late by this at most, a fraction of the shortest limit, 0.15 s.
 STEP_INTERVAL_SECONDS = 0.1
@@ -219,7 +215,7 @@
             self.ready
             and self.view.is_confirmed()
             and self.peer_monitor.has_reached_fleet()
-            and not self.view.stopping
+            and self.view.stop is None
         )
         return respond(start_response, 200 if serving else 503, b"{}")
 
@@ -238,27 +234,27 @@
 
     def shut_down(self) -> None:
         """Leave the fleet without interrupting a request, within the grace period."""
-        started_at = now_seconds()
         self.log.info("The instance is leaving.")
-        self.view.stopping = True
+        stop = schedule_stop(now_seconds(), self.settings.grace_seconds)
+        self.view.stop = stop
         self.view.invalidate_assignment()
         if self.links is None:
             return
         gevent.spawn(self.registry.registration.announce_leaving)
-        end_at = started_at + self.settings.grace_seconds * GRACE_FRACTION
-        while now_seconds() < end_at:
-            if now_seconds() - started_at >= DRAIN_DELAY_SECONDS:
-                self.caller_listener.closing = True
+        while now_seconds() < stop.ends_at:
+            if self.caller_listener.closing:
                 self.caller_listener.close_idle()
-                if (
-                    not self.caller_listener.sessions
-                    and not self.has_running_statements()
-                ):
+                if self.owes_nothing():
                     break
+            if are_transactions_ended(stop, now_seconds()):
+                self.held_databases.end_transactions()
             gevent.sleep(DRAIN_POLL_SECONDS)
+        self.caller_listener.log_running()
         self.log.info(
             "The instance stopped.",
+            seconds=round(now_seconds() - stop.begins_at, 3),
             sessions=len(self.caller_listener.sessions),
+            running=self.held_databases.running,
             open=sum(
                 session.session.state != IDLE
                 for session in self.caller_listener.sessions
@@ -268,7 +264,7 @@
     def stop(self) -> None:
         """Close every socket immediately."""
         self.ready = False
-        self.view.stopping = True
+        self.view.stop = schedule_stop(now_seconds(), 0.0)
         self.readiness_server.stop()
         self.metrics_server.stop()
         gevent.killall(self.registry.running_loops, block=False)
@@ -279,9 +275,10 @@
                 task.close()
             self.links.stop()
 
-    def has_running_statements(self) -> bool:
-        """Return whether statements or transactions still run at held databases."""
-        return any(
-            task.pinned_connections or task.slots.unanswered
-            for task in self.held_databases.tasks.values()
+    def owes_nothing(self) -> bool:
+        """Return whether no caller and no other instance waits for an answer."""
+        return (
+            not self.caller_listener.sessions
+            and not self.held_databases.running
+            and not self.held_databases.has_open_transactions()
         )
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -117,7 +117,7 @@
 
     def renew_forever(self) -> None:
         """Renew the lease until the stop; register again when it was lost."""
-        while not self.view.stopping:
+        while self.view.stop is None:
             if self.renewal_requested.wait(LEASE_RENEWAL_SECONDS):
                 self.renewal_requested.clear()
                 members = len(self.view.members)
@@ -131,7 +131,7 @@
                 if renewed.unwrap() and self.own_key not in self.applier.missing_since:
                     continue
                 self.lease = None
-            if not self.view.stopping and self.register():
+            if self.view.stop is None and self.register():
                 self.log.info("Registered again.", incarnation=self.applier.incarnation)
 
     def renew_soon(self) -> None:
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -100,7 +100,7 @@
     def watch(self) -> None:
         """Judge the primary of every service, and start the action it needs."""
         now = now_seconds()
-        if self.view.stopping:
+        if self.view.stop is not None:
             return
         self.records.write_lost_records(now)
         if not self.view.are_promotions_fenced and not self.view.is_settled():
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -65,6 +65,7 @@
         "no-connection",
         "peer-lost",
         "peer-starting",
+        "stopping",
         "answer-lagging",
         "answer-read-only",
         "answer-busy",
@@ -108,6 +109,7 @@
     "not-holding",
     "peer-starting",
     "queue-full",
+    "stopping",
     "unreachable",
 }
 
--- a/berylhinge/tasks/pooler/tried_destinations.py
+++ b/berylhinge/tasks/pooler/tried_destinations.py
@@ -14,7 +14,7 @@
 RETRY_PAUSE_GROWTH = 2.0
 # Reasons after which the next instance in line for the database is tried.
 NEXT_HOLDER_REASONS = frozenset(
-    {"given-up", "lead-unconfirmed", "peer-lost", "not-holding"}
+    {"given-up", "lead-unconfirmed", "peer-lost", "not-holding", "stopping"}
 )
 
 
