--- a/berylhinge/soak/judge.py
+++ b/berylhinge/soak/judge.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from ..standins.session_database import Entry, Run
+    from ..standins.database_group import Entry, Run
     from .history import Observed
 
 # Largest allowed age of what a read shows, by route (seconds).
--- a/berylhinge/soak/tests/test_judge.py
+++ b/berylhinge/soak/tests/test_judge.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ...standins.session_database import Entry, Run
+from ...standins.database_group import Entry, Run
 from ..history import Observed, Operation, Outcome, Span, Step
 from ..judge import judge, MOST_COLD_RUNS, Seen
 from ..world import EVACUATION_MS
