End sessions without losing what has arrived or was written

Cause: the loop that closes idle sessions closed their sockets under the tasks that read them, with a statement unread; a socket that is closed with unread bytes resets its connection, so that an answer on its way is lost; the process ended right after the last result, before the queues of the links and the sockets were empty.

Change: a session is woken only while it waits, and what has arrived is answered first; an instance closes its half of a connection and waits for the caller's; START is refused with BUSY once idle sessions end; 0.2 s pass between the last answers and the end.

--- a/berylhinge/core/pooler/planned_stop.py
+++ b/berylhinge/core/pooler/planned_stop.py
@@ -21,8 +21,10 @@
 # Fraction after which no answer may be due any more. The rest is for answers that come
 # later than they are due, for the closing of sessions, and for the end of the process.
 ANSWERED_FRACTION = 0.85
-# Fraction after which the process ends, whatever still runs.
-END_FRACTION = 0.9
+# Fraction after which every session is closed, whatever still runs.
+CLOSED_FRACTION = 0.9
+# Fraction after which the process ends.
+END_FRACTION = 0.95
 
 
 class StopSchedule(NamedTuple):
@@ -32,6 +34,7 @@
     closes_idle_at: Seconds
     free_until: Seconds
     answered_by: Seconds
+    closes_all_at: Seconds
     ends_at: Seconds
 
 
@@ -42,6 +45,7 @@
         closes_idle_at=now + min(BALANCER_DELAY_SECONDS, grace_seconds * FREE_FRACTION),
         free_until=now + grace_seconds * FREE_FRACTION,
         answered_by=now + grace_seconds * ANSWERED_FRACTION,
+        closes_all_at=now + grace_seconds * CLOSED_FRACTION,
         ends_at=now + grace_seconds * END_FRACTION,
     )
 
--- a/berylhinge/tasks/pooler/caller_session.py
+++ b/berylhinge/tasks/pooler/caller_session.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 import gevent
+from gevent import socket
 
 from ...core.pooler.failure_results import not_run_result
 from ...core.pooler.planned_stop import may_start_statement
@@ -26,6 +27,7 @@
 from ...platform import line_protocol
 from ...platform.line_framing import LineBuffer, LineTooLong
 from ..clock import now_seconds
+from ..closing_socket import close_gracefully
 from .destinations import RoutingRequest
 from .router import RoutedResult
 
@@ -39,6 +41,12 @@
 RECEIVE_BYTES = 65_536
 # A caller must name its database within this time after it connects.
 START_TIMEOUT_SECONDS = 5.0
+# A caller sends its first message within this time, unless it only tries to connect.
+FIRST_MESSAGE_SECONDS = 1.0
+
+
+class SessionEnded(Exception):
+    """End a session that waits for its caller's next message."""
 
 
 class RunningRequest(NamedTuple):
@@ -62,6 +70,8 @@
         self.key = ""
         self.binding: TransactionBinding | None = None
         self.busy = False
+        self.has_ended = False
+        self.accepted_at = now_seconds()
         self.running: RunningRequest | None = None
 
     def serve(self) -> None:
@@ -72,6 +82,8 @@
             if not self.route_name:
                 return
             self.serve_lines(pending)
+        except SessionEnded:
+            return
         except OSError as error:
             if self.session.state != IDLE:
                 self.callers.log.info(
@@ -85,7 +97,9 @@
             )
         finally:
             self.release_transaction()
-            self.sock.close()
+            # The wait of the close itself must not be ended.
+            self.has_ended = True
+            close_gracefully(self.sock)
 
     def release_transaction(self) -> None:
         """Roll back the open transaction, if there is one."""
@@ -94,15 +108,45 @@
             self.binding = None
 
     def receive_lines(self) -> list[str]:
-        """Return the next lines; raise OSError at the end of the stream."""
+        """Return the next lines; raise OSError at the stream's end, or SessionEnded."""
         while True:
-            data = self.sock.recv(RECEIVE_BYTES)
+            try:
+                data = self.sock.recv(RECEIVE_BYTES)
+            except SessionEnded:
+                # What has arrived is answered, so that no caller waits in vain.
+                data = self.receive_waiting_bytes()
+                self.has_ended = False
             if not data:
                 raise ConnectionResetError("the caller closed the connection")
             received = self.lines.feed(data)
             if received:
                 return received
 
+    def receive_waiting_bytes(self) -> bytes:
+        """Return what has arrived without waiting; raise SessionEnded if nothing has."""
+        try:
+            return bytes(self.sock._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            raise SessionEnded from None
+
+    def end(self) -> None:
+        """End the session if it waits for a message and none has arrived."""
+        if not self.has_ended:
+            self.has_ended = True
+            # Nothing happens unless the session waits, so no statement is interrupted.
+            gevent.get_hub().cancel_wait(self.sock._read_event, SessionEnded)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the session neither runs a statement nor has a transaction."""
+        return not self.busy and self.session.state == IDLE
+
+    @property
+    def is_starting(self) -> bool:
+        """Return whether the first message may still be on its way."""
+        age = now_seconds() - self.accepted_at
+        return not self.route_name and age < FIRST_MESSAGE_SECONDS
+
     def open_session(self) -> list[str]:
         """Answer the opening line; leave ``route_name`` empty on a refusal."""
         first, *pending = self.receive_lines()
@@ -115,7 +159,7 @@
                 )
             )
             return pending
-        refusal = self.callers.check_access(opening.name, opening.key)
+        refusal = self.callers.check_opening(opening.name, opening.key)
         if refusal is not None:
             self.sock.sendall(line_protocol.error_line(*refusal))
             self.callers.record_refusal("", refusal[0], refusal[1], "start")
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -10,7 +10,6 @@
 from gevent.server import StreamServer
 
 from ...core.pooler.planned_stop import are_idle_sessions_ended
-from ...core.pooler.sessions import IDLE
 from ...core.pooler.statements import Effect, ErrorCode
 from ..clock import now_seconds
 from .caller_session import SessionTask
@@ -93,6 +92,12 @@
         """Return whether sessions end as soon as they are idle."""
         return are_idle_sessions_ended(self.view.stop, now_seconds())
 
+    def check_opening(self, name: str, key: str) -> tuple[ErrorCode, str] | None:
+        """Return the refusal of a new session, or None if it may open."""
+        if self.closing:
+            return (ErrorCode.BUSY, "the instance stops; connect to another one")
+        return self.check_access(name, key)
+
     def check_access(self, name: str, key: str) -> tuple[ErrorCode, str] | None:
         """Return the refusal of a key for a database name, or None if it is allowed."""
         declarations = self.view.declarations
@@ -115,10 +120,16 @@
         return None
 
     def close_idle(self) -> None:
-        """Close sessions that neither run a statement nor hold a transaction."""
+        """End sessions that neither run a statement nor hold a transaction."""
+        for session in list(self.sessions):
+            if session.is_idle and not session.is_starting:
+                session.end()
+
+    def end_waiting(self) -> None:
+        """End every session that runs no statement, whatever its transaction."""
         for session in list(self.sessions):
-            if not session.busy and session.session.state == IDLE:
-                session.sock.close()
+            if not session.busy:
+                session.end()
 
     def log_running(self) -> None:
         """Log each statement that has no answer yet, before the process ends."""
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -40,9 +40,13 @@
 from .store_relay import StoreRelay
 
 if TYPE_CHECKING:
+    from ...core.pooler.planned_stop import StopSchedule
     from .settings import PoolerSettings
 
 DRAIN_POLL_SECONDS = 0.05
+# Time for the last answers to leave the queues of the links and the sockets, which
+# cannot be waited for.
+LAST_ANSWERS_SECONDS = 0.2
 # A silence is detected late by this at most, a fraction of the shortest limit, 0.15 s.
 STEP_INTERVAL_SECONDS = 0.1
 # Fraction of ``revocation_ms`` after which unconfirmed keys are no longer accepted; the
@@ -241,7 +245,7 @@
         if self.links is None:
             return
         gevent.spawn(self.registry.registration.announce_leaving)
-        while now_seconds() < stop.ends_at:
+        while now_seconds() < stop.closes_all_at:
             if self.caller_listener.closing:
                 self.caller_listener.close_idle()
                 if self.owes_nothing():
@@ -249,7 +253,7 @@
             if are_transactions_ended(stop, now_seconds()):
                 self.held_databases.end_transactions()
             gevent.sleep(DRAIN_POLL_SECONDS)
-        self.caller_listener.log_running()
+        self.end_connections(stop)
         self.log.info(
             "The instance stopped.",
             seconds=round(now_seconds() - stop.begins_at, 3),
@@ -261,6 +265,14 @@
             ),
         )
 
+    def end_connections(self, stop: StopSchedule) -> None:
+        """Refuse what still comes, and let answers leave before the process ends."""
+        now = now_seconds()
+        self.view.stop = stop._replace(free_until=now, answered_by=now)
+        self.caller_listener.end_waiting()
+        gevent.sleep(min(LAST_ANSWERS_SECONDS, stop.ends_at - now))
+        self.caller_listener.log_running()
+
     def stop(self) -> None:
         """Close every socket immediately."""
         self.ready = False
--- a/berylhinge/tasks/pooler/tests/test_planned_stop.py
+++ b/berylhinge/tasks/pooler/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from ....core.pooler.planned_stop import schedule_stop
 from ...clock import now_seconds
 from .conftest import Caller, Fleet
 
@@ -76,3 +77,72 @@
     assert last.startswith("ERROR ABORTED")
     assert other.ask("READ item")[0].startswith("COMPLETE")
     job.join()
+
+
+@pytest.fixture
+def closing_fleet(fleet: Fleet) -> Fleet:
+    """Let the first instance be in the part of a stop that ends idle sessions."""
+    fleet.instances[0].view.stop = schedule_stop(now_seconds() - 2.6, 60.0)
+    return fleet
+
+
+@pytest.mark.parametrize("text", ["WRITE item x", "READ item", "BEGIN", "SET a b"])
+def test_a_statement_that_has_arrived_is_answered_before_its_session_ends(
+    closing_fleet: Fleet, text: str
+) -> None:
+    # The session was closed with the statement unread.
+    caller = closing_fleet.caller("strict", instance=1)
+    instance = closing_fleet.instances[1]
+    caller.send(text)
+    instance.view.stop = closing_fleet.instances[0].view.stop
+    instance.caller_listener.close_idle()
+    assert caller.read_answer()[0].startswith("COMPLETE")
+    assert text == "BEGIN" or caller.read_line() == ""
+
+
+def test_a_stopping_instance_refuses_new_sessions_at_once(closing_fleet: Fleet) -> None:
+    # It opened them and closed them as their first statement arrived.
+    caller = closing_fleet.caller("strict")
+    assert caller.started.startswith("ERROR BUSY")
+    assert caller.read_line() == ""
+
+
+def test_a_refused_session_is_told_so_though_it_has_sent_more(
+    closing_fleet: Fleet,
+) -> None:
+    address = tuple(closing_fleet.instances[0].settings.callers)
+    sock = gevent.socket.create_connection(address, timeout=5)
+    sock.sendall(b"START strict k1\r\nQUERY q1 WRITE item x\r\n")
+    gevent.sleep(0.05)
+    sock.sendall(b"QUERY q2 WRITE item x\r\n")
+    gevent.sleep(0.05)
+    assert sock.makefile("rb").readline().startswith(b"ERROR BUSY")
+    assert not closing_fleet.group.runs
+
+
+def test_a_session_that_waits_for_its_first_message_gets_a_moment(
+    closing_fleet: Fleet,
+) -> None:
+    address = tuple(closing_fleet.instances[0].settings.callers)
+    sock = gevent.socket.create_connection(address, timeout=5)
+    gevent.sleep(0.05)
+    closing_fleet.instances[0].caller_listener.close_idle()
+    sock.sendall(b"START strict k1\r\n")
+    assert sock.makefile("rb").readline().startswith(b"ERROR BUSY")
+
+
+def test_a_stop_owes_an_answer_to_each_statement_without_a_result(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # One that waited for a slot was not counted, and the process ended before it.
+    instance = fleet.instances[0]
+    monkeypatch.setattr(
+        instance.held_databases,
+        "run_if_possible",
+        lambda _sender, _request, _delay: gevent.sleep(0.1),
+    )
+    job = gevent.spawn(instance.held_databases.run_statement, "n1", None)
+    gevent.sleep(0.02)
+    assert not instance.owes_nothing()
+    job.join()
+    assert instance.owes_nothing()
