Leave out odd entries wherever instances read the store

Another writer may leave an odd entry. Looked for under every prefix that instances read: entries of databases, the declarations, evacuations and records of leaders held. With a registration of an instance whose address is none no instance served any more, and a mark of a settled era with 5,000 digits ended a full read of the store, so that an instance that starts would not have come past it.

Cause: registrations were decoded and their fields trusted; pynng raises AddressInvalid for such an address, out of Outboxes.ensure into whoever sends to that peer, here the task that asks for tokens, after whose end all operations of an organisation waited. A watch guarded each entry, a full read guarded none.

Change: registrations are checked as they are decoded; a peer that cannot be dialled counts as not sent; one guard for each entry, in watches and full reads.

--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -144,6 +144,9 @@
             self.on_count("unknown-peer", 0)
             return False
         outbox = self.outboxes.ensure(instance, peer)
+        if outbox is None:
+            self.on_count("address-invalid", 0)
+            return False
         body = msgspec.Raw(self.encoder.encode(omit_defaults(message)))
         # A peer that has sent a message here knows the address of this inbox.
         origin = "" if self.contacts.has_heard(instance) else self.advertised_address
--- a/berylhinge/tasks/peer_outboxes.py
+++ b/berylhinge/tasks/peer_outboxes.py
@@ -34,8 +34,11 @@
         """Start without sockets."""
         self.open: dict[InstanceId, Outbox] = {}
 
-    def ensure(self, instance: InstanceId, peer: PeerAddress) -> pynng.Push0:
-        """Return the peer's socket, dialling in the background at first use."""
+    def ensure(self, instance: InstanceId, peer: PeerAddress) -> pynng.Push0 | None:
+        """Return the peer's socket, dialling in the background at first use.
+
+        Return None for a peer whose address cannot be dialled.
+        """
         existing = self.open.get(instance)
         if existing is not None:
             return existing.socket
@@ -44,7 +47,11 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        outbox.dial(f"tcp://{peer.address}", block=False)
+        try:
+            outbox.dial(f"tcp://{peer.address}", block=False)
+        except pynng.NNGException:
+            outbox.close()
+            return None
         self.open[instance] = Outbox(peer.address, outbox, now_seconds())
         return outbox
 
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -13,7 +13,8 @@
 
 from ...platform.metadata_store import Conflict, LeaseGone
 from ..clock import now_seconds
-from .store_state import INSTANCES_PREFIX, Registration, SECRET_KEY
+from .registrations import Registration
+from .store_state import INSTANCES_PREFIX, SECRET_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -291,14 +291,9 @@
     ) -> None:
         """Apply all changes up to a revision, which was the newest at a moment."""
         record_changes(self.history, items)
-        known_items = []
-        for item in items:
-            try:
-                if not self.applier.apply_item(item):
-                    known_items.append(item)
-            except Exception as error:
-                # Without this item the others hold; it would be delivered for ever.
-                self.log.fault(item.key, error)
+        known_items = [
+            item for item in items if not self.applier.apply_if_possible(item)
+        ]
         if known_items:
             self.log.info(
                 "Changes were known already.",
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from math import isfinite
-from typing import Annotated, NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
-import msgspec
 from returns.result import Failure
 
 from ...core.peer_envelopes import SECRETS_LIMIT
@@ -21,11 +20,11 @@
     decode_evacuation,
     EVACUATIONS_PREFIX,
     FIRST_ANNOUNCEMENT,
-    MALFORMED_VALUE_ERRORS,
 )
 from ...types import DatabaseRole
 from ..clock import now_seconds
 from .members import Member
+from .registrations import decode_registration
 
 if TYPE_CHECKING:
     from ...platform.documents import AnnouncementOrder
@@ -39,22 +38,8 @@
 SECRET_KEY = "berylhinge/secret"
 SETTLED_ERA_KEY = "berylhinge/settled-era"
 PROMOTIONS_PREFIX = "berylhinge/duties/promotion/"
-
-
-class Registration(NamedTuple):
-    """Describe an instance, as it registers itself in the store.
-
-    ``incarnation`` is the revision of the process's first registration; it is 0 in that
-    registration itself. ``era`` is that of the store when this was written; a restored
-    copy delivers it in a later one. ``weight`` is the instance's capacity.
-    """
-
-    address: str
-    place: str
-    leaving: bool
-    incarnation: int
-    era: int = 0
-    weight: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+# A store that is restored once a second reaches ten digits after 300 years.
+ERA_DIGITS = 10
 
 
 class StoreStateApplier:
@@ -97,7 +82,16 @@
             if PROMOTIONS_PREFIX + service not in present:
                 self.view.duty_revisions[service] = 0
                 self.view.stored_leaders.pop(service, None)
-        return [item.key for item in snapshot.items if not self.apply_item(item)]
+        return [item.key for item in snapshot.items if not self.apply_if_possible(item)]
+
+    def apply_if_possible(self, item: StoredItem) -> bool:
+        """Apply one item; without one that cannot be applied the others hold."""
+        try:
+            return self.apply_item(item)
+        except Exception as error:
+            # It would be read or delivered again for ever.
+            self.log.fault(item.key, error)
+            return True
 
     def apply_item(self, item: StoredItem) -> bool:
         """Apply one item; return False if it is not newer than the known one."""
@@ -152,7 +146,8 @@
     def apply_settled_era(self, item: StoredItem) -> None:
         """Apply the mark that what a restore lost is written again."""
         value = item.value or b""
-        self.settled_era = int(value) if value.isdigit() else 0
+        is_number = value.isdigit() and len(value) <= ERA_DIGITS
+        self.settled_era = int(value) if is_number else 0
         if self.settled_era == era_of(item.revision):
             self.view.end_settling()
 
@@ -279,14 +274,14 @@
                 return False
             self.record_missing(item.key)
             return True
-        try:
-            registration = msgspec.json.decode(item.value, type=Registration)
-        except MALFORMED_VALUE_ERRORS as error:
+        decoded = decode_registration(item.value)
+        if isinstance(decoded, Failure):
             if self.record_revision(item.key, item.revision):
                 self.log.info(
-                    "A registration is malformed.", peer=name, error=str(error)
+                    "A registration is malformed.", peer=name, error=decoded.failure()
                 )
             return True
+        registration = decoded.unwrap()
         written_at = revision_of_writing(item.revision, registration.era)
         if not self.record_revision(item.key, written_at):
             return False
--- a/berylhinge/tasks/tests/test_peer_links.py
+++ b/berylhinge/tasks/tests/test_peer_links.py
@@ -239,3 +239,16 @@
     )
     assert second_counts["stale-recipient"] == 2
     assert second_counts["sent"] == sent
+
+
+@pytest.mark.parametrize("address", ["", "no address", "127.0.0.1"])
+@pytest.mark.parametrize("pair", [[SECRET]], indirect=True)
+def test_a_peer_whose_address_cannot_be_dialled_stops_no_sender(pair, address):
+    # The error reached whoever sent, and ended its task.
+    first, counts, _ = pair
+    first.set_peers({"odd": PeerAddress(address, 1)})
+    assert not first.send("odd", Question("x"))
+    assert counts["address-invalid"] == 1
+    with pytest.raises(PeerLost) as lost:
+        first.call("odd", Question("x"), 0.2)
+    assert not lost.value.sent
