Watch from the least revision of the pages of a stale read

Pages differ in age, so an older page lacked changes before that revision, and no watch delivered them.

Change: a watch starts from the least of the pages' newest revisions.

The new tests fail before: both cases of test_stale_pages.py on.

--- a/berylhinge/platform/metadata_store.py
+++ b/berylhinge/platform/metadata_store.py
@@ -123,11 +123,13 @@
     ) -> Result[Snapshot, StoreError]:
         """Read every key under a prefix, page by page.
 
-        A stale read is cheap and may be seconds old. Its snapshot has the revision of
-        the newest item, so that a watch from there delivers every later change.
+        A stale read is cheap and may be seconds old, each page by another time. A page
+        has every change up to its newest item, so a watch from the least of these
+        revisions delivers every change that is not in a page.
         """
         items: list[StoredItem] = []
-        after, revision, era = "", 0, 0
+        revisions: list[int] = []
+        after, era = "", 0
         while True:
             query = {"prefix": prefix}
             if allow_stale:
@@ -135,23 +137,25 @@
             if after:
                 query["after"] = after
             reply = self.call("GET", f"{RANGE_PATH}?{urlencode(query)}")
-            page = reply.bind(lambda found: decode_reply(found, RangeDocument))
-            if isinstance(page, Failure):
-                return page
-            document, page_era = page.unwrap(), reply.unwrap().era
+            decoded = reply.bind(lambda found: decode_reply(found, RangeDocument))
+            if isinstance(decoded, Failure):
+                return decoded
+            document, page_era = decoded.unwrap(), reply.unwrap().era
             if page_era != era and items:
                 detail = f"restored as era {page_era} during a read of era {era}"
                 return store_failure(StoreErrorKind.NOT_APPLIED, detail)
             era = page_era
-            items += [decode_item(entry, era) for entry in document["items"]]
+            page = [decode_item(entry, era) for entry in document["items"]]
+            items += page
             # Changes made while later pages are read arrive again by a watch from the
             # first page's revision.
-            revision = revision or qualify(era, document["store-revision"])
+            current = qualify(era, document["store-revision"])
+            if allow_stale:
+                start = qualify(era, 0)
+                current = max((item.revision for item in page), default=start)
+            revisions.append(current)
             if not document["has-more"] or not items:
-                if allow_stale:
-                    start = qualify(era, 0)
-                    revision = max((item.revision for item in items), default=start)
-                return Success(Snapshot(tuple(items), revision))
+                return Success(Snapshot(tuple(items), min(revisions)))
             after = items[-1].key
 
     def newest_revision(self, key: str) -> Result[int, StoreError]:
--- a/berylhinge/standins/metadata_store.py
+++ b/berylhinge/standins/metadata_store.py
@@ -29,18 +29,24 @@
     revision: int
 
 
+# Greater than every key.
+LAST_KEY = "\U0010ffff"
+
+
 class MetadataStore:
     """Hold keys under one revision counter, with leases, watches and faults.
 
     ``down`` leaves calls unanswered with 503; ``lose_answers`` does what is asked and
     closes the connection; ``forget_history`` makes watches start anew; ``hold_stale``
-    keeps what stale reads return from now on. ``restore`` goes back to a copy.
+    keeps what stale reads return from now on, in the pages that begin after a key
+    less than ``stale_before``. ``restore`` goes back to a copy.
     """
 
     def __init__(self, listen: Address) -> None:
         """Listen at once."""
         self.items: dict[str, dict[str, Any]] = {}
         self.stale_items: dict[str, dict[str, Any]] | None = None
+        self.stale_before = LAST_KEY
         self.history: list[dict[str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 1
@@ -163,7 +169,8 @@
             return (200 if item else 404), {**item, "store-revision": self.revision}
         if head == "kv-range":
             items = self.items
-            if "allow-stale" in query and self.stale_items is not None:
+            is_old = query.get("after", "") < self.stale_before
+            if "allow-stale" in query and self.stale_items is not None and is_old:
                 items = self.stale_items
             found = [
                 item
