Take log positions with too many digits for none

A status whose term or position has over 4,300 digits raised ValueError in the task that asks a database for it (found by reading the diff). Such a number is no log position now.

Also from reading: a service that is removed while its primary is replaced has no synchronous replicas, and texts of ASCII only are checked without encoding them.

--- a/berylhinge/platform/line_framing.py
+++ b/berylhinge/platform/line_framing.py
@@ -50,6 +50,8 @@
 
 def is_text(line: str) -> bool:
     """Tell whether all bytes of a received line were UTF-8."""
+    if line.isascii():
+        return True
     try:
         line.encode()
     except UnicodeEncodeError:
--- a/berylhinge/platform/line_protocol.py
+++ b/berylhinge/platform/line_protocol.py
@@ -31,6 +31,8 @@
     from ..wire.pooling import ExecuteRequest
 
 NO_POINT = "-"
+# Digits of a 64-bit integer.
+MAX_NUMBER_DIGITS = 19
 # Who connects for a statement of the proxy's own if no organisation is known.
 NO_ORGANISATION = "-"
 
@@ -145,10 +147,15 @@
     return NO_POINT if point is None else f"{point.term}.{point.position}"
 
 
+def is_number(text: str) -> bool:
+    """Tell whether a text is a whole number, and not too long to be a log's."""
+    return text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
+
+
 def parse_point(text: str) -> LogPoint | None:
     """Parse TERM.NUMBER; return None for anything else."""
     term, _, number = text.partition(".")
-    if not (term.isdecimal() and number.isdecimal()):
+    if not (is_number(term) and is_number(number)):
         return None
     return LogPoint(int(term), int(number))
 
@@ -278,7 +285,7 @@
     fields = row.split(" ")
     if len(fields) < 3 or fields[0] not in ("primary", "replica"):
         return None
-    if not fields[1].isdecimal():
+    if not is_number(fields[1]):
         return None
     point = parse_point(fields[2])
     received = None if point is None else ReceivedPoint(*point)
--- a/berylhinge/platform/tests/test_line_protocol.py
+++ b/berylhinge/platform/tests/test_line_protocol.py
@@ -138,6 +138,11 @@
         ("boss 4 4.1", None),
         ("primary", None),
         ("primary x 4.1", None),
+        # A number with too many digits raised, and the requests for a status ended.
+        pytest.param(f"primary {'9' * 5_000} 4.1", None, id="term"),
+        pytest.param(
+            f"primary 4 4.{'9' * 5_000}", (DatabaseRole.PRIMARY, 4, None), id="number"
+        ),
     ],
 )
 def test_status_rows(row: str, expected: object) -> None:
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -292,7 +292,8 @@
 
     def synchronous_replicas(self, service: str) -> int:
         """Return how many replicas receive a commit before it is acknowledged."""
-        return self.view.declarations.services[service].synchronous_replicas
+        declared = self.view.declarations.services.get(service)
+        return 0 if declared is None else declared.synchronous_replicas
 
     def find_logs(self, service: str, replicas: list[Database]) -> LogSurvey | None:
         """Return the replicas' logs; None if acknowledged commits may be missing."""
