--- a/review/second/world.py
+++ b/review/second/world.py
@@ -227,12 +227,21 @@
             with self.database.slots:
                 if word != "STATUS":
                     gevent.sleep(self.group.work(word))
-                if not self.database.running:
-                    raise OSError("crashed")
+                if not self.database.running or self.is_closed():
+                    raise OSError("crashed, or the far end is gone")
                 return self.run_text(request, text, word, after)
         finally:
             self.database.waiting -= 1
 
+    def is_closed(self):
+        """Tell whether the other side has closed the connection."""
+        try:
+            return not self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def run_text(self, request, text, word, after):
         if after is not None and self.database.position() < after:
             return self.error("LAGGING")
@@ -339,7 +348,7 @@
             Database(self.group, name, zone)
         self.store.on_promotion = self.promote
         self.declared = {"timeout_ms": 1500, "rate": 1000, **declared}
-        self.version = 1
+        self.version, self.keys = 1, None
         self.declare()
         self.announce()
         self.processes, self.ports, self.settings = {}, {}, {}
@@ -351,7 +360,8 @@
         return self.group.promote(service, name)
 
     def declare(self):
-        gone = getattr(self, "gone", set())
+        # The keys of each tenant; None for one key each.
+        keys = self.keys or {}
         common = {
             "service": "s",
             "timeout-ms": self.declared["timeout_ms"],
@@ -362,7 +372,7 @@
         tenants = [
             {
                 "name": f"t{number}",
-                "api-keys": [] if number in gone else [f"key-{number}"],
+                "api-keys": keys.get(f"t{number}", [f"key-{number}"]),
                 "rate-per-s": self.declared["rate"],
                 "burst": self.declared["rate"],
             }
