Tell an error of a case's script from a broken rule

Cause: an uncaught exception ended a script with the code of a broken rule, and one that was ended early left its processes. Change: scripts end with a code of their own for a broken rule, which run.sh turns into 1, and end their processes on SIGTERM.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(HERE.parent / "second"))
 
 import gevent  # noqa: E402
-from world import Group, Lost, PROMISES, Session, World  # noqa: E402
+from world import BROKEN, Group, HELD, Lost, NOT_RUN, PROMISES, run_case, Session, World  # noqa: E402
 
 SESSIONS = 40
 KILLS = 20
@@ -36,7 +36,9 @@
     def run(self):
         while not self.stopping:
             try:
-                session = Session(self.world.ports["n1"], "strict", f"key-{self.number % 2}")
+                session = Session(
+                    self.world.ports["n1"], "strict", f"key-{self.number % 2}"
+                )
             except (OSError, Lost):
                 gevent.sleep(0.03)
                 continue
@@ -84,7 +86,7 @@
                 world.start(name)
             if not world.wait_ready(("n0", "n1", "n2")):
                 print("the instances were not ready")
-                return 2
+                return NOT_RUN
             clients = [Client(number, world, record) for number in range(SESSIONS)]
             jobs = [gevent.spawn(client.run) for client in clients]
             gevent.sleep(4.0)
@@ -124,27 +126,39 @@
             done += 1
             of = group.receipts.get(receipt)
             if of != request:
-                faults.append(f"MIXED {at:.3f} {request} {text!r}: success with rows {rows} and a receipt of {of}")
+                faults.append(
+                    f"MIXED {at:.3f} {request} {text!r}: success with rows {rows} and a receipt of {of}"
+                )
             elif rows and rows[0] not in client.written:
-                faults.append(f"MIXED {at:.3f} {request} {text!r}: rows {rows} are another client's")
+                faults.append(
+                    f"MIXED {at:.3f} {request} {text!r}: rows {rows} are another client's"
+                )
         elif code in PROMISES and data in committed:
-            faults.append(f"REFUSED {at:.3f} {request} {text!r}: {code}, and committed by {committed[data]}")
+            faults.append(
+                f"REFUSED {at:.3f} {request} {text!r}: {code}, and committed by {committed[data]}"
+            )
         if data and len(committed.get(data, ())) > 1:
             faults.append(f"TWICE {request} {text!r}")
     with (HERE / "record.txt").open("w") as file:
         for at, note in notes:
             file.write(f"{at:.3f} {note}\n")
         for at, _client, request, text, _data, sent, code, rows, receipt in answers:
-            file.write(f"{sent:.3f} sent {request} {text} | {at:.3f} answered {code} {rows} {receipt}\n")
+            file.write(
+                f"{sent:.3f} sent {request} {text} | {at:.3f} answered {code} {rows} {receipt}\n"
+            )
         for at, database, connection, tenant, request, text, _key in group.runs:
-            file.write(f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n")
+            file.write(
+                f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n"
+            )
         for line in faults:
             file.write(f"BROKEN {line}\n")
-    print(f"{len(answers)} answers, {done} successes, {len(asked)} requests, {len(faults)} broken")
+    print(
+        f"{len(answers)} answers, {done} successes, {len(asked)} requests, {len(faults)} broken"
+    )
     for line in faults[:10]:
         print(line)
-    return 1 if faults else 0
+    return BROKEN if faults else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(main))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(HERE.parent / "second"))
 
 import gevent  # noqa: E402
-from world import Group, Lost, Session, World  # noqa: E402
+from world import BROKEN, Group, HELD, Lost, NOT_RUN, run_case, Session, World  # noqa: E402
 
 SESSIONS = 24
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -66,16 +66,22 @@
     def write(self, session, alone):
         request = self.request()
         data = f"v{request}"
-        return data, self.ask(session, request, f"WRITE item{self.number} {data}", data if alone else "")
+        return data, self.ask(
+            session, request, f"WRITE item{self.number} {data}", data if alone else ""
+        )
 
     def ask(self, session, request, text, data):
         sent = time.monotonic()
         try:
             code, _, receipt = session.ask(request, text)
         except Lost:
-            self.answers.append((sent, time.monotonic(), request, text, data, "no answer", ""))
+            self.answers.append(
+                (sent, time.monotonic(), request, text, data, "no answer", "")
+            )
             raise
-        self.answers.append((sent, time.monotonic(), request, text, data, code or "OK", receipt))
+        self.answers.append(
+            (sent, time.monotonic(), request, text, data, code or "OK", receipt)
+        )
         return not code
 
 
@@ -113,7 +119,7 @@
                 world.start(name)
             if not world.wait_ready(("n0", "n1", "n2")):
                 print("the instances were not ready")
-                return 2
+                return NOT_RUN
             clients = [Client(number, world, answers) for number in range(SESSIONS)]
             jobs = [gevent.spawn(client.run) for client in clients]
             gevent.sleep(3.0)
@@ -131,26 +137,38 @@
             os.system(f"cp {folder}/*.log {HERE}")
     if not ordered:
         print("no promotion was ordered")
-        return 2
+        return NOT_RUN
     return judge(group, answers, notes)
 
 
 def judge(group, answers, notes):
-    lost = {data: request for _, writes, request in group.cut_back for data in writes.values()}
+    lost = {
+        data: request
+        for _, writes, request in group.cut_back
+        for data in writes.values()
+    }
     acknowledged = [a for a in answers if a[4] and a[5] == "OK"]
     broken = [a for a in acknowledged if a[4] in lost]
     with (HERE / "record.txt").open("w") as file:
         for at, text in notes:
             file.write(f"{at:.3f} {text}\n")
         for sent, at, request, text, _data, code, receipt in answers:
-            file.write(f"{sent:.3f} sent {request} {text} | {at:.3f} answered {code} {receipt}\n")
+            file.write(
+                f"{sent:.3f} sent {request} {text} | {at:.3f} answered {code} {receipt}\n"
+            )
         for at, database, connection, tenant, request, text, _key in group.runs:
-            file.write(f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n")
+            file.write(
+                f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n"
+            )
         for _sent, at, request, text, *_ in broken:
-            file.write(f"BROKEN LOST {at:.3f} {request} {text}: acknowledged, not in the promoted log\n")
-    print(f"{len(acknowledged)} acknowledged, {len(lost)} cut back, {len(broken)} of them acknowledged")
-    return 1 if broken else 0
+            file.write(
+                f"BROKEN LOST {at:.3f} {request} {text}: acknowledged, not in the promoted log\n"
+            )
+    print(
+        f"{len(acknowledged)} acknowledged, {len(lost)} cut back, {len(broken)} of them acknowledged"
+    )
+    return BROKEN if broken else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(main))
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,5 +4,5 @@
 export PYTHONPATH="../../target/deps:../.."
 export PYTHONDONTWRITEBYTECODE=1
 timeout -k 5 110 python3 case.py
-code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+# An error of the script itself ends with neither of the first two codes.
+case $? in 10) exit 1 ;; 0) exit 0 ;; *) exit 2 ;; esac
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(HERE.parent / "second"))
 
 import gevent  # noqa: E402
-from world import Group, Lost, Session, World  # noqa: E402
+from world import BROKEN, Group, HELD, Lost, NOT_RUN, run_case, Session, World  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # config-apply-ms and stable-ms of the sheet.
@@ -51,7 +51,12 @@
             if session.state != "T":
                 break
             gevent.sleep(PAUSE_SECONDS)
-            self.ask(session, f"WRITE item{self.number} v{place}" if place % 2 else f"READ item{self.number}")
+            self.ask(
+                session,
+                f"WRITE item{self.number} v{place}"
+                if place % 2
+                else f"READ item{self.number}",
+            )
         self.ask(session, "COMMIT" if session.state == "T" else "ROLLBACK")
 
     def ask(self, session, text):
@@ -72,8 +77,10 @@
                 world.start(name)
             if not world.wait_ready(names):
                 print("the instances were not ready")
-                return 2
-            clients = [Client(n, world.ports[names[n % 3]], sent) for n in range(SESSIONS)]
+                return NOT_RUN
+            clients = [
+                Client(n, world.ports[names[n % 3]], sent) for n in range(SESSIONS)
+            ]
             jobs = [gevent.spawn(client.run) for client in clients]
             gevent.sleep(1.5)
             moved_at = None
@@ -102,19 +109,27 @@
             # Until the version is in force everywhere, either tenant will do.
             holder = tenant if at <= moved_at + APPLY_SECONDS else "t1"
         if tenant != holder:
-            broken.append(f"UNASKED {request} {text!r} ran for {tenant} {at - moved_at:.2f} s after the ack")
+            broken.append(
+                f"UNASKED {request} {text!r} ran for {tenant} {at - moved_at:.2f} s after the ack"
+            )
     with (HERE / "record.txt").open("w") as file:
         if moved_at is not None:
-            file.write(f"{moved_at:.3f} the store acknowledges version 2: key-0 moves from t0 to t1\n")
+            file.write(
+                f"{moved_at:.3f} the store acknowledges version 2: key-0 moves from t0 to t1\n"
+            )
         for request, (at, end, text, code) in sent.items():
             file.write(f"{at:.3f} sent {request} {text} | {end:.3f} answered {code}\n")
         for at, database, connection, tenant, request, text, _key in group.runs:
-            file.write(f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n")
+            file.write(
+                f"{at:.3f} run at {database} on {connection} for {tenant}: {request} {text}\n"
+            )
         for line in broken:
             file.write(f"BROKEN {line}\n")
-    print(f"{len(sent)} requests, {ran} statements run, {len(broken)} for a tenant without the key")
-    return 1 if broken else 0
+    print(
+        f"{len(sent)} requests, {ran} statements run, {len(broken)} for a tenant without the key"
+    )
+    return BROKEN if broken else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(main))
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import time
+import traceback
 from itertools import count
 from pathlib import Path
 
@@ -30,13 +31,17 @@
 
 SLOT_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS")
 RUN_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
+# How a case ends; run.sh turns the codes into 1, 0 and 2.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 
 
 class Group:
     """Hold the log of one service; each database holds a prefix of it."""
 
-    def __init__(self, service="s", *, lag=0.02, promote_seconds=0.3, slots=2, queue=16, sync=0):
+    def __init__(
+        self, service="s", *, lag=0.02, promote_seconds=0.3, slots=2, queue=16, sync=0
+    ):
         self.service, self.lag, self.promote_seconds = service, lag, promote_seconds
         self.sync, self.hop_seconds = sync, 0.0009
         self.slots, self.queue = slots, queue
@@ -59,8 +64,12 @@
         term = self.term
         while True:
             if not leader.running or self.term != term:
-                raise OSError("the lead was lost before a replica had received the commit")
-            others = [member for member in self.members.values() if member is not leader]
+                raise OSError(
+                    "the lead was lost before a replica had received the commit"
+                )
+            others = [
+                member for member in self.members.values() if member is not leader
+            ]
             if sum(member.received >= length for member in others) >= self.sync:
                 return
             gevent.sleep(0.0005)
@@ -117,7 +126,12 @@
         return self.group.primary == self.id
 
     def receive(self, length, term):
-        if self.running and not self.deaf and term == self.group.term and not self.leads:
+        if (
+            self.running
+            and not self.deaf
+            and term == self.group.term
+            and not self.leads
+        ):
             self.received = max(self.received, min(length, len(self.group.log)))
             gevent.spawn_later(self.group.lag, self.apply, self.received, term)
 
@@ -206,9 +220,13 @@
         return f"ERROR {code} {self.database.id}\r\n".encode()
 
     def done(self, request, *rows):
-        receipt = f"{self.group.term}.{next(self.group.numbers):x}.{random.getrandbits(64):x}"
+        receipt = (
+            f"{self.group.term}.{next(self.group.numbers):x}.{random.getrandbits(64):x}"
+        )
         self.group.receipts[receipt] = request
-        return "".join([*(f"ROW {row}\r\n" for row in rows), f"COMPLETE {receipt}\r\n"]).encode()
+        return "".join(
+            [*(f"ROW {row}\r\n" for row in rows), f"COMPLETE {receipt}\r\n"]
+        ).encode()
 
     def run(self, request, text):
         after = None
@@ -258,7 +276,15 @@
                 return self.error("READONLY")
             key = (self.number, self.transaction) if self.state == "T" else None
             self.group.runs.append(
-                (time.monotonic(), self.database.id, self.number, self.tenant, request, text, key)
+                (
+                    time.monotonic(),
+                    self.database.id,
+                    self.number,
+                    self.tenant,
+                    request,
+                    text,
+                    key,
+                )
             )
             return self.run_data(request, access, rest)
         if word == "BEGIN":
@@ -340,7 +366,9 @@
 class World:
     """Own a store, one group of three databases and the pooler processes."""
 
-    def __init__(self, folder, zones=("x", "y", "z"), group=None, store=MetadataStore, **declared):
+    def __init__(
+        self, folder, zones=("x", "y", "z"), group=None, store=MetadataStore, **declared
+    ):
         self.folder = Path(folder)
         self.store = store(Address("127.0.0.1", 0))
         self.group = group or Group()
@@ -381,11 +409,31 @@
         document = {
             "version": self.version,
             "routes": [
-                {"name": "r1", "host": "strict", "kind": "primary", "max-staleness-ms": 0, **common},
-                {"name": "r2", "host": "aged", "kind": "bounded_stale", "max-staleness-ms": 1500, **common},
-                {"name": "r3", "host": "own", "kind": "read_your_writes", "max-staleness-ms": 2500, **common},
+                {
+                    "name": "r1",
+                    "host": "strict",
+                    "kind": "primary",
+                    "max-staleness-ms": 0,
+                    **common,
+                },
+                {
+                    "name": "r2",
+                    "host": "aged",
+                    "kind": "bounded_stale",
+                    "max-staleness-ms": 1500,
+                    **common,
+                },
+                {
+                    "name": "r3",
+                    "host": "own",
+                    "kind": "read_your_writes",
+                    "max-staleness-ms": 2500,
+                    **common,
+                },
+            ],
+            "services": [
+                {"name": "s", "max-conns": 16, "sync-replicas": self.group.sync}
             ],
-            "services": [{"name": "s", "max-conns": 16, "sync-replicas": self.group.sync}],
             "limits": {"tx-idle-ms": self.declared.get("idle_ms", 2000)},
             "tenants": tenants,
         }
@@ -398,7 +446,9 @@
                 self.store.delete(key)
                 continue
             entry, known = member.entry(), self.store.read(key)
-            if not isinstance(known, dict) or known | {"sequence": 0} != entry | {"sequence": 0}:
+            if not isinstance(known, dict) or known | {"sequence": 0} != entry | {
+                "sequence": 0
+            }:
                 self.store.put(key, entry)
 
     def announce_forever(self):
@@ -408,7 +458,10 @@
 
     def add(self, name, zone):
         """Write the settings that deploy/settings.json gives, with the sheet's bounds."""
-        ports = {key: f"127.0.0.1:{free_port()}" for key in ("callers", "readiness", "peers", "metrics")}
+        ports = {
+            key: f"127.0.0.1:{free_port()}"
+            for key in ("callers", "readiness", "peers", "metrics")
+        }
         store = str(server_address(self.store.server))
         settings = {
             "instance": name,
@@ -425,7 +478,17 @@
             "rate_excess_operations": 20,
             "promotions_fenced": True,
             "regions": {"x": "r", "y": "r", "z": "r"},
-            "agreed_terms": ["base", "drain", "config", "cost", "recover", "sql", "tenants", "quota", "platform"],
+            "agreed_terms": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "sql",
+                "tenants",
+                "quota",
+                "platform",
+            ],
             "processor_cores": 0.537,
             "bandwidth_mbps": 1000.0,
         }
@@ -442,7 +505,11 @@
         command = ["python3", "-m", "berylhinge.cli.pooler", "--settings"]
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [*command, str(self.folder / f"{name}.json")], cwd=ROOT, env=env, stdout=log, stderr=log
+                [*command, str(self.folder / f"{name}.json")],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
             )
         # From the second start on, the fleet does not start for the first time.
         settings = self.settings[name] | {"first_start": False}
@@ -459,7 +526,9 @@
         host, _, port = self.settings[name]["readiness"].rpartition(":")
         try:
             with socket.create_connection((host, int(port)), timeout=1) as sock:
-                sock.sendall(b"GET /berylhinge/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+                sock.sendall(
+                    b"GET /berylhinge/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n"
+                )
                 return sock.recv(64).startswith(b"HTTP/1.1 200")
         except OSError:
             return False
@@ -531,3 +600,13 @@
             self.sock.close()
         except (OSError, AttributeError):
             pass
+
+
+def run_case(main):
+    """Return how a case ended; one that is ended early still ends its processes."""
+    gevent.signal_handler(signal.SIGTERM, gevent.getcurrent().throw, KeyboardInterrupt)
+    try:
+        return main()
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return NOT_RUN
