Give the answer of a call only to the process that asked for it

Cause: a call was identified by its number, which begins at 1 in each process, and its answer went to the newest process of the sender's name. So the answer to call 32 of the killed process ended call 32 of its successor.

Change: an answer is sealed for the process that asked, or dropped and counted (other-incarnation). A call ends only with an answer of the process that was called, of the type that it expects; an answer of another type counts as lost and no longer raises in the caller.

--- a/berylhinge/tasks/capacity_task.py
+++ b/berylhinge/tasks/capacity_task.py
@@ -290,7 +290,10 @@
         """Fetch a newer roster from a peer."""
         try:
             answer = self.links.call(
-                peer.instance, RosterRequest(epoch), ROSTER_TIMEOUT_SECONDS
+                peer.instance,
+                RosterRequest(epoch),
+                RosterResponse,
+                ROSTER_TIMEOUT_SECONDS,
             )
         except PeerLost:
             return
--- a/berylhinge/tasks/configuration_task.py
+++ b/berylhinge/tasks/configuration_task.py
@@ -320,7 +320,9 @@
         """Pull a newer configuration from a peer."""
         request = ConfigurationPullRequest(version, tuple(self.known_parts()))
         try:
-            answer = self.links.call(peer, request, PULL_TIMEOUT_SECONDS)
+            answer = self.links.call(
+                peer, request, ConfigurationPullResponse, PULL_TIMEOUT_SECONDS
+            )
         except PeerLost:
             self.step(configuration_sync.PullFailed(peer))
             return
--- a/berylhinge/tasks/dispatcher.py
+++ b/berylhinge/tasks/dispatcher.py
@@ -234,8 +234,7 @@
         """Call one peer; a call that was sent but not answered has outcome unknown."""
         try:
             wait = timeout_seconds + FORWARD_GRACE_SECONDS
-            answer: ForwardAnswer = self.links.call(peer, message, wait)
-            return answer
+            return self.links.call(peer, message, ForwardAnswer, wait)
         except PeerLost as error:
             outcome = (
                 StatementOutcome.UNKNOWN if error.sent else StatementOutcome.NOT_RUN
--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -6,7 +6,7 @@
 import time
 from contextlib import contextmanager
 from itertools import count
-from typing import Any, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING, TypeVar
 
 import gevent
 import msgspec
@@ -29,7 +29,14 @@
 from ..wire.kinds import kind_of, omit_defaults
 from .clock import now_seconds
 from .http_server import Address
-from .peer_frames import Frame, Handler, PeerLost, RestartNotice
+from .peer_frames import (
+    Frame,
+    Handler,
+    PeerLost,
+    PendingCall,
+    RestartNotice,
+    UnexpectedAnswer,
+)
 from .peer_outboxes import Outboxes
 
 if TYPE_CHECKING:
@@ -44,6 +51,8 @@
 CONNECT_POLL_SECONDS = 0.002
 LOSS_CHECK_SECONDS = 0.1
 
+AnswerT = TypeVar("AnswerT")
+
 
 def ignore_fault(kind: str, error: Exception) -> None:
     """Discard an error."""
@@ -79,7 +88,7 @@
         self.handlers: dict[str, Handler] = {}
         self.clock_offsets: dict[InstanceId, ClockOffset] = {}
         self.types_by_kind: dict[str, type] = {kind_of(RestartNotice): RestartNotice}
-        self.pending_calls: dict[int, AsyncResult] = {}
+        self.pending_calls: dict[int, PendingCall] = {}
         self.last_received_at: dict[InstanceId, float] = {}
         self.awaited_since: dict[InstanceId, list[float]] = {}
         self.call_ids = count(1)
@@ -136,13 +145,25 @@
         self.outboxes.close(instance)
 
     def send(
-        self, instance: InstanceId, message: Any, *, call: int = 0, reply: int = 0
+        self,
+        instance: InstanceId,
+        message: Any,
+        *,
+        call: int = 0,
+        reply: int = 0,
+        incarnation: int | None = None,
     ) -> bool:
-        """Send without waiting; return false if the message certainly was not sent."""
+        """Send without waiting; return false if the message certainly was not sent.
+
+        A message for one ``incarnation`` of the peer is not sent to another one.
+        """
         peer = self.contacts.find(instance)
         if peer is None:
             self.on_count("unknown-peer", 0)
             return False
+        if incarnation is not None and peer.incarnation != incarnation:
+            self.on_count("other-incarnation", 0)
+            return False
         outbox = self.outboxes.ensure(instance, peer)
         if outbox is None:
             self.on_count("address-invalid", 0)
@@ -225,37 +246,50 @@
         self,
         instance: InstanceId,
         message: Any,
+        answer_type: type[AnswerT],
         timeout_seconds: float,
         is_lost: Callable[[], bool] | None = None,
         *,
         may_repeat: bool = False,
-    ) -> Any:
+    ) -> AnswerT:
         """Send and return the answer; raise PeerLost on timeout or ``is_lost``.
 
         A restarted peer drops it; it is sent once more if it ``may_repeat`` safely.
+        An answer of another type than expected counts as a lost one.
         """
         deadline = time.monotonic() + timeout_seconds
-        answer = self.call_once(instance, message, deadline, is_lost)
+        answer = self.call_once(instance, message, answer_type, deadline, is_lost)
         if may_repeat and isinstance(answer, RestartNotice):
-            answer = self.call_once(instance, message, deadline, is_lost)
+            answer = self.call_once(instance, message, answer_type, deadline, is_lost)
         if isinstance(answer, RestartNotice):
             raise PeerLost(instance, sent=True, restarted=True)
+        if not isinstance(answer, answer_type):
+            raise PeerLost(instance, sent=True)
         return answer
 
     def call_once(
         self,
         instance: InstanceId,
         message: Any,
+        answer_type: type,
         deadline: float,
         is_lost: Callable[[], bool] | None,
     ) -> Any:
-        """Send and return the answer, or the notice that the peer restarted."""
+        """Send and return the answer, or why there is none."""
         if not self.connect(instance):
             raise PeerLost(instance, sent=False)
+        peer = self.contacts.find(instance)
+        if peer is None:
+            raise PeerLost(instance, sent=False)
         call_id = next(self.call_ids)
-        answer = self.pending_calls[call_id] = AsyncResult()
+        answer = AsyncResult()
+        self.pending_calls[call_id] = PendingCall(
+            instance, peer.incarnation, answer_type, answer
+        )
         try:
-            if not self.send(instance, message, call=call_id):
+            if not self.send(
+                instance, message, call=call_id, incarnation=peer.incarnation
+            ):
                 raise PeerLost(instance, sent=False)
             return self.await_answer(instance, answer, deadline, is_lost)
         finally:
@@ -315,16 +349,33 @@
         self.last_received_at[sender] = time.monotonic()
         self.learn_address(envelope, frame)
         if isinstance(message, RestartNotice):
-            pending = self.pending_calls.get(message.call_id)
-            if pending is not None:
-                pending.set(message)
+            self.end_call(message.call_id, envelope, message)
+        elif frame.reply_to:
+            self.end_call(frame.reply_to, envelope, message)
+        else:
+            self.dispatch_message(envelope, frame, message, delay)
+
+    def end_call(self, call_id: int, envelope: Envelope, message: Any) -> None:
+        """Give an answer to the call that awaits it from the process that sent it.
+
+        A restart notice comes from a newer process of the peer than the one asked.
+        """
+        pending = self.pending_calls.get(call_id)
+        if pending is None:
             return
-        if frame.reply_to:
-            answer = self.pending_calls.get(frame.reply_to)
-            if answer is not None:
-                answer.set(message)
+        is_notice = isinstance(message, RestartNotice)
+        is_from_asked = (
+            envelope.sender_incarnation > pending.incarnation
+            if is_notice
+            else envelope.sender_incarnation == pending.incarnation
+        )
+        if envelope.sender != pending.peer or not is_from_asked:
+            self.on_count("misdirected-answer", 0)
             return
-        self.dispatch_message(sender, frame, message, delay)
+        if not is_notice and not isinstance(message, pending.answer_type):
+            self.on_count("unexpected-answer", 0)
+            message = UnexpectedAnswer(type(message).__name__)
+        pending.answer.set(message)
 
     def learn_address(self, envelope: Envelope, frame: Frame) -> None:
         """Learn where the sender of a message receives answers, and that it runs."""
@@ -366,9 +417,10 @@
         return delay
 
     def dispatch_message(
-        self, sender: InstanceId, frame: Frame, message: Any, delay: float
+        self, envelope: Envelope, frame: Frame, message: Any, delay: float
     ) -> None:
         """Run a message's handler."""
+        sender = envelope.sender
         handler = self.handlers.get(frame.kind)
         if handler is None:
             self.on_count("unhandled", 0)
@@ -377,7 +429,7 @@
             (sender, message, delay) if handler.takes_delay else (sender, message)
         )
         if handler.runs_in_greenlet:
-            gevent.spawn(self.answer, frame, handler.function, arguments)
+            gevent.spawn(self.answer, envelope, frame, handler.function, arguments)
             return
         try:
             handler.function(*arguments)
@@ -385,13 +437,22 @@
             self.on_fault(frame.kind, error)
 
     def answer(
-        self, frame: Frame, function: Callable[..., Any], arguments: tuple[Any, ...]
+        self,
+        envelope: Envelope,
+        frame: Frame,
+        function: Callable[..., Any],
+        arguments: tuple[Any, ...],
     ) -> None:
-        """Run a call's handler and send its result."""
+        """Run a call's handler and send its result to the process that asked."""
         try:
             answer = function(*arguments)
         except Exception as error:
             self.on_fault(frame.kind, error)
             return
         if answer is not None and frame.call_id:
-            self.send(arguments[0], answer, reply=frame.call_id)
+            self.send(
+                envelope.sender,
+                answer,
+                reply=frame.call_id,
+                incarnation=envelope.sender_incarnation,
+            )
--- a/berylhinge/tasks/pooler/leader_notices.py
+++ b/berylhinge/tasks/pooler/leader_notices.py
@@ -61,11 +61,15 @@
         """Tell one instance of a recorded leader; return whether it confirmed."""
         try:
             answer = self.links.call(
-                name, notice, NOTICE_TIMEOUT_SECONDS, may_repeat=True
+                name,
+                notice,
+                LeadershipNoticeTaken,
+                NOTICE_TIMEOUT_SECONDS,
+                may_repeat=True,
             )
         except PeerLost:
             return False
-        return bool(answer.revision >= notice.revision)
+        return answer.revision >= notice.revision
 
     def answer_leadership_notice(
         self, sender: InstanceId, message: LeadershipNotice
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -333,6 +333,7 @@
             report = self.links.call(
                 peer,
                 DatabaseStatesRequest(self.read_services(), self.held_by(peer)),
+                DatabaseStatesResponse,
                 PROBE_TIMEOUT_SECONDS,
                 may_repeat=True,
             )
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -274,8 +274,12 @@
             asked_at = now_seconds()
             returning = self.add_returned(request, rate_owner, asked_at)
             try:
-                tokens: TokenGrant = self.links.call(
-                    rate_owner, returning, PEER_FAILOVER_SECONDS, may_repeat=True
+                tokens = self.links.call(
+                    rate_owner,
+                    returning,
+                    TokenGrant,
+                    PEER_FAILOVER_SECONDS,
+                    may_repeat=True,
                 )
             except PeerLost:
                 if self.is_starting(rate_owner):
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -348,8 +348,13 @@
         is_lost = None if can_commit else partial(self.view.is_suspect, holder)
         try:
             with self.links.awaiting_answer(holder):
-                done: ExecuteResponse = self.links.call(
-                    holder, message, timeout, is_lost, may_repeat=not can_commit
+                done = self.links.call(
+                    holder,
+                    message,
+                    ExecuteResponse,
+                    timeout,
+                    is_lost,
+                    may_repeat=not can_commit,
                 )
         except PeerLost as error:
             if not error.restarted:
--- a/berylhinge/tasks/pooler/service_states.py
+++ b/berylhinge/tasks/pooler/service_states.py
@@ -99,6 +99,7 @@
             report = self.links.call(
                 relay,
                 ServiceStatesRequest(services),
+                DatabaseStatesResponse,
                 RELAY_TIMEOUT_SECONDS,
                 may_repeat=True,
             )
--- a/berylhinge/tasks/pooler/status_requests.py
+++ b/berylhinge/tasks/pooler/status_requests.py
@@ -151,15 +151,15 @@
     ) -> ReachabilityResponse | None:
         """Ask one witness whether it reaches a database; None if it did not answer."""
         try:
-            answer: ReachabilityResponse = self.links.call(
+            return self.links.call(
                 name,
                 ReachabilityRequest(database.id),
+                ReachabilityResponse,
                 timeout_seconds,
                 may_repeat=True,
             )
         except PeerLost:
             return None
-        return answer
 
     def survey_logs(
         self, replicas: Sequence[Database], synchronous_replicas: int
--- a/berylhinge/tasks/pooler/store_relay.py
+++ b/berylhinge/tasks/pooler/store_relay.py
@@ -109,9 +109,10 @@
         """Return a relay's changes, or None if it has none that can be used."""
         asked_at = now_seconds()
         try:
-            answer: StoreChangesResponse = self.links.call(
+            answer = self.links.call(
                 relay,
                 StoreChangesRequest(self.view.revision),
+                StoreChangesResponse,
                 HOLD_SECONDS + ANSWER_MARGIN_SECONDS,
                 partial(self.view.is_suspect, relay),
                 may_repeat=True,
--- a/berylhinge/tasks/tests/test_peer_links.py
+++ b/berylhinge/tasks/tests/test_peer_links.py
@@ -60,14 +60,14 @@
 )
 def test_a_call_is_answered(pair):
     first, _, _ = pair
-    assert first.call("second", Question("hello"), 5.0) == Answer("hello!")
+    assert first.call("second", Question("hello"), Answer, 5.0) == Answer("hello!")
 
 
 @pytest.mark.parametrize("pair", [[OTHER_SECRET]], indirect=True, ids=["other"])
 def test_a_message_under_another_secret_is_dropped_and_counted(pair):
     first, _, second_counts = pair
     with pytest.raises(PeerLost) as lost:
-        first.call("second", Question("hello"), 0.3)
+        first.call("second", Question("hello"), Answer, 0.3)
     assert lost.value.sent
     assert second_counts["unauthenticated"] == 1
 
@@ -76,7 +76,7 @@
 def test_a_call_to_an_unknown_peer_is_not_sent(pair):
     first, counts, _ = pair
     with pytest.raises(PeerLost) as lost:
-        first.call("third", Question("hello"), 0.1)
+        first.call("third", Question("hello"), Answer, 0.1)
     assert not lost.value.sent
     assert counts["unknown-peer"] == 1
 
@@ -85,7 +85,7 @@
 def test_concurrent_calls_get_their_own_answers(pair):
     first, _, _ = pair
     calls = [
-        gevent.spawn(first.call, "second", Question(str(number)), 5.0)
+        gevent.spawn(first.call, "second", Question(str(number)), Answer, 5.0)
         for number in range(200)
     ]
     gevent.joinall(calls)
@@ -97,7 +97,7 @@
     first, _, _ = pair
     unlisted, _ = make_links("unlisted", [SECRET])
     unlisted.set_peers({"first": PeerAddress(str(first.address), 1)})
-    assert unlisted.call("first", Question("hello"), 5.0) == Answer("hello!")
+    assert unlisted.call("first", Question("hello"), Answer, 5.0) == Answer("hello!")
     unlisted.stop()
 
 
@@ -113,11 +113,11 @@
     second.register_call(Question, handle, takes_delay=True)
     first.set_peers({"second": PeerAddress(str(second.address), 1)})
     second.set_peers({"first": PeerAddress(str(first.address), 1)})
-    first.call("second", Question("quick"), 5.0)
+    first.call("second", Question("quick"), Answer, 5.0)
     second.reader.kill()
     gevent.spawn_later(0.3, second.start)
-    first.call("second", Question("delayed"), 5.0)
-    first.call("second", Question("quick again"), 5.0)
+    first.call("second", Question("delayed"), Answer, 5.0)
+    first.call("second", Question("quick again"), Answer, 5.0)
     first.stop()
     second.stop()
     assert delays[0] == 0.0
@@ -142,13 +142,13 @@
     second.on_fault = lambda kind, error: faults.append(f"{kind}: {error!r}")
     try:
         second.register(Broken, fail)
-        first.call("second", Question("connect"), 5.0)
+        first.call("second", Question("connect"), Answer, 5.0)
         first.send("second", Broken("x"))
-        assert first.call("second", Question("still"), 2.0) == Answer("still!")
+        assert first.call("second", Question("still"), Answer, 2.0) == Answer("still!")
         assert faults == ["Broken: KeyError('x')"]
         second.register_call(Broken, fail)
         with pytest.raises(PeerLost):
-            first.call("second", Broken("y"), 0.3)
+            first.call("second", Broken("y"), Answer, 0.3)
         assert faults[1:] == ["Broken: KeyError('y')"]
     finally:
         first.stop()
@@ -170,11 +170,11 @@
 def test_a_call_reaches_a_peer_whose_restart_is_not_known_yet(restarted_pair):
     # Without a notice, calls time out until the store has delivered the registration.
     first, second, second_counts = restarted_pair
-    answer = first.call("second", Question("hello"), 5.0, may_repeat=True)
+    answer = first.call("second", Question("hello"), Answer, 5.0, may_repeat=True)
     assert answer == Answer("hello!")
     assert second_counts["stale-recipient"] == 1
     assert first.contacts.has_heard("second")
-    assert second.call("first", Question("back"), 5.0) == Answer("back!")
+    assert second.call("first", Question("back"), Answer, 5.0) == Answer("back!")
 
 
 def test_a_call_that_must_not_run_twice_is_not_repeated_after_a_restart(
@@ -184,7 +184,7 @@
     first, _, second_counts = restarted_pair
     started_at = time.monotonic()
     with pytest.raises(PeerLost) as lost:
-        first.call("second", Question("hello"), 5.0)
+        first.call("second", Question("hello"), Answer, 5.0)
     assert lost.value.sent
     # It runs, so it must not be taken for dead.
     assert lost.value.restarted
@@ -209,23 +209,23 @@
     )
     gevent.sleep(0.1)
     assert not first.connect("second")
-    second.call("first", Question("hello"), 5.0, may_repeat=True)
-    assert first.call("second", Question("back"), 0.5, may_repeat=True) == Answer(
-        "back!"
-    )
+    second.call("first", Question("hello"), Answer, 5.0, may_repeat=True)
+    assert first.call(
+        "second", Question("back"), Answer, 0.5, may_repeat=True
+    ) == Answer("back!")
 
 
 def test_an_outdated_registration_does_not_replace_what_a_peer_said(restarted_pair):
     first, second, _ = restarted_pair
-    first.call("second", Question("hello"), 5.0, may_repeat=True)
+    first.call("second", Question("hello"), Answer, 5.0, may_repeat=True)
     first.set_peers({"second": PeerAddress(str(second.address), 1)})
-    assert first.call("second", Question("again"), 5.0) == Answer("again!")
+    assert first.call("second", Question("again"), Answer, 5.0) == Answer("again!")
 
 
 def test_a_restart_notice_for_a_former_process_is_not_sent(restarted_pair):
     # A replayed message of a former process must not make a peer answer it.
     first, second, second_counts = restarted_pair
-    first.call("second", Question("hello"), 5.0, may_repeat=True)
+    first.call("second", Question("hello"), Answer, 5.0, may_repeat=True)
     former = new_channel("first", 3, [SECRET])
     frame = Frame("Question", 9, 0, str(first.address), 0, msgspec.Raw(b"\x90"))
     sent = second_counts["sent"]
@@ -250,5 +250,5 @@
     assert not first.send("odd", Question("x"))
     assert counts["address-invalid"] == 1
     with pytest.raises(PeerLost) as lost:
-        first.call("odd", Question("x"), 0.2)
+        first.call("odd", Question("x"), Answer, 0.2)
     assert not lost.value.sent
