Decide the operations that wait behind an unusable token grant

Operations of an organisation would wait for ever once a request for its tokens had raised.

Cause: the task that asks for tokens took the waiting operations out of the queue and left the queue in place when it ended with an error, so later operations joined a queue that nobody served. A grant of more tokens than were asked for raised outside the part that refused them.

Change: whatever ends the task, the operations that it took are decided, and a new task serves those that came meanwhile. A grant counts at most for what was asked.

The three cases of the new test fail before: the later operations had no decision after 2 s.

--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -218,17 +218,22 @@
 
     def admit_waiting(self, organisation: OrganisationId) -> None:
         """Admit the waiting operations in one request; repeat for newer ones."""
-        while decisions := self.waiting.get(organisation):
-            self.waiting[organisation] = []
-            try:
+        decisions: list[AsyncResult] = []
+        try:
+            while decisions := self.waiting.get(organisation, []):
+                self.waiting[organisation] = []
                 admissions = self.request_admissions(organisation, len(decisions))
-            except Exception:
-                for decision in decisions:
+                for decision, admission in zip(decisions, admissions, strict=True):
+                    decision.set(admission)
+        finally:
+            for decision in decisions:
+                if not decision.ready():
                     decision.set(Admission(False, PEER_FAILOVER_SECONDS))
-                raise
-            for decision, admission in zip(decisions, admissions, strict=True):
-                decision.set(admission)
-        del self.waiting[organisation]
+            # Operations that arrived meanwhile wait for this task, also after an error.
+            if self.waiting.get(organisation):
+                gevent.spawn(self.admit_waiting, organisation)
+            else:
+                self.waiting.pop(organisation, None)
 
     def request_admissions(
         self, organisation: OrganisationId, count: int
@@ -250,14 +255,15 @@
         quota = self.view.declarations.quotas.get(organisation)
         # Tokens for the refused operations are expected one after the other.
         interval = 1.0 / quota.rate if quota is not None and quota.rate > 0.0 else 0.0
+        admitted = min(max(tokens.granted, 0), count)
         refused = [
             Admission(
                 False, tokens.retry_after_seconds + number * interval, tokens.may_wait
             )
-            for number in range(count - tokens.granted)
+            for number in range(count - admitted)
         ]
         granted = Admission(True, 0.0, owner=owner, taken_at=asked_at)
-        return [granted] * tokens.granted + refused
+        return [granted] * admitted + refused
 
     def ask_rate_owner(
         self, request: TokenRequest
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -155,3 +155,36 @@
     limiter.return_token("o", Admission(True, 0.0))
     limiter.admit("o")
     assert [request.returned for request in owner.requests] == [0]
+
+
+@pytest.mark.parametrize(
+    ("first_answer", "admitted"),
+    [
+        (KeyError("unexpected"), [False, True, True]),
+        (TokenGrant(9, 0, 0.0, 0.0), [True, True, True]),
+        (TokenGrant(-1, 0, 0.0, 0.1), [False, True, True]),
+    ],
+    ids=["error", "more-than-asked", "less-than-none"],
+)
+def test_operations_behind_an_unusable_answer_are_decided(
+    first_answer: Any, admitted: list[bool]
+) -> None:
+    # The queue kept its place without a task, so later operations waited for ever.
+    owners = Owners(["first"])
+    answers: list[Any] = [first_answer, TokenGrant(2, 0, 0.0, 0.0)]
+
+    def call(instance: str, *arguments: Any, **options: Any) -> TokenGrant:
+        gevent.sleep(0.02)
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    owners.call = call  # type: ignore[method-assign]
+    limiter = make_limiter(owners)
+    jobs = [gevent.spawn(limiter.admit, "o")]
+    gevent.sleep(0.01)
+    jobs += [gevent.spawn(limiter.admit, "o") for _ in range(2)]
+    gevent.joinall(jobs, timeout=2.0)
+    assert [job.value and job.value.admitted for job in jobs] == admitted
+    assert not limiter.waiting
