Stop commits before a successor is chosen where replicas must receive them

Cause: the replicas' logs were asked for while commits went on, and the promotion takes effect up to a second after its order. What the former primary acknowledged meanwhile, by a replica that was not chosen, was rolled back. Nothing bound acknowledgements to the log that was chosen.

Change: services with sync-replicas use leases on every platform. The promoter records that nobody leads, tells every instance, waits out the leases of the others, and only then asks for the logs and orders. A commit whose answer arrives after its lease, or after the instance confirmed the stop, is in doubt (commit-unconfirmed). Each record replaces only the one on which its decision rests: a promoter that had waited, or was frozen, replaced a primary that another one had just promoted. The stand-ins know PAUSE, RESUME and DEMOTE, and promotions that take a while; a commit that was rolled back while it waited is not acknowledged any more.

Services without sync-replicas take none of these steps.

--- a/berylhinge/core/pooler/leadership.py
+++ b/berylhinge/core/pooler/leadership.py
@@ -32,6 +32,8 @@
 # Former leaders that a record names. A former leader may announce itself as primary
 # until it reaches its successor.
 MAX_FORMER_LEADERS = 4
+# Recorded in place of a leader while commits are stopped and none is chosen yet.
+NO_LEADER = ""
 # Time left for a promotion under way before a service without a primary gets another
 # one, and the additional time for each rank in line.
 MISSING_PRIMARY_SECONDS = 0.5
@@ -49,6 +51,8 @@
     written. ``origin`` is the revision of the first record of this promotion, 0 in that
     record itself; a record that a restored store lost is written again. A leader with
     an ``after_term`` led before and is used only once it leads in a later term.
+    Besides the leader of an ``is_exclusive`` record no database is used as primary,
+    whatever it announces.
     """
 
     promoter: InstanceId
@@ -58,6 +62,7 @@
     era: int = 0
     origin: int = 0
     after_term: int = 0
+    is_exclusive: bool = False
 
 
 class LeadershipRecord(NamedTuple):
@@ -114,14 +119,19 @@
         # It may have announced itself before; what proved its lead names the record.
         is_proven = database.led_since == record.revision
         return record.recorded.after_term == 0 or is_proven
+    if record.recorded.is_exclusive:
+        return False
     is_newer = database.led_since > record.revision
     return is_newer and database.id not in record.recorded.former
 
 
 def encode_recorded_leader(recorded: RecordedLeader) -> bytes:
     """Encode a recorded leader for the store."""
-    # Instances of the former version decode a record of its fields only.
-    return msgspec.json.encode(recorded if recorded.after_term else recorded[:-1])
+    # Instances of former versions decode records of their fields only.
+    kept = len(recorded)
+    if not recorded.is_exclusive:
+        kept -= 1 if recorded.after_term else 2
+    return msgspec.json.encode(recorded[:kept])
 
 
 def decode_recorded_leader(value: bytes) -> Result[RecordedLeader, str]:
@@ -141,6 +151,7 @@
     replaces_at_once: bool,
     era: int,
     after_term: int = 0,
+    is_exclusive: bool = False,
 ) -> RecordedLeader:
     """Return the record of a promotion of ``leader`` in place of ``current``."""
     former = list(known.recorded.former) if known is not None else []
@@ -154,6 +165,7 @@
         replaces_at_once,
         era,
         after_term=after_term,
+        is_exclusive=is_exclusive,
     )
 
 
--- a/berylhinge/core/pooler/promotion_orders.py
+++ b/berylhinge/core/pooler/promotion_orders.py
@@ -12,7 +12,7 @@
 
 from ...types import DatabaseRole
 from .failover import choose_successor, PROMOTION_TIMEOUT_SECONDS
-from .leadership import LEASE_SECONDS
+from .leadership import LEASE_SECONDS, NO_LEADER
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
@@ -63,7 +63,7 @@
     It is over once its database leads or when its time has passed. Of an order that was
     ``refused``, only what it repeated counts.
     """
-    if record is None:
+    if record is None or record.recorded.leader == NO_LEADER:
         return None
     if primary is not None and primary.id == record.recorded.leader:
         return None
--- a/berylhinge/standins/database_group.py
+++ b/berylhinge/standins/database_group.py
@@ -37,13 +37,15 @@
     """Hold the line of entries that lead; each member has received a part of it.
 
     Without ``stops_deposed`` a primary goes on as one after another was promoted, until
-    it is demoted; what it commits then is kept in ``stale_commits`` and lost.
+    it is demoted; what it commits then is kept in ``stale_commits`` and lost. A
+    promotion takes effect after ``promote_seconds``.
     """
 
     def __init__(self, service: str, *, lag_seconds: float = 0.02) -> None:
         """Start without members; none has to receive a commit before its answer."""
         self.service = service
         self.synchronous_replicas = 0
+        self.promote_seconds = 0.0
         self.lag_seconds = lag_seconds
         self.term = 1
         self.members: dict[str, SessionDatabase] = {}
@@ -70,10 +72,12 @@
         leader, length = self.members[self.primary], len(self.log)
         leader.received = leader.applied = length
         self.replicate()
-        while self.count_received(length) < self.synchronous_replicas:
-            if not (leader.running and leader.leads):
-                raise ConnectionResetError("lost before a replica had received it")
+        term = self.term
+        while leader.running and leader.leads and self.term == term:
+            if self.count_received(length) >= self.synchronous_replicas:
+                return
             gevent.sleep(COMMIT_POLL_SECONDS)
+        raise ConnectionResetError("lost before enough replicas had received it")
 
     def count_received(self, length: int) -> int:
         """Return how many replicas have received the log up to a length."""
@@ -94,9 +98,20 @@
         member = self.members.get(name)
         if service != self.service or member is None or not member.running:
             return False
-        if self.primary != name:
+        if self.promote_seconds:
+            gevent.spawn_later(self.promote_seconds, self.lead, member)
+        else:
+            self.lead(member)
+        return True
+
+    def lead(self, member: SessionDatabase) -> None:
+        """Let a member lead with what it has received, unless it leads or is gone."""
+        name = member.id
+        for other in self.members.values():
+            other.is_paused = False
+        if self.primary != name and member.running:
             self.term += 1
-            if not self.stops_deposed:
+            if self.primary and not self.stops_deposed:
                 self.deposed.add(self.primary)
             self.deposed.discard(name)
             self.primary = name
@@ -108,4 +123,10 @@
             self.log.append(Entry(self.term, []))
             member.received = member.applied = len(self.log)
             self.replicate()
-        return True
+
+    def demote(self, name: str, term: int) -> None:
+        """Make a primary of a lower term a replica; nobody leads until a promotion."""
+        if term > self.term and name == self.primary:
+            self.primary = ""
+        if term > self.term:
+            self.deposed.discard(name)
--- a/berylhinge/standins/session_database.py
+++ b/berylhinge/standins/session_database.py
@@ -17,7 +17,8 @@
 class SessionDatabase:
     """Serve one member of a group.
 
-    ``deaf`` lets it receive nothing, ``silent`` lets it answer nothing, and
+    ``deaf`` lets it receive nothing, and so does PAUSE; without ``knows_commands`` it
+    refuses PAUSE, RESUME and DEMOTE as malformed. ``silent`` lets it answer nothing, and
     ``lost_answers`` has the statements whose next answer is lost. A statement takes
     ``statement_seconds``, a status ``status_seconds``; ``busy_statuses`` of them are
     refused first. What it has received is applied after ``apply_seconds``.
@@ -34,6 +35,8 @@
         self.busy_statuses = 0
         self.is_leaving = False
         self.deaf = False
+        self.is_paused = False
+        self.knows_commands = True
         self.sequence = 0
         self.silent = False
         self.lost_answers: set[str] = set()
@@ -80,7 +83,7 @@
 
     def receive(self, length: int) -> None:
         """Take in the log up to a length."""
-        if not self.deaf and self.running:
+        if self.running and not self.deaf and not self.is_paused:
             self.received = max(self.received, min(length, len(self.group.log)))
             gevent.spawn_later(self.apply_seconds, self.apply, self.received)
 
@@ -100,7 +103,7 @@
     def restart(self) -> None:
         """Come back at the same address with the log that is left."""
         self.listen(self.server.server_port)
-        self.running = True
+        self.running, self.is_paused = True, False
         self.group.replicate()
 
     def position(self, held: int) -> str:
@@ -291,6 +294,29 @@
             self.run_read(arguments) if access == "READ" else self.run_write(arguments)
         )
 
+    def run_pause(self, rest: str) -> bytes:
+        """Receive nothing until RESUME, a promotion or a restart."""
+        if not self.database.knows_commands:
+            return self.error("MALFORMED")
+        if int(rest) > self.database.group.term and not self.database.leads:
+            self.database.is_paused = True
+        return self.run_status("")
+
+    def run_resume(self, _rest: str) -> bytes:
+        """Receive again."""
+        if not self.database.knows_commands:
+            return self.error("MALFORMED")
+        self.database.is_paused = False
+        self.database.group.replicate()
+        return self.run_status("")
+
+    def run_demote(self, rest: str) -> bytes:
+        """Become a replica if the term is above that of this primary."""
+        if not self.database.knows_commands:
+            return self.error("MALFORMED")
+        self.database.group.demote(self.database.id, int(rest))
+        return self.run_status("")
+
     def run_status(self, _rest: str) -> bytes:
         """Tell the role."""
         database = self.database
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from ...core.pooler.commit_leases import lease_commit
 from ...core.pooler.failure_results import (
     begins_on_primary,
     error_result,
@@ -30,6 +31,7 @@
 from .pinned_connection import PinnedConnection
 from .run_conditions import (
     await_lead,
+    check_may_acknowledge,
     check_may_lead,
     check_not_evacuated,
     check_not_stalled,
@@ -261,9 +263,12 @@
             sent_at = now_seconds()
             after = request.after if is_single and not request.begin_mode else None
             self.tracker.pending_since[connection.number] = sent_at
-            answer = connection.exchange(
-                request.request, request.text, timeout, after=after
-            )
+            if needs_primary and may_commit(request):
+                answer = self.exchange_commit(connection, request, timeout)
+            else:
+                answer = connection.exchange(
+                    request.request, request.text, timeout, after=after
+                )
             self.tracker.record_answer()
             result = self.interpret_answer(connection, request, answer, sent_at)
         except ConnectionFailed as error:
@@ -276,6 +281,23 @@
             self.roll_back_connection(connection)
         return result
 
+    def exchange_commit(
+        self,
+        connection: DatabaseConnection,
+        request: ExecuteRequest,
+        timeout: Seconds,
+    ) -> DatabaseAnswer:
+        """Send a commit; raise UnitFailed if its success must not be acknowledged."""
+        service = self.database.service
+        lease = lease_commit(
+            self.view.leadership.get(service), confirmed_at=self.view.confirmed_at
+        )
+        with self.view.commit_stops.count_commit(service):
+            answer = connection.exchange(request.request, request.text, timeout)
+            if answer.code is None:
+                check_may_acknowledge(self.view, self.database, request, lease)
+        return answer
+
     def begin_transaction(
         self, connection: DatabaseConnection, request: ExecuteRequest, deadline: Seconds
     ) -> None:
--- a/berylhinge/tasks/pooler/evacuation_moves.py
+++ b/berylhinge/tasks/pooler/evacuation_moves.py
@@ -34,7 +34,7 @@
         if not self.view.evacuations.orders:
             return primary
         promotion_seconds = PROMOTION_TIMEOUT_SECONDS
-        if not self.view.are_promotions_fenced:
+        if self.view.uses_leases(service):
             promotion_seconds += LEASE_SECONDS
         record = self.view.leadership.get(service)
         is_due = is_move_due(
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -29,6 +29,7 @@
 from ...types import DatabaseRole
 from ..broadcast import Broadcast
 from ..clock import now_seconds
+from .commit_stops import CommitStops
 from .evacuations import Evacuations
 from .read_demand import ReadDemand
 from .slot_sharing import SlotSharing
@@ -122,6 +123,7 @@
         self.stored_leaders: dict[str, int] = {}
         self.reported_health: dict[UpstreamId, DatabaseHealth] = {}
         self.relinquished_until: dict[UpstreamId, Seconds] = {}
+        self.commit_stops = CommitStops()
 
     def record_tick(self) -> None:
         """Record that this process runs, and whether it stalled since the last tick."""
@@ -176,12 +178,22 @@
             self.databases[database.id] = known._replace(role=DatabaseRole.REPLICA)
             self.changed.notify()
 
-    def may_use_as_primary(self, database: Database) -> bool:
-        """Return whether statements that need the primary may be sent to a database.
+    def synchronous_replicas(self, service: str) -> int:
+        """Return how many replicas receive a commit before it is acknowledged."""
+        declared = self.declarations.services.get(service)
+        return 0 if declared is None else declared.synchronous_replicas
+
+    def uses_leases(self, service: str) -> bool:
+        """Return whether the primary of a service is used only under a lease.
 
-        A platform that fences promotions makes a deposed primary refuse them.
+        A platform that fences promotions makes a deposed primary refuse statements, but
+        only from then on. Commits that replicas receive have to stop before.
         """
-        if self.are_promotions_fenced:
+        return not self.are_promotions_fenced or self.synchronous_replicas(service) > 0
+
+    def may_use_as_primary(self, database: Database) -> bool:
+        """Return whether statements that need the primary may be sent to a database."""
+        if not self.uses_leases(database.service):
             return True
         leader = self.primary_of(database.service)
         return (
--- a/berylhinge/tasks/pooler/leader_notices.py
+++ b/berylhinge/tasks/pooler/leader_notices.py
@@ -38,13 +38,14 @@
     ) -> None:
         """Wait until no instance uses a former leader of a service any more."""
         recorded_at = now_seconds()
+        own_commits = gevent.spawn(self.stop_commits, service, revision)
         # Every instance that was registered before the record must be known here.
         while self.view.revision < revision and lease_wait(recorded_at, now_seconds()):
             self.view.changed.wait(NOTICE_TIMEOUT_SECONDS)
         notice = LeadershipNotice(service, recorded, revision)
         peers = self.view.members.keys() - {self.view.own_instance}
         jobs = {name: gevent.spawn(self.send_notice, name, notice) for name in peers}
-        gevent.joinall(list(jobs.values()))
+        gevent.joinall([own_commits, *jobs.values()])
         missing = sorted(name for name, job in jobs.items() if not job.value)
         wait = lease_wait(recorded_at, now_seconds()) if missing else 0.0
         self.log.info(
@@ -78,4 +79,10 @@
         revision = message.revision
         record = LeadershipRecord(message.recorded, revision, now_seconds(), revision)
         self.view.record_leader(message.service, record)
+        self.stop_commits(message.service, revision)
         return LeadershipNoticeTaken(self.view.leadership[message.service].origin)
+
+    def stop_commits(self, service: str, revision: int) -> None:
+        """End the commits that were sent before a record, if promises rest on them."""
+        if self.view.synchronous_replicas(service):
+            self.view.commit_stops.await_commits(service, revision)
--- a/berylhinge/tasks/pooler/leader_records.py
+++ b/berylhinge/tasks/pooler/leader_records.py
@@ -43,9 +43,19 @@
         self.log = log
         self.next_write_at: dict[str, Seconds] = {}
 
-    def acquire_duty(self, service: str, recorded: RecordedLeader) -> int | None:
-        """Record a service's leader; the revision of the record fences older ones."""
-        result = self.write(service, recorded)
+    def newest_revision(self, service: str) -> int:
+        """Return the revision of the newest known record of a service, 0 for none."""
+        return self.view.duty_revisions.get(service, 0)
+
+    def acquire_duty(
+        self, service: str, recorded: RecordedLeader, *, basis: int
+    ) -> int | None:
+        """Record a service's leader; the revision of the record fences older ones.
+
+        Nothing is written if the record at ``basis``, on which the decision rests, has
+        been replaced.
+        """
+        result = self.write(service, recorded, basis)
         if isinstance(result, Failure):
             detail = result.failure().detail
             self.log.info("The duty was not taken.", service=service, error=detail)
@@ -85,12 +95,12 @@
         return found == revision
 
     def write(
-        self, service: str, recorded: RecordedLeader
+        self, service: str, recorded: RecordedLeader, basis: int
     ) -> Result[int | Conflict | LeaseGone, StoreError]:
-        """Write a service's record unless another one was written meanwhile."""
+        """Write a service's record unless the one at a revision was replaced."""
         key = PROMOTIONS_PREFIX + service
         return self.store.put_if_unchanged(
-            conditions={key: self.view.duty_revisions.get(service, 0)},
+            conditions={key: basis},
             puts={key: encode_recorded_leader(recorded)},
         )
 
@@ -115,7 +125,7 @@
     def write_again(self, service: str, record: LeadershipRecord, era: int) -> None:
         """Write a record again that a restored store lacks."""
         recorded = record.recorded._replace(era=era, origin=record.origin)
-        result = self.write(service, recorded)
+        result = self.write(service, recorded, self.newest_revision(service))
         if isinstance(result, Failure):
             outcome = result.failure().detail
         else:
--- a/berylhinge/tasks/pooler/peers.py
+++ b/berylhinge/tasks/pooler/peers.py
@@ -170,13 +170,16 @@
         """Return at which age of its confirmation this instance asks for another."""
         if self.view.own_instance in self.view.relays():
             return MAX_RELAY_CONFIRMED_AGE_SECONDS
-        if not self.view.are_promotions_fenced and self.holds_primary():
+        if self.holds_leased_primary():
             return MAX_HOLDER_CONFIRMED_AGE_SECONDS
         return MAX_CONFIRMED_AGE_SECONDS
 
-    def holds_primary(self) -> bool:
-        """Return whether this instance is the rightful holder of a primary."""
-        return any(map(self.holds_primary_of, self.view.declarations.services))
+    def holds_leased_primary(self) -> bool:
+        """Return whether this instance holds a primary that is used under a lease."""
+        return any(
+            self.view.uses_leases(service) and self.holds_primary_of(service)
+            for service in self.view.declarations.services
+        )
 
     def holds_primary_of(self, service: str) -> bool:
         """Return whether this instance is the rightful holder of a service's primary."""
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -18,24 +18,14 @@
     is_promotion_due,
     may_replace_unreached,
     next_recorded_leader,
+    NO_LEADER,
 )
 from ...core.pooler.promotion_orders import (
     ACCEPTED_EFFECT_SECONDS,
-    choose_leader,
     is_surely_refused,
     may_order,
-    NO_REFUSED_ORDER,
-    pending_order,
-    RefusedOrder,
     term_to_exceed,
 )
-from ...core.pooler.received_logs import (
-    are_logs_missing,
-    continue_log_wait,
-    find_successors,
-    is_log_wait_over,
-    points_of,
-)
 from ...core.pooler.store_eras import era_of
 from ..clock import now_seconds
 from .evacuation_moves import EvacuationMoves
@@ -43,11 +33,11 @@
 from .leader_records import LeaderRecords
 from .returning_leaders import ReturningLeaders
 from .status_requests import StatusRequests, UNREACHED, WITNESS_TIMEOUT_SECONDS
+from .successor_choice import SuccessorChoice
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
-    from ...core.pooler.leadership import RecordedLeader
-    from ...core.pooler.received_logs import LogSurvey, MissingLogWait
+    from ...core.pooler.leadership import LeadershipRecord, RecordedLeader
     from ...platform.metadata_store import MetadataStore
     from ...types import Seconds, UpstreamId
     from ..logs import Log
@@ -55,6 +45,7 @@
     from ..peer_links import Links
     from .fleet_view import FleetView
     from .held_databases import HeldDatabases
+    from .successor_choice import Succession
 
 # Number of instances in line for a service's duty that watch its primary.
 STANDBY_COUNT = 3
@@ -92,10 +83,11 @@
         self.evacuation_moves = EvacuationMoves(view, self.services_in_progress)
         self.paused_until: dict[str, Seconds] = {}
         self.missing_since: dict[str, Seconds] = {}
-        self.refused_orders: dict[str, RefusedOrder] = {}
         self.returning_leaders = ReturningLeaders(view, log)
         self.statuses = StatusRequests(view, held_databases, links)
-        self.log_waits: dict[str, MissingLogWait] = {}
+        self.successors = SuccessorChoice(
+            view, self.statuses, self.returning_leaders, log
+        )
 
     def watch(self) -> None:
         """Judge the primary of every service, and start the action it needs."""
@@ -103,10 +95,10 @@
         if self.view.stop is not None:
             return
         self.records.write_lost_records(now)
-        if not self.view.are_promotions_fenced and not self.view.is_settled():
-            # Instances that are not registered again may still use a former leader.
-            return
         for service in self.view.declarations.services:
+            if self.view.uses_leases(service) and not self.view.is_settled():
+                # Instances that are not registered again may still use a former leader.
+                continue
             is_paused = self.paused_until.get(service, 0.0) > now
             if service in self.services_in_progress or is_paused:
                 continue
@@ -134,7 +126,7 @@
                 rank=rank,
                 is_promoter_at_work=promoter != self.view.own_instance
                 and promoter in self.view.usable_instances(),
-                waits_for_leases=not self.view.are_promotions_fenced,
+                waits_for_leases=self.view.uses_leases(service),
                 now=now,
             )
             if not is_due:
@@ -154,13 +146,14 @@
         """Check with other instances if required, and promote the best replica."""
         try:
             primary = self.view.primary_of(service)
+            basis = self.records.newest_revision(service)
             suspected = primary if verdict is Verdict.CHECK else None
             if suspected is not None and not self.may_replace(suspected):
                 self.paused_until[service] = now_seconds() + REACHED_PAUSE_SECONDS
                 return
             if verdict is Verdict.REPLACE:
                 primary = self.evacuation_moves.as_replaced(primary)
-            self.promote_replica(service, primary)
+            self.promote_replica(service, primary, basis)
         finally:
             self.services_in_progress.discard(service)
 
@@ -189,132 +182,137 @@
             answers, has_peers=bool(witnesses)
         )
 
-    def promote_replica(self, service: str, primary: Database | None) -> None:
-        """Request the promotion of the reachable replica with the longest log."""
+    def promote_replica(
+        self, service: str, primary: Database | None, basis: int
+    ) -> None:
+        """Request the promotion of the reachable replica with the longest log.
+
+        The decision rests on the service's record at the revision ``basis``.
+        """
         started_at = now_seconds()
-        replicas = [
-            entry
-            for entry in databases_of(self.view.databases, service)
-            if primary is None or entry.id != primary.id
-        ]
-        survey = self.find_logs(service, replicas)
-        if survey is None:
-            return
-        candidates = find_successors(
-            survey,
-            replicas,
-            self.view.evacuations.successors_of(replicas),
-            synchronous_replicas=self.synchronous_replicas(service),
-            is_planned=primary is not None and primary.leaving,
-        )
-        points = points_of(survey, candidates)
+        succession = self.successors.choose(service, primary)
         known = self.view.leadership.get(service)
-        is_fenced = self.view.are_promotions_fenced
-        pending = None
-        if not is_fenced:
-            pending = pending_order(
-                known,
-                primary,
-                refused=self.refused_orders.get(service, NO_REFUSED_ORDER),
-                now=now_seconds(),
-            )
-        if pending is None:
-            points = self.returning_leaders.drop_diverged(service, points, known)
-        chosen = choose_leader(
-            candidates, points, known, pending, are_promotions_fenced=is_fenced
-        )
-        if chosen is None:
-            self.log.info(
-                "No replica can lead.",
-                service=service,
-                reached=len(points_of(survey, replicas)),
-                pending=pending.leader if pending else None,
-                pending_seconds=(
-                    round(pending.until - now_seconds(), 3) if pending else None
-                ),
-            )
-            self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
+        if succession is None:
+            self.pause(service)
             return
-        find_returned = self.returning_leaders.find_returned
-        if primary is None and find_returned(service, known) is not None:
+        if primary is None and self.find_returned(service, known) is not None:
             return
-        recorded = next_recorded_leader(
-            known,
-            promoter=self.view.own_instance,
-            leader=chosen.id,
-            current=primary.id if primary is not None else None,
-            replaces_at_once=(primary is None or not primary.leaving or not is_fenced),
-            era=era_of(self.view.revision),
-            after_term=(
-                0 if is_fenced else term_to_exceed(chosen, points[chosen.id], known)
-            ),
-        )
+        are_commits_stopped = False
+        if self.view.synchronous_replicas(service) and succession.pending is None:
+            stopped_at = self.stop_commits(service, primary, basis)
+            if stopped_at is None:
+                return
+            basis, are_commits_stopped = stopped_at, True
+            # The logs show every acknowledged commit only now.
+            succession = self.successors.choose(service, primary)
+            known = self.view.leadership.get(service)
+            if succession is None:
+                self.pause(service)
+                if primary is not None:
+                    self.record_again(service, primary.id, basis)
+                return
+        recorded = self.next_record(service, primary, succession)
         recorded_at = now_seconds()
-        fence = self.records.acquire_duty(service, recorded)
+        fence = self.records.acquire_duty(service, recorded, basis=basis)
         if fence is None:
-            self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
+            self.pause(service)
             return
-        returned = find_returned(service, known) if primary is None else None
+        returned = self.find_returned(service, known) if primary is None else None
         if returned is not None:
-            self.record_again(service, returned.id)
+            self.record_again(service, returned.id, fence)
             return
-        if not is_fenced:
+        if self.view.uses_leases(service) and not are_commits_stopped:
             self.notices.end_other_leases(service, recorded, fence)
-            # Without a fence at the platform nothing stops a promotion that is overtaken.
-            if not self.records.is_stored(service, fence):
-                self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
-                return
-        outcome = self.request_promotion(service, chosen, fence, recorded_at)
+        # Without a fence at the platform nothing stops a promotion that is overtaken.
+        is_fenced = self.view.are_promotions_fenced
+        if not is_fenced and not self.records.is_stored(service, fence):
+            self.pause(service)
+            return
+        outcome = self.request_promotion(service, succession.chosen, fence, recorded_at)
         if outcome == "refused":
-            earlier_until = pending.until if pending is not None else 0.0
-            self.refused_orders[service] = RefusedOrder(fence, earlier_until)
-            if pending is None and primary is not None and recorded.replaces_at_once:
-                self.record_again(service, primary.id)
+            self.successors.record_refusal(service, fence, succession)
+            is_repeated = succession.pending is not None
+            if primary is not None and recorded.replaces_at_once and not is_repeated:
+                self.record_again(service, primary.id, fence)
         if outcome == "accepted" and recorded.after_term:
             self.confirm_leader(service, recorded, fence)
         self.metrics.count("promotions_total", outcome)
         self.log.info(
             "A promotion was asked for.",
             service=service,
-            database=chosen.id,
+            database=succession.chosen.id,
             replaced=primary.id if primary else None,
             fence=fence,
-            repeats_pending=pending is not None,
+            repeats_pending=succession.pending is not None,
             after_term=recorded.after_term,
-            points={name: str(point) for name, point in points.items()},
+            points={name: str(point) for name, point in succession.points.items()},
             applied={
                 entry.id: str(self.view.observations.get(entry.id, UNOBSERVED).point)
-                for entry in replicas
+                for entry in succession.replicas
             },
             outcome=outcome,
             took_seconds=round(now_seconds() - started_at, 3),
         )
 
-    def synchronous_replicas(self, service: str) -> int:
-        """Return how many replicas receive a commit before it is acknowledged."""
-        declared = self.view.declarations.services.get(service)
-        return 0 if declared is None else declared.synchronous_replicas
+    def pause(self, service: str) -> None:
+        """Leave a service alone for a while."""
+        self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
 
-    def find_logs(self, service: str, replicas: list[Database]) -> LogSurvey | None:
-        """Return the replicas' logs; None if acknowledged commits may be missing."""
-        survey = self.statuses.survey_logs(replicas, self.synchronous_replicas(service))
-        if not are_logs_missing(survey, replicas, self.synchronous_replicas(service)):
-            self.log_waits.pop(service, None)
-            return survey
-        now = now_seconds()
-        wait = continue_log_wait(self.log_waits.get(service), now)
-        self.log_waits[service] = wait
-        self.log.info(
-            "Acknowledged commits may be missing.",
-            service=service,
-            replicas=[entry.id for entry in replicas],
-            received={name: str(point) for name, point in survey.received.items()},
-            waited_seconds=round(now - wait.since, 3),
+    def find_returned(
+        self, service: str, record: LeadershipRecord | None
+    ) -> Database | None:
+        """Return the primary of a service if it has become known meanwhile."""
+        return self.returning_leaders.find_returned(service, record)
+
+    def stop_commits(
+        self, service: str, primary: Database | None, basis: int
+    ) -> int | None:
+        """Record that no database leads, and wait until no instance commits any more.
+
+        Return the revision of that record, None if it was not written. Only the next
+        record of the service ends the stop, whoever writes it.
+        """
+        known = self.view.leadership.get(service)
+        stopped = next_recorded_leader(
+            known,
+            promoter=self.view.own_instance,
+            leader=NO_LEADER,
+            current=primary.id if primary is not None else None,
+            replaces_at_once=True,
+            era=era_of(self.view.revision),
+            is_exclusive=True,
+        )
+        stopped_at = self.records.acquire_duty(service, stopped, basis=basis)
+        if stopped_at is None:
+            self.pause(service)
+            return None
+        returned = self.find_returned(service, known) if primary is None else None
+        if returned is not None:
+            self.record_again(service, returned.id, stopped_at)
+            return None
+        self.notices.end_other_leases(service, stopped, stopped_at)
+        return stopped_at
+
+    def next_record(
+        self, service: str, primary: Database | None, succession: Succession
+    ) -> RecordedLeader:
+        """Return the record of a promotion."""
+        known = self.view.leadership.get(service)
+        chosen = succession.chosen
+        uses_leases = self.view.uses_leases(service)
+        after_term = 0
+        if uses_leases:
+            after_term = term_to_exceed(chosen, succession.points[chosen.id], known)
+        return next_recorded_leader(
+            known,
+            promoter=self.view.own_instance,
+            leader=chosen.id,
+            current=primary.id if primary is not None else None,
+            replaces_at_once=primary is None or not primary.leaving or uses_leases,
+            era=era_of(self.view.revision),
+            after_term=after_term,
+            is_exclusive=self.view.synchronous_replicas(service) > 0,
         )
-        if is_log_wait_over(wait):
-            return survey
-        self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
-        return None
 
     def request_promotion(
         self, service: str, chosen: Database, fence: int, recorded_at: Seconds
@@ -326,17 +324,18 @@
         """
         end_at = now_seconds() + PROMOTION_TIMEOUT_SECONDS
         self.paused_until[service] = end_at
-        is_fenced = self.view.are_promotions_fenced
+        uses_leases = self.view.uses_leases(service)
         answers: list[bool | None] = []
         # A stall may have used up the time in which other instances expect the order.
-        while is_fenced or may_order(recorded_at, now_seconds()):
+        while not uses_leases or may_order(recorded_at, now_seconds()):
             result = self.promotions.promote(
                 service, chosen.id, holder=self.view.own_instance, fence=fence
             )
             answers.append(None if isinstance(result, Failure) else result.unwrap())
             if answers[-1]:
                 return "accepted"
-            if is_surely_refused(answers) or (is_fenced and answers[-1] is False):
+            is_last_refused = answers[-1] is False
+            if is_surely_refused(answers) or (is_last_refused and not uses_leases):
                 return "refused"
             is_replaced = self.view.leadership[service].origin > fence
             if is_replaced or now_seconds() + REPEAT_PAUSE_SECONDS >= end_at:
@@ -353,9 +352,9 @@
         """
         gevent.sleep(ACCEPTED_EFFECT_SECONDS)
         if self.view.leadership[service].origin == fence:
-            self.record_again(service, recorded.leader)
+            self.record_again(service, recorded.leader, fence)
 
-    def record_again(self, service: str, leader: UpstreamId) -> None:
+    def record_again(self, service: str, leader: UpstreamId, basis: int) -> None:
         """Record a leader that leads at the platform without another promotion."""
         recorded = next_recorded_leader(
             self.view.leadership.get(service),
@@ -364,6 +363,7 @@
             current=None,
             replaces_at_once=True,
             era=era_of(self.view.revision),
+            is_exclusive=self.view.synchronous_replicas(service) > 0,
         )
-        if self.records.acquire_duty(service, recorded) is not None:
+        if self.records.acquire_duty(service, recorded, basis=basis) is not None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
--- a/berylhinge/tasks/pooler/tests/test_returning_leaders.py
+++ b/berylhinge/tasks/pooler/tests/test_returning_leaders.py
@@ -59,7 +59,9 @@
     view.leadership["s"] = LeadershipRecord(recorded, 1, now_seconds(), 1)
     proof = FloorProof(now_seconds(), LogPoint(2, 77))
     record_proof(view.floors_of("s"), proof, now_seconds())
-    pooler.promotion_task.promote_replica("s", None)
+    pooler.promotion_task.promote_replica(
+        "s", None, pooler.view.duty_revisions.get("s", 0)
+    )
     assert asked == expected
 
 
@@ -74,15 +76,17 @@
     primary = pooler.view.databases["i-a"]
     acquire = pooler.promotion_task.records.acquire_duty
 
-    def acquire_late(*arguments: Any) -> int | None:
+    def acquire_late(*arguments: Any, basis: int) -> int | None:
         pooler.view.databases["i-a"] = primary
-        return acquire(*arguments)
+        return acquire(*arguments, basis=basis)
 
     if when != "before":
         away = primary._replace(role=DatabaseRole.REPLICA)
         pooler.view.databases["i-a"] = away
         monkeypatch.setattr(pooler.promotion_task.records, "acquire_duty", acquire_late)
-    pooler.promotion_task.promote_replica("s", None)
+    pooler.promotion_task.promote_replica(
+        "s", None, pooler.view.duty_revisions.get("s", 0)
+    )
     assert asked == []
     found = pooler.view.primary_of("s")
     assert found is not None
