End a transaction whose key has moved to another organisation

Cause: the connection of an open transaction was found by its number alone; nobody compared the organisation for which it was begun with that of the statement.

Evidence: the instance's lines of such statements have the new version and the new organisation (confirmed at most 0.71 s before), and the databases recorded the former one; nothing outside an open transaction was affected.

Change: a transaction keeps its organisation. A statement that comes when another one holds the key is refused with ABORTED (key-moved), and the transaction is rolled back; the holder of the database gives a transaction's connection to its own organisation only; a waiting statement asks before each attempt who holds the key.

--- a/berylhinge/tasks/pooler/caller_session.py
+++ b/berylhinge/tasks/pooler/caller_session.py
@@ -36,7 +36,7 @@
     from ...core.pooler.statements import Statement
     from ...types import Seconds
     from .callers import CallerListener
-    from .router import TransactionBinding
+    from .destinations import TransactionBinding
 
 RECEIVE_BYTES = 65_536
 # A caller must name its database within this time after it connects.
@@ -259,7 +259,7 @@
     ) -> RoutedResult:
         """Count an operation against its rate, then run its statement."""
         route = self.view.declarations.routes[self.route_name]
-        organisation = self.view.declarations.keys.get(self.key, "-")
+        organisation = self.view.organisation_of(self.key)
         admission = None
         if self.binding is None:
             admission = self.callers.rate_limiter.admit(
@@ -274,6 +274,7 @@
                 return RoutedResult(result, "rate", None, 0, None)
         call = RoutingRequest(
             route,
+            self.key,
             organisation,
             self.session,
             statement,
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -129,7 +129,7 @@
         key = (sender, request.transaction)
         connection, needs_primary = None, begins_on_primary(request)
         if request.continues_transaction:
-            found = self.take_pinned_connection(key)
+            found = self.take_pinned_connection(key, request.organisation)
             connection, needs_primary = found.connection, found.needs_primary
         pinned, usable, is_kept_open = connection is not None, False, False
         is_opening = False
@@ -193,9 +193,18 @@
             holders = [entry.connection.organisation for entry in kept]
             self.pool.check_may_open_transaction(request, holders + self.opening)
 
-    def take_pinned_connection(self, key: tuple[InstanceId, int]) -> PinnedConnection:
+    def take_pinned_connection(
+        self, key: tuple[InstanceId, int], organisation: OrganisationId
+    ) -> PinnedConnection:
         """Take out the connection of an open transaction; raise UnitFailed."""
         pinned = self.pinned_connections.pop(key, None)
+        if pinned is not None and pinned.connection.organisation != organisation:
+            gevent.spawn(self.roll_back_and_return, pinned.connection)
+            result = refused_result(
+                ErrorCode.ABORTED,
+                f"the transaction is not one of {organisation}; start it again",
+            )
+            raise UnitFailed(result, "key-moved")
         if pinned is None or pinned.connection.sock is None:
             if pinned is not None:
                 self.pool.discard(pinned.connection)
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -42,10 +42,25 @@
     begin: str
 
 
+class TransactionBinding(NamedTuple):
+    """Describe where an open transaction runs and for whom it was begun.
+
+    Later statements begin nothing.
+    """
+
+    destination: Destination
+    transaction_number: int
+    organisation: OrganisationId
+
+
 class RoutingRequest(NamedTuple):
-    """Carry a statement with its route, organisation and session."""
+    """Carry a statement with its route, organisation and session.
+
+    The organisation is the one that held the caller's ``key`` when the statement came.
+    """
 
     route: Route
+    key: str
     organisation: OrganisationId
     session: Session
     planned_statement: PlannedStatement
@@ -97,8 +112,17 @@
             self.view.declarations, call.route, call.organisation, self.view.regions
         )
 
-    def why_stopped(self, call: RoutingRequest, database: Database) -> str | None:
-        """Return why an open transaction may not go on at its database."""
+    def has_key_moved(self, call: RoutingRequest, organisation: OrganisationId) -> bool:
+        """Return whether another organisation holds the caller's key by now."""
+        return self.view.organisation_of(call.key) != organisation
+
+    def why_stopped(
+        self, call: RoutingRequest, binding: TransactionBinding
+    ) -> str | None:
+        """Return why an open transaction may not go on."""
+        database = binding.destination.database
+        if self.has_key_moved(call, binding.organisation):
+            return "key-moved"
         if not self.view.evacuations.may_continue_work(database):
             return "evacuated"
         if not self.homes_of(call).includes(database.failure_domain):
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -62,6 +62,9 @@
 # takes milliseconds.
 PEER_FAILOVER_SECONDS = 0.25
 
+# Named to databases for callers whose key no organisation holds.
+NO_ORGANISATION = "-"
+
 
 def rounded_age(moment: Seconds) -> Seconds | None:
     """Return the age of a moment in seconds, rounded for a log; None for never."""
@@ -178,6 +181,10 @@
             self.databases[database.id] = known._replace(role=DatabaseRole.REPLICA)
             self.changed.notify()
 
+    def organisation_of(self, key: str) -> OrganisationId:
+        """Return the organisation that holds a key, one without a name for none."""
+        return self.declarations.keys.get(key, NO_ORGANISATION)
+
     def synchronous_replicas(self, service: str) -> int:
         """Return how many replicas receive a commit before it is acknowledged."""
         declared = self.declarations.services.get(service)
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -21,6 +21,7 @@
     DestinationChooser,
     may_run_at_replica,
     RoutingRequest,
+    TransactionBinding,
 )
 from .fleet_view import rounded_age
 from .read_balancer import ReadBalancer
@@ -82,8 +83,9 @@
 
 
 REFUSAL_TEXTS = {
-    "evacuated": "is evacuated",
-    "no-home": "lies outside its home regions",
+    "evacuated": "what could run it of {service} is evacuated",
+    "key-moved": "the key belongs to another organisation now; start again for that one",
+    "no-home": "what could run it of {service} lies outside its home regions",
 }
 # Reasons that tell that a database has not run the statement.
 NOT_RUN_REASONS = ROOM_REASONS | {
@@ -114,13 +116,6 @@
 }
 
 
-class TransactionBinding(NamedTuple):
-    """Describe where an open transaction runs; later statements begin nothing."""
-
-    destination: Destination
-    transaction_number: int
-
-
 class RoutedResult(NamedTuple):
     """Carry a result, the binding of a transaction still open, and the last attempt.
 
@@ -180,7 +175,7 @@
         """Run a statement, with retries, until it has a final result."""
         if binding is not None:
             destination = binding.destination
-            stopped = self.chooser.why_stopped(call, destination.database)
+            stopped = self.chooser.why_stopped(call, binding)
             if stopped is not None:
                 self.abandon_transaction(binding)
                 return self.refuse(call, stopped, 0, destination)
@@ -205,6 +200,9 @@
             "no-database",
         )
         while True:
+            if self.chooser.has_key_moved(call, call.organisation):
+                refused = self.refuse(call, "key-moved", attempts, last_destination)
+                return refused._replace(has_not_run=has_not_run)
             destination = self.chooser.choose(call, tried)
             if destination is None:
                 refusal = self.chooser.why_unservable(call)
@@ -238,7 +236,9 @@
                     and not result.transaction_ended
                 ):
                     binding = TransactionBinding(
-                        destination._replace(after=None, begin=""), number
+                        destination._replace(after=None, begin=""),
+                        number,
+                        call.organisation,
                     )
                 return RoutedResult(
                     result, last.reason, binding, attempts, destination, has_not_run
@@ -260,10 +260,11 @@
         self, call: RoutingRequest, reason: str, attempts: int, last: Destination | None
     ) -> RoutedResult:
         """Refuse a statement at once that no permitted database can run now."""
+        is_served_soon = reason == "key-moved"
         result = not_run_result(
             call.planned_statement,
-            f"what could run it of {call.route.service} {REFUSAL_TEXTS[reason]}",
-            retry_after_seconds=REFUSED_RETRY_SECONDS,
+            REFUSAL_TEXTS[reason].format(service=call.route.service),
+            retry_after_seconds=0.0 if is_served_soon else REFUSED_RETRY_SECONDS,
         )
         return RoutedResult(result, reason, None, attempts, last)
 
