--- a/berylhinge/cli/soak.py
+++ b/berylhinge/cli/soak.py
@@ -40,6 +40,13 @@
 @click.option("--runs", type=click.IntRange(1), default=1, help="How many seeds.")
 @click.option("--seconds", type=click.FloatRange(2.0), default=12.0, show_default=True)
 @click.option("--instances", type=click.IntRange(2, 100), default=3, show_default=True)
+@click.option(
+    "--synchronous-replicas",
+    type=click.IntRange(0, 2),
+    default=0,
+    show_default=True,
+    help="Replicas that receive a commit before it is acknowledged.",
+)
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for failures.")
 @click.option("--shrinking", is_flag=True, help="Leave out faults while a run fails.")
 def run(
@@ -47,6 +54,7 @@
     runs: int,
     seconds: float,
     instances: int,
+    synchronous_replicas: int,
     keep: Path | None,
     shrinking: bool,
 ) -> None:
@@ -55,7 +63,7 @@
     for number in range(seed, seed + runs):
         # Every other seed plays a deployment that asks for all features.
         terms = FEATURE_TERMS if number % 2 else ()
-        case = draw_case(number, seconds, instances, terms)
+        case = draw_case(number, seconds, instances, terms, synchronous_replicas)
         if play(case, keep):
             continue
         failed += 1
@@ -86,7 +94,11 @@
 
 
 def draw_case(
-    seed: int, seconds: float, instances: int, terms: tuple[str, ...]
+    seed: int,
+    seconds: float,
+    instances: int,
+    terms: tuple[str, ...],
+    synchronous_replicas: int = 0,
 ) -> Case:
     """Return a seed's run, with the faults that the agreed terms call for."""
     planned = plan(
@@ -95,8 +107,11 @@
         instances=[f"n{number}" for number in range(instances)],
         databases=DATABASES,
         has_features=bool(terms),
+        is_durable=synchronous_replicas > 0,
+    )
+    return Case(
+        seed, seconds, instances, "", tuple(planned), terms, synchronous_replicas
     )
-    return Case(seed, seconds, instances, "", tuple(planned), terms)
 
 
 def play(case: Case, keep: Path | None) -> bool:
--- a/berylhinge/soak/cases.py
+++ b/berylhinge/soak/cases.py
@@ -15,7 +15,8 @@
 class Case(NamedTuple):
     """Keep a run that failed once, with a line on its cause.
 
-    ``agreed_terms`` switch features of the poolers on.
+    ``agreed_terms`` switch features of the poolers on. So many ``synchronous_replicas``
+    receive a commit before it is acknowledged.
     """
 
     seed: int
@@ -24,6 +25,7 @@
     cause: str
     faults: tuple[Fault, ...]
     agreed_terms: tuple[str, ...] = ()
+    synchronous_replicas: int = 0
 
 
 def read_case(path: Path) -> Case:
--- a/berylhinge/soak/faults.py
+++ b/berylhinge/soak/faults.py
@@ -22,6 +22,8 @@
     """Let a fault start."""
     if fault.kind in ON_STORE:
         harm_store(world, fault)
+    elif fault.kind == "leaving":
+        world.group.members[fault.target].is_leaving = True
     elif fault.kind in ON_DATABASES:
         harm_database(world, fault)
     elif fault.kind == "evacuated":
@@ -97,6 +99,8 @@
         world.store.down = world.store.lose_answers = False
         if fault.kind == "restored":
             world.restore_store(world.copies.pop(fault))
+    elif fault.kind == "leaving":
+        world.group.members[fault.target].is_leaving = False
     elif fault.kind in ON_DATABASES:
         database = world.group.members[fault.target]
         database.silent = database.deaf = False
--- a/berylhinge/soak/judge.py
+++ b/berylhinge/soak/judge.py
@@ -33,11 +33,15 @@
 
 
 class Seen(NamedTuple):
-    """Hold what the databases recorded."""
+    """Hold what the databases recorded.
+
+    Where commits are ``is_durable``, no promotion may roll an acknowledged one back.
+    """
 
     log: Sequence[Entry]
     rolled_back: Sequence[Entry]
     runs: Sequence[Run]
+    is_durable: bool = False
 
 
 def judge(observed: Observed, seen: Seen) -> list[Violation]:
@@ -72,6 +76,8 @@
             acknowledged = operation.outcome is Outcome.DONE and operation.may_be_kept
             if acknowledged and not count and data not in lost:
                 yield Violation("kept", f"{data} was acknowledged and is nowhere")
+            if acknowledged and not count and data in lost and seen.is_durable:
+                yield Violation("kept", f"{data} was acknowledged and rolled back")
 
 
 def places_of(log: Sequence[Entry]) -> dict[str, list[int]]:
--- a/berylhinge/soak/schedule.py
+++ b/berylhinge/soak/schedule.py
@@ -32,6 +32,9 @@
     "callers-reset",
 )
 ON_DATABASES = ("crash", "silent", "deaf", "delayed", "reset", "cut")
+# Where an acknowledged commit outlives its primary: a planned replacement, and what
+# takes no database's log away.
+ON_DURABLE_DATABASES = ("leaving", "silent", "deaf", "delayed", "reset", "cut")
 # Faults of load and orders of the operator, where the instances have agreed on features
 # that answer them.
 ON_CALLERS = ("hot-organisation", "idle-transactions")
@@ -86,13 +89,22 @@
     instances: Sequence[str],
     databases: Sequence[str],
     has_features: bool = False,
+    is_durable: bool = False,
 ) -> list[Fault]:
     """Return the faults of a seed, in the order of their starts."""
+    on_databases = ON_DURABLE_DATABASES if is_durable else ON_DATABASES
+    targets_by_kind: list[tuple[Sequence[str], Sequence[str]]] = [
+        (ON_INSTANCES, instances),
+        (on_databases, databases),
+        (ON_STORE, ("store",)),
+    ]
+    if has_features:
+        targets_by_kind.append((ON_FEATURES, databases))
     rng = Random(seed)
     faults = []
     now = QUIET_SECONDS
     while (now := now + rng.expovariate(1.0 / GAP_SECONDS)) < seconds:
-        fault = draw(rng, now, instances, databases, has_features=has_features)
+        fault = draw(rng, now, targets_by_kind)
         faults.append(fault)
         while rng.random() < REPEAT_CHANCE:
             fault = fault._replace(at=fault.ends_at + SHORT_SECONDS)
@@ -106,20 +118,10 @@
 def draw(
     rng: Random,
     now: float,
-    instances: Sequence[str],
-    databases: Sequence[str],
-    *,
-    has_features: bool,
+    targets_by_kind: Sequence[tuple[Sequence[str], Sequence[str]]],
 ) -> Fault:
     """Return one fault."""
     lasting = rng.uniform(SHORT_SECONDS, LONG_SECONDS)
-    targets_by_kind: list[tuple[Sequence[str], Sequence[str]]] = [
-        (ON_INSTANCES, instances),
-        (ON_DATABASES, databases),
-        (ON_STORE, ("store",)),
-    ]
-    if has_features:
-        targets_by_kind.append((ON_FEATURES, databases))
     kinds, targets = rng.choice(targets_by_kind)
     fault = Fault(rng.choice(kinds), rng.choice(targets), round(now, 2), lasting)
     if fault.kind == "evacuated":
--- a/berylhinge/soak/soak.py
+++ b/berylhinge/soak/soak.py
@@ -54,6 +54,7 @@
         instances=case.instances,
         organisations=ORGANISATIONS,
         agreed_terms=case.agreed_terms,
+        synchronous_replicas=case.synchronous_replicas,
     )
     try:
         for name in world.instances:
@@ -105,7 +106,12 @@
         tuple(world.cold),
     )
     runs = [run for run in group.runs if run.request != PROBE]
-    seen = Seen(list(group.log), list(group.rolled_back), runs)
+    seen = Seen(
+        list(group.log),
+        list(group.rolled_back),
+        runs,
+        is_durable=group.synchronous_replicas > 0,
+    )
     return Soaked(
         judge(observed, seen),
         len(recorded),
--- a/berylhinge/soak/tests/test_judge.py
+++ b/berylhinge/soak/tests/test_judge.py
@@ -63,11 +63,13 @@
     probes: dict[str, bool] | None = None,
     evacuations: tuple[Span, ...] = (),
     cold: tuple[Span, ...] = (),
+    is_durable: bool = False,
 ) -> list[str]:
     observed = Observed(
         tuple(operations), withdrawn or {}, probes or {}, evacuations, cold
     )
-    found = judge(observed, Seen(kept or [], lost or [], runs or []))
+    seen = Seen(kept or [], lost or [], runs or [], is_durable)
+    found = judge(observed, seen)
     return [violation.promise for violation in found]
 
 
@@ -92,6 +94,22 @@
     assert found == expected
 
 
+@pytest.mark.parametrize(
+    ("outcome", "lost", "expected"),
+    [
+        (DONE, ["a"], ["kept"]),
+        (DONE, ["b"], ["kept"]),
+        (UNKNOWN, ["a"], []),
+        (NOT_KEPT, ["a"], []),
+    ],
+)
+def test_durable_writes_outlive_promotions(
+    outcome: Outcome, lost: list[str], expected: list[str]
+) -> None:
+    operation = write("a", 1.0, outcome)
+    assert promises([operation], lost=log(*lost), is_durable=True) == expected
+
+
 @pytest.mark.parametrize(
     ("operation", "expected"),
     [
--- a/berylhinge/soak/tests/test_soak.py
+++ b/berylhinge/soak/tests/test_soak.py
@@ -85,10 +85,15 @@
     assert CliRunner().invoke(main, arguments).exit_code == 2
 
 
-@pytest.mark.parametrize("terms", [(), FEATURE_TERMS])
-def test_a_fresh_seed_keeps_every_promise(terms: tuple[str, ...]) -> None:
+@pytest.mark.parametrize(
+    ("terms", "synchronous_replicas"), [((), 0), (FEATURE_TERMS, 0), ((), 1)]
+)
+def test_a_fresh_seed_keeps_every_promise(
+    terms: tuple[str, ...], synchronous_replicas: int
+) -> None:
     seed = random.SystemRandom().randrange(10**6)
-    assert play(draw_case(seed, 8.0, 3, terms), None), f"seed {seed}"
+    case = draw_case(seed, 8.0, 3, terms, synchronous_replicas)
+    assert play(case, None), f"seed {seed}"
 
 
 @pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
--- a/berylhinge/soak/world.py
+++ b/berylhinge/soak/world.py
@@ -38,6 +38,8 @@
 COLD_EXCESS_FACTOR = 1.5
 COLD_EXCESS_REQUESTS = 5.0
 STOP_SECONDS = 5.0
+# From an order to its effect, where commits go on meanwhile.
+PROMOTE_SECONDS = 0.4
 GRACE_SECONDS = 3.0
 # Capacities of the instances in turn, in a fleet of unequal ones.
 CORES = (1.0, 0.5, 2.15)
@@ -84,12 +86,15 @@
         instances: int,
         organisations: int,
         agreed_terms: Sequence[str] = (),
+        synchronous_replicas: int = 0,
     ) -> None:
         """Start the stand-ins; ``start`` starts the processes."""
         self.folder = folder
         self.agreed_terms = agreed_terms
         self.store = MetadataStore(Address("127.0.0.1", 0))
         self.group = DatabaseGroup("s")
+        self.group.synchronous_replicas = synchronous_replicas
+        self.group.promote_seconds = PROMOTE_SECONDS if synchronous_replicas else 0.0
         self.paths: dict[str, LoopbackProxy] = {}
         for name, zone in zip(DATABASES, ZONES, strict=True):
             database = SessionDatabase(self.group, name, max_connections=24)
@@ -188,7 +193,13 @@
     def write_declarations(self) -> None:
         """Write what the operator declares."""
         limits_cold = bool(self.agreed_terms)
-        declare(self.store, self.version, self.keys, limits_cold=limits_cold)
+        declare(
+            self.store,
+            self.version,
+            self.keys,
+            limits_cold=limits_cold,
+            synchronous_replicas=self.group.synchronous_replicas,
+        )
 
     def restart_database(self, name: str) -> None:
         """Let a database come back, cold where the instances know of that."""
--- a/berylhinge/standins/declared.py
+++ b/berylhinge/standins/declared.py
@@ -20,12 +20,15 @@
     keys: dict[str, str],
     *,
     limits_cold: bool = False,
+    synchronous_replicas: int = 0,
 ) -> None:
     """Put one route of each kind in force; ``keys`` holds an organisation for each."""
     document = declarations(version, keys)
     if limits_cold:
         cold = {"cold-per-s": COLD_PER_SECOND, "cold-start-s": COLD_START_SECONDS}
         document["services"][0] |= cold
+    if synchronous_replicas:
+        document["services"][0]["sync-replicas"] = synchronous_replicas
     store.put("op/config", document)
 
 
