Write a registration again that another write has replaced

Cause: a process is known by the revision of its first registration, which readers take from the write that they see. A first registration without an answer that the store carried out seconds later gave the process another identity; peers sent to that one, and nothing was received.

Change: an instance compares what the store delivers as its registration with what it wrote last, and writes it again, with its identity, if something else was written later.

--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -266,9 +266,13 @@
 
 
 class InstanceReregistered(InstanceLogLine):
-    """Report the incarnation that was registered after the lease expired."""
+    """Report the incarnation that was registered after the lease expired.
+
+    ``found_incarnation`` is the one that the store had; another one was replaced.
+    """
 
     incarnation: int
+    found_incarnation: int | None
 
 
 class DatabaseLeads(DatabaseLogLine):
--- a/berylhinge/tasks/pooler/instance_registration.py
+++ b/berylhinge/tasks/pooler/instance_registration.py
@@ -13,6 +13,7 @@
 
 from ...platform.metadata_store import Conflict, LeaseGone
 from ..clock import now_seconds
+from .members import Member
 from .registrations import Registration
 from .store_state import INSTANCES_PREFIX, SECRET_KEY
 
@@ -62,9 +63,12 @@
         self.renewal_requested = Event()
         self.own_key = INSTANCES_PREFIX + settings.instance
         self.lease: Lease | None = None
+        self.is_leaving = False
+        self.written_at = 0
 
     def register(self, *, leaving: bool = False) -> bool:
         """Write the registration; return whether it is certainly stored."""
+        self.is_leaving = leaving
         if self.lease is None:
             opened = self.store.open_lease(LEASE_SECONDS)
             self.record_call(opened)
@@ -111,13 +115,38 @@
         # Links identify a process by the revision of its first registration; a later
         # registration must not make peers restart their message sequences.
         self.applier.incarnation = self.applier.incarnation or outcome
+        self.written_at = max(self.written_at, outcome)
         if not isfinite(self.view.registered_at):
             self.view.registered_at = now_seconds()
+        self.check_own_entry()
         self.on_change()
         return True
 
+    def is_replaced(self) -> bool:
+        """Return whether another write has replaced the registration in the store.
+
+        A write without an answer may be carried out seconds later. Of a process's first
+        registration it names another incarnation, to which peers would send.
+        """
+        entry = self.applier.own_entry
+        if entry is None or entry.written_at <= self.written_at:
+            return False
+        return entry.member != Member(
+            self.settings.instance,
+            self.settings.place,
+            str(self.settings.peers),
+            self.applier.incarnation,
+            self.is_leaving,
+            self.view.weight,
+        )
+
+    def check_own_entry(self) -> None:
+        """Register again soon if the registration was replaced."""
+        if self.applier.incarnation and self.is_replaced():
+            self.renewal_requested.set()
+
     def renew_forever(self) -> None:
-        """Renew the lease until the stop; register again when it was lost."""
+        """Renew the lease until the stop; register again what was lost or replaced."""
         while self.view.stop is None:
             if self.renewal_requested.wait(LEASE_RENEWAL_SECONDS):
                 self.renewal_requested.clear()
@@ -129,11 +158,19 @@
                 self.record_call(renewed)
                 if isinstance(renewed, Failure):
                     continue
-                if renewed.unwrap() and self.own_key not in self.applier.missing_since:
-                    continue
-                self.lease = None
+                is_open = renewed.unwrap()
+                if is_open and self.own_key not in self.applier.missing_since:
+                    if not self.is_replaced():
+                        continue
+                else:
+                    self.lease = None
+            found = self.applier.own_entry
             if self.view.stop is None and self.register():
-                self.log.info("Registered again.", incarnation=self.applier.incarnation)
+                self.log.info(
+                    "Registered again.",
+                    incarnation=self.applier.incarnation,
+                    found_incarnation=found.member.incarnation if found else None,
+                )
 
     def renew_soon(self) -> None:
         """Register again, with the other instances, after a restore lost it."""
--- a/berylhinge/tasks/pooler/registry.py
+++ b/berylhinge/tasks/pooler/registry.py
@@ -212,6 +212,7 @@
             known_items=len(known_keys),
             known_revision=self.view.revision,
         )
+        self.registration.check_own_entry()
         self.on_change()
         self.view.advance_revision(snapshot.revision)
         if confirmed_at is not None:
@@ -303,6 +304,7 @@
         self.view.advance_revision(revision)
         self.view.confirm_revision(revision, confirmed_at)
         if items:
+            self.registration.check_own_entry()
             self.on_change()
 
     def wait_for_batch(self, seconds: Seconds) -> None:
--- a/berylhinge/tasks/pooler/store_state.py
+++ b/berylhinge/tasks/pooler/store_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from math import isfinite
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 from returns.result import Failure
 
@@ -42,6 +42,13 @@
 ERA_DIGITS = 10
 
 
+class OwnEntry(NamedTuple):
+    """Hold what the store delivered last as this instance's own registration."""
+
+    member: Member
+    written_at: int
+
+
 class StoreStateApplier:
     """Decode items by their keys and apply them; record when an entry went missing."""
 
@@ -56,6 +63,7 @@
         self.is_secret_stored = False
         self.settled_era = 0
         self.incarnation = 0
+        self.own_entry: OwnEntry | None = None
 
     def apply_snapshot(self, snapshot: Snapshot) -> list[str]:
         """Apply every item, and record the known entries that are not among them.
@@ -296,6 +304,8 @@
             registration.leaving,
             registration.weight,
         )
+        if name == self.view.own_instance:
+            self.own_entry = OwnEntry(member, written_at)
         if known != member:
             self.view.clear_suspect(name)
             self.log.info(
