Compare a relay's answer with the store once it has what the store has

Cause: test_a_relay_passes_on_a_restored_store failed once beside load: after a restore the instances register again at moments of their own, and the store's registration (revision 11) was compared with an answer from before its delivery (7). On the same test with a pause of 5 ms after the restore failed once in five runs.

Change: the test waits until the relay's revision is the store's and compares at that moment; what has to be equal is as before.

--- a/berylhinge/tasks/pooler/tests/test_restored_store.py
+++ b/berylhinge/tasks/pooler/tests/test_restored_store.py
@@ -287,6 +287,9 @@
     restore(fleet, fleet.store.make_copy())
     relay = fleet.instances[0].registry.relay
     assert relay is not None
+    view = fleet.instances[0].view
+    # Instances register again in the new era, at moments of their own.
+    wait_until(lambda: view.revision == qualify(2, fleet.store.revision))
     answer = relay.answer_changes("n9", StoreChangesRequest(former))
     assert answer.is_whole
     items = relay.decode_changes(answer)
