--- a/berylhinge/core/pooler/catalogue.py
+++ b/berylhinge/core/pooler/catalogue.py
@@ -49,6 +49,10 @@
     homes: frozenset[RegionId] = frozenset()
 
 
+# Named to databases for callers whose key no organisation holds.
+NO_ORGANISATION = "-"
+
+
 class Service(NamedTuple):
     """Describe a replicated group of databases.
 
@@ -85,6 +89,15 @@
     idle_transaction_seconds: Seconds
     homes: Mapping[OrganisationId, frozenset[RegionId]] = MappingProxyType({})
 
+    def organisation_of(self, key: str) -> OrganisationId:
+        """Return the organisation that holds a key, one without a name for none."""
+        return self.keys.get(key, NO_ORGANISATION)
+
+    def synchronous_replicas(self, service: str) -> int:
+        """Return how many replicas receive a commit before it is acknowledged."""
+        declared = self.services.get(service)
+        return 0 if declared is None else declared.synchronous_replicas
+
 
 class Database(NamedTuple):
     """Describe one database as it announced itself.
--- a/berylhinge/tasks/capacity_task.py
+++ b/berylhinge/tasks/capacity_task.py
@@ -288,12 +288,10 @@
 
     def fetch_roster(self, peer: Member, epoch: int) -> None:
         """Fetch a newer roster from a peer."""
+        request = RosterRequest(epoch)
         try:
             answer = self.links.call(
-                peer.instance,
-                RosterRequest(epoch),
-                RosterResponse,
-                ROSTER_TIMEOUT_SECONDS,
+                peer.instance, request, RosterResponse, ROSTER_TIMEOUT_SECONDS
             )
         except PeerLost:
             return
--- a/berylhinge/tasks/peer_frames.py
+++ b/berylhinge/tasks/peer_frames.py
@@ -8,8 +8,6 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from gevent.event import AsyncResult
-
     from ..types import InstanceId
 
 
@@ -40,24 +38,6 @@
     call_id: int
 
 
-class PendingCall(NamedTuple):
-    """Describe a call whose answer is awaited from one process of a peer.
-
-    Call numbers begin anew in each process, so the number alone identifies no call.
-    """
-
-    peer: InstanceId
-    incarnation: int
-    answer_type: type
-    answer: AsyncResult
-
-
-class UnexpectedAnswer(NamedTuple):
-    """Stand for an answer of another type than the call expects."""
-
-    received_type: str
-
-
 class Handler(NamedTuple):
     """Describe how messages of a kind are handled.
 
--- a/berylhinge/tasks/peer_links.py
+++ b/berylhinge/tasks/peer_links.py
@@ -4,15 +4,12 @@
 
 import socket
 import time
-from contextlib import contextmanager
-from itertools import count
 from typing import Any, TYPE_CHECKING, TypeVar
 
 import gevent
 import msgspec
 import pynng
 from gevent import get_hub
-from gevent.event import AsyncResult
 from returns.result import Failure
 
 from ..core.message_delays import measure_excess_delay
@@ -29,20 +26,21 @@
 from ..wire.kinds import kind_of, omit_defaults
 from .clock import now_seconds
 from .http_server import Address
+from .peer_activity import PeerActivity
 from .peer_frames import (
     Frame,
     Handler,
     PeerLost,
-    PendingCall,
     RestartNotice,
-    UnexpectedAnswer,
 )
 from .peer_outboxes import Outboxes
+from .pending_calls import PendingCalls
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
     from ..core.message_delays import ClockOffset
+    from .pending_calls import PendingCall
 
 RECEIVE_BUFFER_MESSAGES = 4_096
 MAX_MESSAGE_BYTES = 8_000_000
@@ -58,7 +56,7 @@
     """Discard an error."""
 
 
-class Links:
+class Links(PeerActivity):
     """Send and receive messages through an inbox and one outbox for each peer."""
 
     def __init__(
@@ -73,6 +71,7 @@
 
         ``on_fault`` gets the kind of a message whose handling raised, and the error.
         """
+        super().__init__()
         self.listen_address = listen_address
         self.inbox = pynng.Pull0(
             listen=f"tcp://{listen_address.host}:{listen_address.port}",
@@ -88,10 +87,7 @@
         self.handlers: dict[str, Handler] = {}
         self.clock_offsets: dict[InstanceId, ClockOffset] = {}
         self.types_by_kind: dict[str, type] = {kind_of(RestartNotice): RestartNotice}
-        self.pending_calls: dict[int, PendingCall] = {}
-        self.last_received_at: dict[InstanceId, float] = {}
-        self.awaited_since: dict[InstanceId, list[float]] = {}
-        self.call_ids = count(1)
+        self.pending_calls = PendingCalls(on_count)
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder = msgspec.msgpack.Decoder(Frame)
         self.reader: gevent.Greenlet | None = None
@@ -204,44 +200,6 @@
             gevent.sleep(CONNECT_POLL_SECONDS)
         return True
 
-    @contextmanager
-    def awaiting_answer(self, instance: InstanceId) -> Iterator[None]:
-        """Record for ``silent_seconds`` that an answer of a peer is awaited."""
-        started_at = time.monotonic()
-        start_times = self.awaited_since.setdefault(instance, [])
-        start_times.append(started_at)
-        try:
-            yield
-        finally:
-            start_times.remove(started_at)
-
-    def awaited_peers(self) -> list[InstanceId]:
-        """Return the peers whose answers are awaited."""
-        return [
-            instance
-            for instance, start_times in self.awaited_since.items()
-            if start_times
-        ]
-
-    def heard_peers(self, seconds: float) -> set[InstanceId]:
-        """Return the peers that sent a message within the last seconds."""
-        since = time.monotonic() - seconds
-        return {
-            instance
-            for instance, received_at in self.last_received_at.items()
-            if received_at >= since
-        }
-
-    def silent_seconds(self, instance: InstanceId) -> float:
-        """Return for how long a peer has sent nothing while answers are awaited."""
-        start_times = self.awaited_since.get(instance)
-        if (
-            not start_times
-            or self.last_received_at.get(instance, 0.0) >= start_times[0]
-        ):
-            return 0.0
-        return time.monotonic() - start_times[0]
-
     def call(
         self,
         instance: InstanceId,
@@ -281,34 +239,28 @@
         peer = self.contacts.find(instance)
         if peer is None:
             raise PeerLost(instance, sent=False)
-        call_id = next(self.call_ids)
-        answer = AsyncResult()
-        self.pending_calls[call_id] = PendingCall(
-            instance, peer.incarnation, answer_type, answer
-        )
-        try:
+        incarnation = peer.incarnation
+        with self.pending_calls.open(instance, incarnation, answer_type) as call:
             if not self.send(
-                instance, message, call=call_id, incarnation=peer.incarnation
+                instance, message, call=call.number, incarnation=incarnation
             ):
                 raise PeerLost(instance, sent=False)
-            return self.await_answer(instance, answer, deadline, is_lost)
-        finally:
-            del self.pending_calls[call_id]
+            return self.await_answer(call, deadline, is_lost)
 
     def await_answer(
         self,
-        instance: InstanceId,
-        answer: AsyncResult,
+        call: PendingCall,
         deadline: float,
         is_lost: Callable[[], bool] | None,
     ) -> Any:
         """Wait for an answer while the peer stays connected; raise PeerLost."""
         while (remaining := deadline - time.monotonic()) > 0:
-            if answer.wait(min(remaining, LOSS_CHECK_SECONDS)) or answer.ready():
-                return answer.get()
-            if not self.outboxes.is_connected(instance) or (is_lost and is_lost()):
+            call.answer.wait(min(remaining, LOSS_CHECK_SECONDS))
+            if call.answer.ready():
+                return call.answer.get()
+            if not self.outboxes.is_connected(call.peer) or (is_lost and is_lost()):
                 break
-        raise PeerLost(instance, sent=True)
+        raise PeerLost(call.peer, sent=True)
 
     def read_messages(self) -> None:
         """Read until killed, yielding to the hub after each batch."""
@@ -349,34 +301,12 @@
         self.last_received_at[sender] = time.monotonic()
         self.learn_address(envelope, frame)
         if isinstance(message, RestartNotice):
-            self.end_call(message.call_id, envelope, message)
+            self.pending_calls.end(message.call_id, envelope, message)
         elif frame.reply_to:
-            self.end_call(frame.reply_to, envelope, message)
+            self.pending_calls.end(frame.reply_to, envelope, message)
         else:
             self.dispatch_message(envelope, frame, message, delay)
 
-    def end_call(self, call_id: int, envelope: Envelope, message: Any) -> None:
-        """Give an answer to the call that awaits it from the process that sent it.
-
-        A restart notice comes from a newer process of the peer than the one asked.
-        """
-        pending = self.pending_calls.get(call_id)
-        if pending is None:
-            return
-        is_notice = isinstance(message, RestartNotice)
-        is_from_asked = (
-            envelope.sender_incarnation > pending.incarnation
-            if is_notice
-            else envelope.sender_incarnation == pending.incarnation
-        )
-        if envelope.sender != pending.peer or not is_from_asked:
-            self.on_count("misdirected-answer", 0)
-            return
-        if not is_notice and not isinstance(message, pending.answer_type):
-            self.on_count("unexpected-answer", 0)
-            message = UnexpectedAnswer(type(message).__name__)
-        pending.answer.set(message)
-
     def learn_address(self, envelope: Envelope, frame: Frame) -> None:
         """Learn where the sender of a message receives answers, and that it runs."""
         self.contacts.learn(
--- a/berylhinge/tasks/pooler/caller_session.py
+++ b/berylhinge/tasks/pooler/caller_session.py
@@ -259,7 +259,7 @@
     ) -> RoutedResult:
         """Count an operation against its rate, then run its statement."""
         route = self.view.declarations.routes[self.route_name]
-        organisation = self.view.organisation_of(self.key)
+        organisation = self.view.declarations.organisation_of(self.key)
         admission = None
         if self.binding is None:
             admission = self.callers.rate_limiter.admit(
--- a/berylhinge/tasks/pooler/callers.py
+++ b/berylhinge/tasks/pooler/callers.py
@@ -11,9 +11,8 @@
 
 from ...core.pooler.planned_stop import are_idle_sessions_ended
 from ...core.pooler.statements import Effect, ErrorCode
-from ..clock import now_seconds
+from ..clock import now_seconds, rounded_age
 from .caller_session import SessionTask
-from .fleet_view import rounded_age
 
 if TYPE_CHECKING:
     from ...core.pooler.sessions import PlannedStatement
--- a/berylhinge/tasks/pooler/database_probe.py
+++ b/berylhinge/tasks/pooler/database_probe.py
@@ -7,10 +7,9 @@
 import gevent
 
 from ...platform import line_protocol
-from ..clock import now_seconds
+from ..clock import now_seconds, rounded_age
 from ..http_connection import ConnectionFailed
 from .connection_pool import UnitFailed
-from .fleet_view import rounded_age
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
--- a/berylhinge/tasks/pooler/database_task.py
+++ b/berylhinge/tasks/pooler/database_task.py
@@ -6,11 +6,9 @@
 
 import gevent
 
-from ...core.pooler.commit_leases import lease_commit
 from ...core.pooler.failure_results import (
     begins_on_primary,
     error_result,
-    lost_answer_result,
     may_commit,
     NOT_RUN_CODES,
     not_run_result,
@@ -28,14 +26,14 @@
 from .database_meter import DatabaseMeter
 from .database_probe import DatabaseProbe, STATUS_TIMEOUT_SECONDS
 from .database_tracker import DatabaseTracker, proof_for_peer
-from .pinned_connection import PinnedConnection
+from .pinned_connection import lost_failure, moved_failure, PinnedConnection
 from .run_conditions import (
     await_lead,
-    check_may_acknowledge,
     check_may_lead,
     check_not_evacuated,
     check_not_stalled,
 )
+from .statement_exchange import connection_failure, exchange_statement
 from .statement_slots import StatementSlots
 from .status_renewal import is_status_due
 
@@ -200,19 +198,11 @@
         pinned = self.pinned_connections.pop(key, None)
         if pinned is not None and pinned.connection.organisation != organisation:
             gevent.spawn(self.roll_back_and_return, pinned.connection)
-            result = refused_result(
-                ErrorCode.ABORTED,
-                f"the transaction is not one of {organisation}; start it again",
-            )
-            raise UnitFailed(result, "key-moved")
+            raise moved_failure(organisation)
         if pinned is None or pinned.connection.sock is None:
             if pinned is not None:
                 self.pool.discard(pinned.connection)
-            result = refused_result(
-                ErrorCode.ABORTED,
-                "the transaction is not open at this instance; start it again",
-            )
-            raise UnitFailed(result, "transaction-lost")
+            raise lost_failure()
         return pinned
 
     def wait_for_slot(
@@ -270,43 +260,27 @@
                     timeout, self.slots.answer_timeout(request.priority, request.access)
                 )
             sent_at = now_seconds()
-            after = request.after if is_single and not request.begin_mode else None
             self.tracker.pending_since[connection.number] = sent_at
-            if needs_primary and may_commit(request):
-                answer = self.exchange_commit(connection, request, timeout)
-            else:
-                answer = connection.exchange(
-                    request.request, request.text, timeout, after=after
-                )
+            answer = exchange_statement(
+                connection,
+                request,
+                timeout,
+                self.view,
+                self.database,
+                needs_primary=needs_primary,
+            )
             self.tracker.record_answer()
             result = self.interpret_answer(connection, request, answer, sent_at)
         except ConnectionFailed as error:
             self.tracker.record_failure(asked_at, refused=False)
             self.probe.start()
-            raise self.connection_failure(request, error) from error
+            raise connection_failure(self.database, request, error) from error
         finally:
             self.tracker.pending_since.pop(connection.number, None)
         if is_single and request.begin_mode:
             self.roll_back_connection(connection)
         return result
 
-    def exchange_commit(
-        self,
-        connection: DatabaseConnection,
-        request: ExecuteRequest,
-        timeout: Seconds,
-    ) -> DatabaseAnswer:
-        """Send a commit; raise UnitFailed if its success must not be acknowledged."""
-        service = self.database.service
-        lease = lease_commit(
-            self.view.leadership.get(service), confirmed_at=self.view.confirmed_at
-        )
-        with self.view.commit_stops.count_commit(service):
-            answer = connection.exchange(request.request, request.text, timeout)
-            if answer.code is None:
-                check_may_acknowledge(self.view, self.database, request, lease)
-        return answer
-
     def begin_transaction(
         self, connection: DatabaseConnection, request: ExecuteRequest, deadline: Seconds
     ) -> None:
@@ -354,16 +328,6 @@
         if self.view.may_use_as_primary(self.database):
             self.tracker.record_proof(asked_at, point)
 
-    def connection_failure(
-        self, request: ExecuteRequest, error: ConnectionFailed
-    ) -> UnitFailed:
-        """Return the failure of a statement whose connection was lost."""
-        result = lost_answer_result(
-            request, f"{self.database.id}: {error}", sent=error.may_have_sent
-        )
-        reason = "answer-lost" if error.may_have_sent else "connection-lost"
-        return UnitFailed(result, reason)
-
     def abandon_transaction(self, sender: InstanceId, message: RollbackRequest) -> None:
         """Roll back a transaction and keep its connection."""
         pinned = self.pinned_connections.pop((sender, message.transaction), None)
--- a/berylhinge/tasks/pooler/destinations.py
+++ b/berylhinge/tasks/pooler/destinations.py
@@ -33,6 +33,14 @@
     from .tried_destinations import TriedDestinations
 
 
+# Why no permitted database can run a statement now.
+REFUSAL_TEXTS = {
+    "evacuated": "what could run it of {service} is evacuated",
+    "key-moved": "the key belongs to another organisation now; start again for that one",
+    "no-home": "what could run it of {service} lies outside its home regions",
+}
+
+
 class Destination(NamedTuple):
     """Describe where a statement runs, from which log position and how it begins."""
 
@@ -114,7 +122,7 @@
 
     def has_key_moved(self, call: RoutingRequest, organisation: OrganisationId) -> bool:
         """Return whether another organisation holds the caller's key by now."""
-        return self.view.organisation_of(call.key) != organisation
+        return self.view.declarations.organisation_of(call.key) != organisation
 
     def why_stopped(
         self, call: RoutingRequest, binding: TransactionBinding
--- a/berylhinge/tasks/pooler/fleet_view.py
+++ b/berylhinge/tasks/pooler/fleet_view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import isfinite
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -62,15 +61,6 @@
 # takes milliseconds.
 PEER_FAILOVER_SECONDS = 0.25
 
-# Named to databases for callers whose key no organisation holds.
-NO_ORGANISATION = "-"
-
-
-def rounded_age(moment: Seconds) -> Seconds | None:
-    """Return the age of a moment in seconds, rounded for a log; None for never."""
-    age = now_seconds() - moment
-    return round(age, 3) if isfinite(age) else None
-
 
 class FleetView(StoreProgress):
     """Hold the known state of the fleet: tasks that observe it write, others read."""
@@ -181,22 +171,13 @@
             self.databases[database.id] = known._replace(role=DatabaseRole.REPLICA)
             self.changed.notify()
 
-    def organisation_of(self, key: str) -> OrganisationId:
-        """Return the organisation that holds a key, one without a name for none."""
-        return self.declarations.keys.get(key, NO_ORGANISATION)
-
-    def synchronous_replicas(self, service: str) -> int:
-        """Return how many replicas receive a commit before it is acknowledged."""
-        declared = self.declarations.services.get(service)
-        return 0 if declared is None else declared.synchronous_replicas
-
     def uses_leases(self, service: str) -> bool:
         """Return whether the primary of a service is used only under a lease.
 
-        A platform that fences promotions makes a deposed primary refuse statements, but
-        only from then on. Commits that replicas receive have to stop before.
+        Fenced platforms let a deposed primary refuse statements, but only from then on.
         """
-        return not self.are_promotions_fenced or self.synchronous_replicas(service) > 0
+        is_durable = self.declarations.synchronous_replicas(service) > 0
+        return is_durable or not self.are_promotions_fenced
 
     def may_use_as_primary(self, database: Database) -> bool:
         """Return whether statements that need the primary may be sent to a database."""
--- a/berylhinge/tasks/pooler/leader_notices.py
+++ b/berylhinge/tasks/pooler/leader_notices.py
@@ -84,5 +84,5 @@
 
     def stop_commits(self, service: str, revision: int) -> None:
         """End the commits that were sent before a record, if promises rest on them."""
-        if self.view.synchronous_replicas(service):
+        if self.view.declarations.synchronous_replicas(service):
             self.view.commit_stops.await_commits(service, revision)
--- a/berylhinge/tasks/pooler/promotion_duty.py
+++ b/berylhinge/tasks/pooler/promotion_duty.py
@@ -198,7 +198,10 @@
         if primary is None and self.find_returned(service, known) is not None:
             return
         are_commits_stopped = False
-        if self.view.synchronous_replicas(service) and succession.pending is None:
+        if (
+            self.view.declarations.synchronous_replicas(service)
+            and succession.pending is None
+        ):
             stopped_at = self.stop_commits(service, primary, basis)
             if stopped_at is None:
                 return
@@ -311,7 +314,7 @@
             replaces_at_once=primary is None or not primary.leaving or uses_leases,
             era=era_of(self.view.revision),
             after_term=after_term,
-            is_exclusive=self.view.synchronous_replicas(service) > 0,
+            is_exclusive=self.view.declarations.synchronous_replicas(service) > 0,
         )
 
     def request_promotion(
@@ -363,7 +366,7 @@
             current=None,
             replaces_at_once=True,
             era=era_of(self.view.revision),
-            is_exclusive=self.view.synchronous_replicas(service) > 0,
+            is_exclusive=self.view.declarations.synchronous_replicas(service) > 0,
         )
         if self.records.acquire_duty(service, recorded, basis=basis) is not None:
             self.paused_until[service] = now_seconds() + RETRY_PAUSE_SECONDS
--- a/berylhinge/tasks/pooler/read_balancer.py
+++ b/berylhinge/tasks/pooler/read_balancer.py
@@ -13,8 +13,7 @@
 from ...core.pooler.outliers import review_databases
 from ...core.pooler.read_affinity import arrange_organisations
 from ...types import DatabaseRole
-from ..clock import now_seconds
-from .fleet_view import rounded_age
+from ..clock import now_seconds, rounded_age
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/berylhinge/tasks/pooler/router.py
+++ b/berylhinge/tasks/pooler/router.py
@@ -14,16 +14,16 @@
 from ...core.pooler.slot_claims import FAIR_REFUSAL_REASONS
 from ...core.pooler.statements import Effect, StatementResult
 from ...wire.pooling import ExecuteRequest, ExecuteResponse, RollbackRequest
-from ..clock import now_seconds
+from ..clock import now_seconds, rounded_age
 from ..peer_frames import PeerLost
 from .destinations import (
     Destination,
     DestinationChooser,
     may_run_at_replica,
+    REFUSAL_TEXTS,
     RoutingRequest,
     TransactionBinding,
 )
-from .fleet_view import rounded_age
 from .read_balancer import ReadBalancer
 from .tried_destinations import RETRY_MIN_PAUSE_SECONDS, TriedDestinations
 
@@ -80,13 +80,6 @@
         "begin-aborted",
     }
 )
-
-
-REFUSAL_TEXTS = {
-    "evacuated": "what could run it of {service} is evacuated",
-    "key-moved": "the key belongs to another organisation now; start again for that one",
-    "no-home": "what could run it of {service} lies outside its home regions",
-}
 # Reasons that tell that a database has not run the statement.
 NOT_RUN_REASONS = ROOM_REASONS | {
     "answer-busy",
--- a/berylhinge/tasks/pooler/run_conditions.py
+++ b/berylhinge/tasks/pooler/run_conditions.py
@@ -7,19 +7,13 @@
 
 from typing import TYPE_CHECKING
 
-from ...core.pooler.commit_leases import may_acknowledge
 from ...core.pooler.evacuation import REFUSED_RETRY_SECONDS
-from ...core.pooler.failure_results import (
-    lost_answer_result,
-    may_commit,
-    not_run_result,
-)
+from ...core.pooler.failure_results import may_commit, not_run_result
 from ..clock import now_seconds
 from .connection_pool import UnitFailed
 
 if TYPE_CHECKING:
     from ...core.pooler.catalogue import Database
-    from ...core.pooler.commit_leases import CommitLease
     from ...types import Seconds
     from ...wire.pooling import ExecuteRequest
     from .fleet_view import FleetView
@@ -52,25 +46,6 @@
     raise UnitFailed(not_run_result(request, detail), reason)
 
 
-def check_may_acknowledge(
-    view: FleetView, database: Database, request: ExecuteRequest, lease: CommitLease
-) -> None:
-    """Raise UnitFailed if a promotion may take back a commit that was answered."""
-    if not view.synchronous_replicas(database.service) or not may_commit(request):
-        return
-    if may_acknowledge(
-        lease,
-        view.leadership.get(database.service),
-        confirmed_origin=view.commit_stops.confirmed_origin(database.service),
-        may_use_primary=view.may_use_as_primary(database),
-        now=now_seconds(),
-    ):
-        return
-    detail = f"{database.id} committed it and may be replaced by one that lacks it"
-    result = lost_answer_result(request, detail, sent=True)
-    raise UnitFailed(result, "commit-unconfirmed")
-
-
 def check_not_stalled(
     view: FleetView, request: ExecuteRequest, sent_at: Seconds
 ) -> None:
--- a/berylhinge/tasks/pooler/successor_choice.py
+++ b/berylhinge/tasks/pooler/successor_choice.py
@@ -75,7 +75,7 @@
             survey,
             replicas,
             self.view.evacuations.successors_of(replicas),
-            synchronous_replicas=self.view.synchronous_replicas(service),
+            synchronous_replicas=self.view.declarations.synchronous_replicas(service),
             is_planned=primary is not None and primary.leaving,
         )
         points = points_of(survey, candidates)
@@ -115,7 +115,7 @@
 
     def find_logs(self, service: str, replicas: list[Database]) -> LogSurvey | None:
         """Return the replicas' logs; None if acknowledged commits may be missing."""
-        synchronous_replicas = self.view.synchronous_replicas(service)
+        synchronous_replicas = self.view.declarations.synchronous_replicas(service)
         survey = self.statuses.survey_logs(replicas, synchronous_replicas)
         if not are_logs_missing(survey, replicas, synchronous_replicas):
             self.log_waits.pop(service, None)
