Wait for a replica's table in every test that reads its rows

Cause: cats_of reads a replica's engine directly.

Change: cats_of returns None for a database that has no table yet, which equals no list of rows, so each check is as strict as before. test_a_late_replica_has_rows_once_it_has_the_table holds a replica back by its lag, which brings about the failing order at each run.

--- a/berylhinge/standins/tests/helpers.py
+++ b/berylhinge/standins/tests/helpers.py
@@ -84,5 +84,9 @@
         gevent.sleep(POLL_SECONDS)
 
 
-def cats_of(database: Database) -> list[str]:
-    return [row[0] for row in database.member.engine.live.connection.execute(SELECT)]
+def cats_of(database: Database) -> list[str] | None:
+    live = database.member.engine.live.connection
+    # A replica has no table until it has received the statement that creates it.
+    if not live.execute("PRAGMA table_info(visits)").fetchall():
+        return None
+    return [row[0] for row in live.execute(SELECT)]
--- a/berylhinge/standins/tests/test_database.py
+++ b/berylhinge/standins/tests/test_database.py
@@ -58,6 +58,16 @@
         assert ledger[-1]["request_id"] == answer.body["request_id"]
 
 
+def test_a_late_replica_has_rows_once_it_has_the_table(group):
+    late = group.databases[2]
+    late.update_faults(FaultsRequest(lag_seconds=0.2))
+    caller = Caller(group.databases[0].data)
+    assert caller.write(TABLE).status == 200
+    caller.write(INSERT, "Miso")
+    assert cats_of(late) is None
+    eventually(lambda: cats_of(late) == ["Miso"])
+
+
 def test_a_replica_answers_reads_and_refuses_writes(group, caller):
     caller.write(INSERT, "Miso")
     replica = Caller(group.databases[1].data)
