Hand token buckets to the next rate owner in a planned change

The former owner also counts on beside the new one for whoever has an older view.

Change: an instance that leaves sends its buckets to their next owners at once; one that joins asks the former owner for a bucket at its organisation's first operation; an owner that sees another one in its place sends the bucket by itself. Who handed a bucket on forwards the requests that still come. What a new owner granted before the bucket came is taken from it.

--- a/berylhinge/core/pooler/assignment.py
+++ b/berylhinge/core/pooler/assignment.py
@@ -29,6 +29,11 @@
 CONFIRMER_KEY = "confirmer"
 
 
+def rate_key(organisation: OrganisationId) -> str:
+    """Return the key by which the instances rank for an organisation's rate."""
+    return f"rate/{organisation}"
+
+
 class CachedHolders(NamedTuple):
     """Cache the order of holders of a database that lies in a failure domain."""
 
@@ -116,7 +121,17 @@
 
     def rate_owner(self, organisation: OrganisationId) -> InstanceId:
         """Return the instance that counts an organisation's operations."""
-        return self.first_ranked_for(f"rate/{organisation}")
+        return self.first_ranked_for(rate_key(organisation))
+
+    def next_rate_owner(
+        self, organisation: OrganisationId, without: InstanceId
+    ) -> InstanceId | None:
+        """Return the instance that would count in place of another, if there is one."""
+        ranked = self.rankings.iterate_ranking(rate_key(organisation))
+        usable = self.failure_domains
+        return next(
+            (name for name in ranked if name in usable and name != without), None
+        )
 
     def confirmer(self) -> InstanceId:
         """Return the instance that confirms the declarations for the others."""
--- a/berylhinge/core/pooler/tests/test_token_buckets.py
+++ b/berylhinge/core/pooler/tests/test_token_buckets.py
@@ -18,6 +18,7 @@
     RateTolerance,
     reached_fraction,
     reached_quota,
+    receive_bucket,
     return_tokens,
     spare_tokens,
     TokenBucket,
@@ -155,6 +156,72 @@
     assert most_in_a_window(used_at) <= (rate * 5.0 + quota.burst) * 1.1 + 20.0
 
 
+@pytest.mark.parametrize("rate", [2.0, 20.0, 300.0])
+@pytest.mark.parametrize("burst_factor", [0.5, 1.0, 4.0])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_rolling_restart_keeps_the_bound_in_every_window(
+    rate: float, burst_factor: float, seed: int
+) -> None:
+    # Each new owner started with tokens of its own. Four of six in a row get their
+    # predecessor's bucket in time; to two it comes late, and one predecessor grants until
+    # then.
+    rng, quota = Random(seed), Quota(rate, rate * burst_factor)
+    kinds = ["in-time"] * 4 + ["late", "late-and-granting"]
+    rng.shuffle(kinds)
+    start = rng.uniform(0.0, 4.0)
+    changes = [(start + 1.3 * number, kind) for number, kind in enumerate(kinds)]
+    bucket, guess = new_bucket(quota, 0.0, None), None
+    arrives_at, is_granting = float("inf"), True
+    used_at: list[float] = []
+    for step in range(1_500):
+        now = step / 100
+        if changes and now >= changes[0][0]:
+            kind = changes.pop(0)[1]
+            if kind == "in-time":
+                bucket = receive_bucket(None, bucket, now)
+            else:
+                guess, is_granting = new_bucket(quota, now, TOLERANCE), kind != "late"
+                arrives_at = now + rng.uniform(0.0, 0.2)
+        if now >= arrives_at:
+            bucket, guess = receive_bucket(guess, bucket, now), None
+            arrives_at, is_granting = float("inf"), True
+        asked = 1 + rng.randrange(50)
+        if guess is not None:
+            found = grant_tokens(guess, quota, asked, now)
+            guess = found.bucket
+            used_at += [now + found.wait_seconds] * found.granted
+        if is_granting:
+            found = grant_tokens(bucket, quota, asked, now)
+            bucket = found.bucket
+            used_at += [now + found.wait_seconds] * found.granted
+    assert most_in_a_window(used_at) <= (rate * 5.0 + quota.burst) * 1.1 + 20.0
+
+
+@pytest.mark.parametrize(
+    ("known", "tokens"),
+    [
+        pytest.param(None, 8.0, id="none-yet"),
+        pytest.param(
+            TokenBucket(2.0, 9.9, 9.8, held_since=9.8, granted=3.0), 5.0, id="guess"
+        ),
+        pytest.param(
+            TokenBucket(2.0, 9.9, 1.0, held_since=1.0, granted=3.0), 2.0, id="older"
+        ),
+        pytest.param(
+            TokenBucket(2.0, 9.9, 6.0, held_since=6.0, granted=3.0), 2.0, id="in-use"
+        ),
+        pytest.param(
+            TokenBucket(2.0, 9.9, 1.0, held_since=9.8, granted=3.0), 2.0, id="handed"
+        ),
+    ],
+)
+def test_an_owner_goes_on_with_its_predecessors_bucket(
+    known: TokenBucket | None, tokens: float
+) -> None:
+    found = receive_bucket(known, TokenBucket(8.0, 9.9, 5.0), 10.0)
+    assert found.tokens == tokens
+
+
 @pytest.mark.parametrize("rate", [10.0, 50.0, 400.0])
 @pytest.mark.parametrize(
     "parts",
--- a/berylhinge/core/pooler/token_buckets.py
+++ b/berylhinge/core/pooler/token_buckets.py
@@ -1,8 +1,9 @@
 """Count an organisation's operations in a token bucket on one instance, its rate owner.
 
-The rate owner is the live instance that ranks first for the organisation. A new rate
-owner does not know what its predecessor granted, so it starts with few tokens. An
-instance that reaches no rate owner grants from a small share of the tolerated excess.
+The rate owner is the live instance that ranks first for the organisation. It hands its
+bucket to its successor. A new rate owner that gets none does not know what its
+predecessor granted, so it starts with few tokens. An instance that reaches no rate owner
+grants from a small share of the tolerated excess.
 """
 
 from __future__ import annotations
@@ -52,6 +53,8 @@
 
     ``awaited`` tokens were announced to refused operations that may be asked again.
     ``peaks`` are its highest fills of the last seconds, each higher than all later ones.
+    This instance holds it since ``held_since`` and has ``granted`` that many of its
+    tokens; another instance may have created it.
     """
 
     tokens: float
@@ -59,6 +62,8 @@
     created_at: Seconds = float("-inf")
     awaited: float = 0.0
     peaks: tuple[FillPeak, ...] = ()
+    held_since: Seconds = float("-inf")
+    granted: float = 0.0
 
 
 class BucketGrant(NamedTuple):
@@ -104,11 +109,12 @@
     """
     unshared = reached_fraction**3
     if tolerance is None:
-        return TokenBucket(quota.burst * unshared, now)
+        return TokenBucket(quota.burst * unshared, now, held_since=now)
     excess = tolerated_excess(quota, tolerance) * NEW_BUCKET_EXCESS_FRACTION
     # Operations may still wait for tokens that the previous rate owner reserved.
     start = max(0.0, excess - quota.rate * MAX_WAIT_SECONDS)
-    return TokenBucket(min(quota.burst, start) * unshared, now, now)
+    tokens = min(quota.burst, start) * unshared
+    return TokenBucket(tokens, now, now, held_since=now)
 
 
 def reached_fraction(heard: int, suspected: int) -> float:
@@ -141,6 +147,7 @@
     reserved = quota.rate * MAX_WAIT_SECONDS
     given = max(0, min(requested, int(tokens + reserved)))
     refused, left = requested - given, tokens - given
+    bucket = bucket._replace(granted=bucket.granted + given)
     if quota.rate <= 0.0:
         kept = bucket._replace(tokens=left, updated_at=now, peaks=peaks)
         return BucketGrant(kept, given, 0.0, 1.0)
@@ -162,9 +169,11 @@
 
     As many come back as would be there if they had not been taken: without them the
     bucket would have been fuller since, and at its highest fill it would have overflowed.
-    Tokens taken before the bucket was created are another owner's and are dropped.
+    Tokens taken before the bucket was created or received are another owner's and are
+    dropped.
     """
-    if taken_at <= max(bucket.created_at, now - PEAK_LIFETIME_SECONDS):
+    oldest = max(bucket.created_at, bucket.held_since, now - PEAK_LIFETIME_SECONDS)
+    if taken_at <= oldest:
         return bucket
     tokens = refilled_tokens(bucket, quota, now)
     peaks = updated_peaks(bucket, tokens, now)
@@ -178,7 +187,30 @@
     ]
     raised = [FillPeak(peak.at, peak.tokens + returned) for peak in since]
     return bucket._replace(
-        tokens=tokens + returned, updated_at=now, peaks=(*before, *raised)
+        tokens=tokens + returned,
+        updated_at=now,
+        peaks=(*before, *raised),
+        granted=bucket.granted - returned,
+    )
+
+
+def receive_bucket(
+    known: TokenBucket | None, handed: TokenBucket, now: Seconds
+) -> TokenBucket:
+    """Return the bucket of a rate owner to which its predecessor hands its own.
+
+    If the owner had to start a bucket before, that was a guess: what it granted is
+    taken from the bucket handed on. An older bucket or one in use for longer is kept,
+    since then it was the predecessor who took over for a while.
+    """
+    received = handed._replace(held_since=now, peaks=(), granted=0.0)
+    if known is None:
+        return received
+    is_guess = now - known.held_since < NEW_BUCKET_SECONDS
+    if not is_guess or known.created_at < handed.created_at:
+        return known
+    return received._replace(
+        tokens=handed.tokens - known.granted, granted=known.granted
     )
 
 
@@ -212,6 +244,11 @@
     return int(moment // PEAK_SLOT_SECONDS)
 
 
+def take_spare_tokens(bucket: TokenBucket, count: int) -> TokenBucket:
+    """Take tokens that are granted ahead."""
+    return bucket._replace(tokens=bucket.tokens - count, granted=bucket.granted + count)
+
+
 def spare_tokens(
     bucket: TokenBucket, quota: Quota, requested: int, instances: int
 ) -> int:
--- a/berylhinge/log_lines.py
+++ b/berylhinge/log_lines.py
@@ -333,3 +333,37 @@
     request_id: str
     organisation: str
     detail: str
+
+
+class BucketStarted(InstanceLogLine):
+    """Report the tokens with which a rate owner starts that got no bucket."""
+
+    organisation: str
+    tokens: float
+    owner: str
+
+
+class BucketsHandedOver(InstanceLogLine):
+    """Report whether buckets were sent to their next rate owner."""
+
+    owner: str
+    organisations: list[str]
+    sent: bool
+
+
+class BucketReceived(PeerLogLine):
+    """Report a former rate owner's bucket, what was granted before, and if it is used.
+
+    ``tokens`` are those with which the instance goes on.
+    """
+
+    organisation: str
+    tokens: float
+    own_grants: float
+    kept_own: bool
+
+
+class BucketNotReceived(PeerLogLine):
+    """Report a former rate owner that did not answer the request for its bucket."""
+
+    organisation: str
--- a/berylhinge/tasks/pooler/instance.py
+++ b/berylhinge/tasks/pooler/instance.py
@@ -17,6 +17,8 @@
 from ...platform.metadata_store import MetadataStore
 from ...platform.terms import features_of
 from ...wire.pooling import (
+    BucketHandover,
+    BucketRequest,
     DatabaseStatesRequest,
     ExecuteRequest,
     RollbackRequest,
@@ -150,8 +152,12 @@
             ),
             is_starting=self.peer_monitor.starting.is_starting,
             reached_fraction=lambda: self.peer_monitor.reached_fraction,
+            log=Log("rates", settings.instance),
         )
         links.register_call(TokenRequest, self.rate_limiter.answer_token_request)
+        handover = self.rate_limiter.handover
+        links.register(BucketHandover, handover.receive_buckets)
+        links.register_call(BucketRequest, handover.answer_bucket_request)
         self.promotion_task = PromotionTask(
             view,
             self.held_databases,
@@ -196,6 +202,7 @@
         links.start()
         steps = (
             self.held_databases.tend,
+            self.rate_limiter.handover.hand_over,
             self.peer_monitor.look_at_holders,
             self.promotion_task.watch,
             self.evacuation_monitor.watch,
@@ -244,6 +251,7 @@
         self.view.invalidate_assignment()
         if self.links is None:
             return
+        self.rate_limiter.handover.hand_over()
         gevent.spawn(self.registry.registration.announce_leaving)
         while now_seconds() < stop.closes_all_at:
             if self.caller_listener.closing:
--- a/berylhinge/tasks/pooler/rates.py
+++ b/berylhinge/tasks/pooler/rates.py
@@ -16,18 +16,21 @@
     return_tokens,
     SPARE_LIFETIME_SECONDS,
     spare_tokens,
+    take_spare_tokens,
     TokenBucket,
 )
 from ...wire.pooling import TokenGrant, TokenRequest
 from ..clock import now_seconds
 from ..peer_frames import PeerLost
 from .fleet_view import PEER_FAILOVER_SECONDS
+from .rate_handover import RateHandover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ...core.pooler.catalogue import Quota
     from ...types import InstanceId, OrganisationId, Seconds
+    from ..logs import Log
     from ..peer_links import Links
     from .fleet_view import FleetView
 
@@ -99,8 +102,10 @@
         tolerance: RateTolerance,
         is_starting: Callable[[InstanceId], bool],
         reached_fraction: Callable[[], float],
+        log: Log,
     ) -> None:
         """Start without buckets; on a first start new ones are full for a while."""
+        self.log = log
         self.view = view
         self.links = links
         self.tolerance = tolerance
@@ -110,6 +115,9 @@
             FULL_BUCKETS_SECONDS if first_start else 0.0
         )
         self.owned_buckets: dict[OrganisationId, TokenBucket] = {}
+        self.handover = RateHandover(
+            view, links, self.owned_buckets, first_start=first_start, log=log
+        )
         self.fallback_buckets: dict[OrganisationId, TokenBucket] = {}
         self.prefetched: dict[OrganisationId, PrefetchedTokens] = {}
         self.demands: dict[OrganisationId, Demand] = {}
@@ -139,7 +147,7 @@
         quota = self.view.declarations.quotas.get(organisation)
         if quota is None:
             return Admission(True, 0.0)
-        rate_owner = self.view.rate_owner(organisation)
+        rate_owner = self.handover.rate_owner(organisation)
         if rate_owner == self.view.own_instance:
             return self.admit_as_owner(organisation, quota)
         granted_at = self.use_prefetched_token(organisation)
@@ -177,6 +185,7 @@
 
     def admit_as_owner(self, organisation: OrganisationId, quota: Quota) -> Admission:
         """Take a token from a bucket that this instance owns."""
+        self.handover.take_over(organisation)
         tokens = self.take_tokens(organisation, quota, 1)
         taken_at = now_seconds()
         if tokens.wait_seconds > 0.0:
@@ -274,7 +283,7 @@
         """
         attempts = 0
         while attempts < MAX_OWNERS_ASKED:
-            rate_owner = self.view.rate_owner(request.organisation)
+            rate_owner = self.handover.rate_owner(request.organisation)
             if rate_owner == self.view.own_instance:
                 return rate_owner, self.answer_token_request(rate_owner, request)
             asked_at = now_seconds()
@@ -339,6 +348,12 @@
         if bucket is None:
             tolerance = None if now < self.full_buckets_until else self.tolerance
             bucket = new_bucket(quota, now, tolerance, reached_fraction=reached)
+            self.log.info(
+                "A rate owner's bucket starts anew.",
+                organisation=organisation,
+                tokens=round(bucket.tokens, 1),
+                owner=self.view.rate_owner(organisation),
+            )
         outcome = grant_tokens(bucket, reached_quota(quota, reached), count, now)
         self.owned_buckets[organisation] = outcome.bucket
         return TokenGrant(
@@ -356,6 +371,10 @@
         quota = self.view.declarations.quotas.get(message.organisation)
         if quota is None:
             return TokenGrant(message.requested, 0, 0.0, 0.0)
+        forwarded = self.handover.forward_request(message)
+        if forwarded is not None:
+            return forwarded
+        self.handover.take_over(message.organisation)
         if message.returned:
             taken_at = now_seconds() - message.returned_age_seconds
             self.take_back(message.organisation, quota, message.returned, taken_at)
@@ -363,6 +382,6 @@
         bucket = self.owned_buckets[message.organisation]
         extra = spare_tokens(bucket, quota, message.spare, len(self.view.members))
         if extra:
-            remaining = bucket._replace(tokens=bucket.tokens - extra)
+            remaining = take_spare_tokens(bucket, extra)
             self.owned_buckets[message.organisation] = remaining
         return tokens._replace(spare=extra)
--- a/berylhinge/tasks/pooler/tests/test_rates.py
+++ b/berylhinge/tasks/pooler/tests/test_rates.py
@@ -10,6 +10,7 @@
 from ....core.pooler.token_buckets import RateTolerance, TokenBucket
 from ....wire.pooling import TokenGrant, TokenRequest
 from ...clock import now_seconds
+from ...logs import Log
 from ...peer_frames import PeerLost
 from ..fleet_view import PEER_FAILOVER_SECONDS
 from ..rates import Admission, RateLimiter
@@ -30,6 +31,10 @@
         self.own_instance = "own"
         self.members = dict.fromkeys(["own", *owners])
         self.declarations = SimpleNamespace(quotas={"o": QUOTA})
+        self.assignment = self
+
+    def next_rate_owner(self, organisation: str, without: str) -> None:
+        return None
 
     def reached_fraction(self) -> float:
         return 1.0
@@ -64,6 +69,7 @@
         tolerance=TOLERANCE,
         is_starting=view.is_starting,
         reached_fraction=view.reached_fraction,
+        log=Log("rates", "own"),
     )
 
 
--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -143,7 +143,8 @@
 
     ``requested`` are for waiting operations, ``spare`` for operations to come.
     ``returned`` tokens of the owner were taken for operations that did not run, none of
-    them longer than ``returned_age_seconds`` ago.
+    them longer than ``returned_age_seconds`` ago. A former rate owner forwards requests
+    to its successor, which answers those that it got as ``is_forwarded`` by itself.
     """
 
     organisation: OrganisationId
@@ -151,6 +152,7 @@
     spare: int
     returned: int = 0
     returned_age_seconds: Seconds = 0.0
+    is_forwarded: bool = False
 
 
 @sent_as("Tokens")
@@ -168,6 +170,37 @@
     may_wait: bool = False
 
 
+class HandedBucket(NamedTuple):
+    """Describe an organisation's token bucket as it was ``stored_seconds`` ago.
+
+    ``age_seconds`` is the time since it was created, infinite for one that was full.
+    """
+
+    organisation: OrganisationId
+    tokens: float
+    awaited: float
+    stored_seconds: Seconds
+    age_seconds: Seconds
+
+
+@sent_as("AskBucket")
+class BucketRequest(NamedTuple):
+    """Ask an organisation's former rate owner for its bucket, after joining the fleet."""
+
+    organisation: OrganisationId
+
+
+@sent_as("HandOver")
+class BucketHandover(NamedTuple):
+    """Hand buckets to their organisations' next rate owner.
+
+    An instance that ``is_leaving`` does not take them back.
+    """
+
+    buckets: list[HandedBucket]
+    is_leaving: bool
+
+
 @sent_as("Reach")
 class ReachabilityRequest(NamedTuple):
     """Ask whether the recipient reaches a database by a new connection."""
