Send the messages of the hand-over under their own names

Cause: a second reading found them sent under other kinds than their types' names; sent_as is for types that were renamed after their kinds were in use.

Change: the kinds follow the names.

--- a/berylhinge/wire/pooling.py
+++ b/berylhinge/wire/pooling.py
@@ -183,14 +183,12 @@
     age_seconds: Seconds
 
 
-@sent_as("AskBucket")
 class BucketRequest(NamedTuple):
     """Ask an organisation's former rate owner for its bucket, after joining the fleet."""
 
     organisation: OrganisationId
 
 
-@sent_as("HandOver")
 class BucketHandover(NamedTuple):
     """Hand buckets to their organisations' next rate owner.
 
